--- /dev/null
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/admin.py
@@ -0,0 +1,108 @@
+"""Listener for operators: health, readiness, metrics, dump and explain."""
+
+import json
+import typing
+
+import klein
+from twisted.web import server
+
+from pistachioseam import conversion
+from pistachioseam import snapshots
+
+if typing.TYPE_CHECKING:
+    from pistachioseam_entry import process
+
+JSON_TYPE = 'application/json'
+METRICS_TYPE = 'text/plain; version=0.0.4; charset=utf-8'
+
+
+class Admin:
+    """HTTP application on the admin address of a host."""
+
+    app = klein.Klein()
+
+    def __init__(self, owner: 'process.Process') -> None:
+        self._process = owner
+
+    def create_site(self) -> server.Site:
+        """Return the protocol factory of the admin port."""
+        site = server.Site(self.app.resource())
+        site.displayTracebacks = False
+        return site
+
+    @app.route('/healthz')
+    def check_health(self, request: typing.Any) -> bytes:
+        """Answer 200 while the process runs its loop."""
+        return b'ok\n'
+
+    @app.route('/readyz')
+    def check_readiness(self, request: typing.Any) -> bytes:
+        """Answer 200 only while new requests are welcome."""
+        state = self._process.lifecycle.get_state()
+        if state != 'ready':
+            request.setResponseCode(503)
+        return f'{state}\n'.encode()
+
+    @app.route('/metrics')
+    def render_metrics(self, request: typing.Any) -> bytes:
+        """Return all metrics."""
+        request.setHeader('content-type', METRICS_TYPE)
+        self._process.measure_state()
+        return self._process.metrics.render()
+
+    @app.route('/dump')
+    def dump_state(self, request: typing.Any) -> bytes:
+        """Return the whole state of the process, without credentials."""
+        return _encode(request, create_dump(self._process))
+
+    @app.route('/explain/<request_id>')
+    def explain_request(self, request: typing.Any, request_id: str) -> bytes:
+        """Return what the filters found for a request served here."""
+        entry = self._process.router.journal.find(request_id)
+        if entry is None:
+            request.setResponseCode(404)
+            return _encode(request, {'error': 'unknown request'})
+        return _encode(request, conversion.unstructure(entry))
+
+
+def _encode(request: typing.Any, content: object) -> bytes:
+    request.setHeader('content-type', JSON_TYPE)
+    return json.dumps(content, indent=2, default=str).encode() + b'\n'
+
+
+def create_dump(owner: 'process.Process') -> dict[str, typing.Any]:
+    """Return the state of a process as plain data."""
+    router = owner.router
+    targets = sorted(
+        {
+            t.name
+            for pool in router.acceptor.snapshot.pools
+            for t in pool.targets
+        }
+    )
+    now = router.runtime.now()
+    return {
+        'host': owner.settings.host.name,
+        'domain': owner.settings.host.domain,
+        'incarnation': router.claims.holder,
+        'lifecycle': owner.lifecycle.get_state(),
+        'active_requests': owner.listener.active,
+        'configuration': snapshots.encode_snapshot(router.acceptor.snapshot),
+        'claims': {
+            'held': router.claims.count_held(),
+            'unsettled': router.claims.count_unsettled(),
+        },
+        'suspected_targets': router.health.list_suspected(),
+        'quarantined_requests': router.quarantine.list_quarantined(),
+        'retry_budget_tokens': router.budget.tokens,
+        'tracked_prefixes': router.placer.evidence.count_prefixes(),
+        'tracked_accounts': router.limits.count_accounts(),
+        'targets': {
+            name: {
+                'wait_seconds': router.placer.loads.estimate_wait(name, now),
+                'lifetime_seconds': router.placer.evidence.get_lifetime(name),
+            }
+            for name in targets
+        },
+        'peers': owner.describe_peers(),
+    }
--- /dev/null
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/command.py
@@ -0,0 +1,45 @@
+"""Command line of `pistachioseamd`."""
+
+import pathlib
+import sys
+
+import fire
+from returns import pipeline
+
+from pistachioseam_entry import logs
+from pistachioseam_entry import reactors
+from pistachioseam_entry import settings
+
+EXIT_BAD_SETTINGS = 2
+
+
+def run(settings_file: str) -> None:
+    """Run the process of an entry host until SIGTERM or SIGINT.
+
+    Args:
+      settings_file: path of the YAML settings.
+    """
+    loaded = settings.load_settings(pathlib.Path(settings_file))
+    if not pipeline.is_successful(loaded):
+        for finding in loaded.failure():
+            print(finding.format(), file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    options = loaded.unwrap()
+    logs.configure_logs(options.logs)
+    reactors.install_reactor()
+    _run_process(options)
+
+
+def _run_process(options: settings.Settings) -> None:
+    # Libraries that the process imports install a default reactor.
+    from pistachioseam_entry import process
+
+    reactor = reactors.get_reactor()
+    with process.Process(options) as host:
+        reactor.addSystemEventTrigger('before', 'shutdown', host.shut_down)
+        reactor.run()
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(run, name='pistachioseamd')
--- /dev/null
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/listener.py
@@ -0,0 +1,261 @@
+"""Listener for callers: reads requests and runs them through the filters."""
+
+import asyncio
+import json
+import typing
+
+import klein
+from twisted.internet import defer
+from twisted.web import server
+
+from pistachioseam import chats
+from pistachioseam import events
+from pistachioseam import exchanges
+from pistachioseam import filters  # noqa: F401
+from pistachioseam import identity
+from pistachioseam import interfaces
+from pistachioseam import pipeline
+from pistachioseam import refusals
+from pistachioseam import router as routers
+from pistachioseam_entry import metrics
+from pistachioseam_entry import reply as replies
+from pistachioseam_entry import settings
+
+HEADER_ROOM_FACTOR = 4
+
+
+class BoundedRequest(server.Request):
+    """Request that stops keeping its body beyond a bound."""
+
+    max_body_bytes = 0
+    is_too_large = False
+
+    def gotLength(self, length: int | None) -> None:  # noqa: N802
+        """Note an announced length that is too large."""
+        if length is not None and length > self.max_body_bytes:
+            self.is_too_large = True
+            length = 0
+        self.kept_bytes = 0
+        super().gotLength(length)
+
+    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
+        """Keep a chunk unless the body is too large."""
+        self.kept_bytes += len(data)
+        if self.kept_bytes > self.max_body_bytes:
+            self.is_too_large = True
+        if not self.is_too_large:
+            super().handleContentChunk(data)
+
+
+class _Site(server.Site):
+    """Site whose connections read headers somewhat beyond the bound."""
+
+    header_room = 0
+
+    def buildProtocol(self, addr: typing.Any) -> typing.Any:  # noqa: N802
+        """Return the protocol of a new connection."""
+        channel: typing.Any = super().buildProtocol(addr)
+        channel._channel.totalHeadersSize = self.header_room
+        return channel
+
+
+class Listener:
+    """HTTP application for callers; counts what is in progress."""
+
+    app = klein.Klein()
+
+    def __init__(
+        self,
+        router: routers.Router,
+        measures: metrics.Metrics,
+        options: settings.Requests,
+    ) -> None:
+        self.active = 0
+        self.is_draining = False
+        self._router = router
+        self._metrics = measures
+        self._options = options
+
+    def create_site(self) -> server.Site:
+        """Return the protocol factory of the listening port."""
+
+        class _Request(BoundedRequest):
+            max_body_bytes = self._options.max_body_bytes
+
+        site = _Site(
+            self.app.resource(),
+            timeout=self._options.idle_timeout_seconds,
+            requestFactory=_Request,
+        )
+        site.header_room = HEADER_ROOM_FACTOR * self._options.max_header_bytes
+        site.displayTracebacks = False
+        return site
+
+    @app.route('/', branch=True)
+    def handle(self, request: typing.Any) -> defer.Deferred[None]:
+        """Answer any request of a caller."""
+        work = asyncio.ensure_future(self._handle(request))
+        return defer.Deferred.fromFuture(work)
+
+    async def _handle(self, request: typing.Any) -> None:
+        with replies.HttpReply(request) as reply:
+            exchange = self._create_exchange(request, reply)
+            if self.is_draining:
+                request.setHeader('connection', 'close')
+            work = asyncio.ensure_future(self._run(request, exchange))
+            try:
+                await asyncio.shield(work)
+            except asyncio.CancelledError:
+                self._leave(exchange, work)
+                raise
+
+    def _leave(
+        self, exchange: exchanges.Exchange, work: asyncio.Future[None]
+    ) -> None:
+        """Cancel the work of a vanished caller if it may be repeated."""
+        self._router.sink.emit(
+            events.Event.CALLER_LEFT, request_id=exchange.request_id
+        )
+        if exchange.is_repeatable():
+            work.cancel()
+
+    def _create_exchange(
+        self, request: typing.Any, reply: replies.HttpReply
+    ) -> exchanges.Exchange:
+        headers = {
+            name.decode('latin-1').lower(): values[-1].decode('latin-1')
+            for name, values in request.requestHeaders.getAllRawHeaders()
+        }
+        return exchanges.Exchange(
+            request_id=self._router.random.token(),
+            method=request.method.decode('latin-1'),
+            path=request.uri.decode('latin-1'),
+            headers=headers,
+            body=request.content.read(),
+            received_at=self._router.runtime.now(),
+            reply=reply,
+        )
+
+    async def _run(
+        self, request: typing.Any, exchange: exchanges.Exchange
+    ) -> None:
+        self.active += 1
+        reply = typing.cast(replies.HttpReply, exchange.reply)
+        request.setHeader(replies.REQUEST_ID_HEADER, exchange.request_id)
+        try:
+            await self._decide(request, exchange)
+            await reply.end(exchange)
+        except asyncio.CancelledError:
+            exchange.add_note('listener', 'caller left')
+            raise
+        finally:
+            self.active -= 1
+            self._record(exchange)
+
+    async def _decide(
+        self, request: typing.Any, exchange: exchanges.Exchange
+    ) -> None:
+        exchange.refusal = self._check_bounds(request)
+        if exchange.refusal is not None:
+            return
+        if exchange.path == chats.MODELS_PATH:
+            self._list_models(exchange)
+            return
+        try:
+            await pipeline.run_filters(exchange, self._router)
+        except Exception as error:
+            self._router.sink.emit(
+                events.Event.INTERNAL_ERROR,
+                request_id=exchange.request_id,
+                error=repr(error),
+            )
+            exchange.refusal = _refuse_internal(exchange)
+
+    def _check_bounds(self, request: typing.Any) -> refusals.Refusal | None:
+        if request.is_too_large:
+            request.setHeader('connection', 'close')
+            return refusals.Refusal(
+                413, refusals.Reason.BODY_TOO_LARGE, 'the body is too large'
+            )
+        size = sum(
+            len(name) + sum(len(value) for value in values)
+            for name, values in request.requestHeaders.getAllRawHeaders()
+        )
+        if size > self._options.max_header_bytes:
+            return refusals.Refusal(
+                431,
+                refusals.Reason.HEADERS_TOO_LARGE,
+                'the headers are too large',
+            )
+        return None
+
+    def _list_models(self, exchange: exchanges.Exchange) -> None:
+        authorization = exchange.headers.get('authorization', '')
+        caller = identity.find_caller(self._router.callers, authorization)
+        if caller is None:
+            exchange.refusal = refusals.Refusal(
+                401, refusals.Reason.UNKNOWN_CALLER, 'unknown credentials'
+            )
+            return
+        snapshot = self._router.acceptor.snapshot
+        exchange.caller = caller
+        exchange.configuration_number = snapshot.number
+        models = {
+            pool.model
+            for route in snapshot.routes
+            if route.team == caller.team
+            for pool in snapshot.pools
+            if pool.name == route.pool and pool.model
+        }
+        listed = [
+            {'id': model, 'object': 'model', 'owned_by': 'pistachioseam'}
+            for model in sorted(models)
+        ]
+        exchange.answer = _create_json_answer(
+            {'object': 'list', 'data': listed}
+        )
+
+    def _record(self, exchange: exchanges.Exchange) -> None:
+        now = self._router.runtime.now()
+        self._router.journal.add(exchange, now)
+        outcome = exchange.get_outcome().value
+        reason = exchange.refusal.reason.value if exchange.refusal else ''
+        first = exchange.first_token_at
+        seconds = now - exchange.received_at
+        self._metrics.observe_request(
+            outcome,
+            reason,
+            seconds,
+            None if first is None else first - exchange.received_at,
+            len(exchange.delivered),
+        )
+        event = events.Event.REQUEST_ENDED
+        if exchange.refusal is not None:
+            event = events.Event.REQUEST_REFUSED
+        if exchange.refusal is not None and exchange.reply.is_begun():
+            is_stream = exchange.chat is not None and exchange.chat.is_stream
+            if is_stream and exchange.delivered:
+                event = events.Event.STREAM_FAILED
+        self._router.sink.emit(
+            event,
+            request_id=exchange.request_id,
+            account=exchange.get_account(),
+            outcome=outcome,
+            reason=reason,
+            attempts=len(exchange.attempts),
+            seconds=round(seconds, 4),
+        )
+
+
+def _refuse_internal(exchange: exchanges.Exchange) -> refusals.Refusal:
+    outcome = refusals.Outcome.NOT_RUN
+    if exchange.attempts:
+        outcome = refusals.Outcome.UNKNOWN
+    return refusals.Refusal(
+        500, refusals.Reason.INTERNAL, 'internal error', outcome
+    )
+
+
+def _create_json_answer(content: object) -> interfaces.TargetAnswer:
+    body = json.dumps(content).encode()
+    return interfaces.TargetAnswer(200, replies.JSON_TYPE, body)
--- /dev/null
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/logs.py
@@ -0,0 +1,52 @@
+"""Numbered events on the log, for machines (JSON) or for people."""
+
+import json
+import sys
+import typing
+
+import loguru
+
+from pistachioseam import events
+from pistachioseam_entry import metrics
+from pistachioseam_entry import settings
+
+TEXT_FORMAT = '{time:HH:mm:ss.SSS} {level:<7} {message}'
+
+
+def configure_logs(logs: settings.Logs) -> None:
+    """Send the log to standard error at the level of the settings."""
+    loguru.logger.remove()
+    if logs.format == 'json':
+        loguru.logger.add(_write_json, level=logs.level)
+    else:
+        loguru.logger.add(sys.stderr, level=logs.level, format=TEXT_FORMAT)
+
+
+def _write_json(message: typing.Any) -> None:
+    record = message.record
+    line = {
+        'time': record['time'].isoformat(),
+        'level': record['level'].name,
+        **record['extra'],
+    }
+    sys.stderr.write(json.dumps(line, default=str) + '\n')
+
+
+class LogSink:
+    """Event sink that writes the log and counts events."""
+
+    def __init__(self, host: str, measures: metrics.Metrics) -> None:
+        self._logger = loguru.logger.bind(host=host)
+        self._metrics = measures
+
+    def emit(self, event: events.Event, **fields: object) -> None:
+        """Record one event with its fields."""
+        kind = event.value
+        self._metrics.count_event(kind.number)
+        logger = self._logger.bind(
+            event=kind.number, message=kind.message, **fields
+        )
+        details = ' '.join(f'{key}={value}' for key, value in fields.items())
+        logger.log(
+            kind.level.value, '{} {} {}', kind.number, kind.message, details
+        )
--- /dev/null
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/platform.py
@@ -0,0 +1,154 @@
+"""Client of the platform's transactional table service."""
+
+import asyncio
+from collections import abc
+import json
+import typing
+
+import attrs
+from returns import result
+import treq
+from twisted.internet import error
+from twisted.web import client
+from twisted.web import http
+
+from pistachioseam import interfaces
+from pistachioseam_entry import reactors
+from pistachioseam_entry import settings
+
+JSON_HEADERS = {'content-type': ['application/json']}
+
+
+@attrs.frozen
+class ListedHost:
+    """Entry of the platform's lagging list of hosts."""
+
+    name: str
+    address: str
+    is_leaving: bool
+
+
+class PlatformClient:
+    """Table store over HTTP; implements `interfaces.TableStore`."""
+
+    def __init__(self, options: settings.Platform) -> None:
+        self._base = f'http://{options.address}'
+        self._timeout = options.timeout_seconds
+        pool = client.HTTPConnectionPool(
+            reactors.get_reactor(), persistent=True
+        )
+        pool.retryAutomatically = False
+        self._agent = client.Agent(
+            reactors.get_reactor(),
+            connectTimeout=options.timeout_seconds,
+            pool=pool,
+        )
+
+    async def read(self, key: interfaces.RowKey) -> interfaces.ReadResult:
+        """Return the current row."""
+        path = f'/v1/tables/{key.table}/rows/{key.key}'
+        answered = await self._request('GET', path, None)
+        return answered.map(lambda answer: _decode_row(answer.content))
+
+    async def scan(self, tables: abc.Sequence[str]) -> interfaces.ScanResult:
+        """Return all rows of the tables, read in one transaction."""
+        path = f'/v1/scan?tables={",".join(tables)}'
+        answered = await self._request('GET', path, None)
+        return answered.map(lambda answer: _decode_view(answer.content))
+
+    async def commit(
+        self,
+        conditions: abc.Sequence[interfaces.Condition],
+        writes: abc.Sequence[interfaces.Write],
+    ) -> interfaces.CommitResult:
+        """Apply the writes if all conditions hold; return the revision."""
+        body = {
+            'conditions': [
+                {
+                    'table': condition.key.table,
+                    'key': condition.key.key,
+                    'version': condition.version,
+                }
+                for condition in conditions
+            ],
+            'writes': [
+                {
+                    'table': write.key.table,
+                    'key': write.key.key,
+                    'value': write.value,
+                }
+                for write in writes
+            ],
+        }
+        answered = await self._request('POST', '/v1/transactions', body)
+        return answered.bind(_decode_commit)
+
+    async def list_hosts(
+        self,
+    ) -> result.Result[tuple[ListedHost, ...], interfaces.StoreError]:
+        """Return the platform's list of live and leaving hosts."""
+        answered = await self._request('GET', '/v1/hosts', None)
+        return answered.map(lambda answer: _decode_hosts(answer.content))
+
+    async def _request(
+        self, method: str, path: str, body: object
+    ) -> result.Result['_Answer', interfaces.StoreError]:
+        data = None if body is None else json.dumps(body).encode()
+        try:
+            async with asyncio.timeout(self._timeout):
+                return await self._send(method, path, data)
+        except error.ConnectError:
+            return result.Failure(interfaces.StoreError.UNAVAILABLE)
+        except Exception:
+            return result.Failure(interfaces.StoreError.LOST)
+
+    async def _send(
+        self, method: str, path: str, data: bytes | None
+    ) -> result.Result['_Answer', interfaces.StoreError]:
+        loop = asyncio.get_running_loop()
+        sent = treq.request(
+            method,
+            self._base + path,
+            headers=JSON_HEADERS,
+            data=data,
+            agent=self._agent,
+        )
+        response = await sent.asFuture(loop)
+        content = await treq.content(response).asFuture(loop)
+        if response.code == http.SERVICE_UNAVAILABLE:
+            return result.Failure(interfaces.StoreError.UNAVAILABLE)
+        return result.Success(_Answer(response.code, json.loads(content)))
+
+
+@attrs.frozen
+class _Answer:
+    status: int
+    content: typing.Any
+
+
+def _decode_row(content: typing.Any) -> interfaces.Row:
+    return interfaces.Row(
+        interfaces.RowKey(content['table'], content['key']),
+        content['version'],
+        content['value'],
+    )
+
+
+def _decode_view(content: typing.Any) -> interfaces.TablesView:
+    rows = tuple(_decode_row(row) for row in content['rows'])
+    return interfaces.TablesView(content['revision'], rows)
+
+
+def _decode_hosts(content: typing.Any) -> tuple[ListedHost, ...]:
+    return tuple(
+        ListedHost(host['name'], host['address'], host['is_leaving'])
+        for host in content['hosts']
+    )
+
+
+def _decode_commit(answer: _Answer) -> interfaces.CommitResult:
+    if answer.status == http.CONFLICT:
+        return result.Failure(interfaces.StoreError.CONFLICT)
+    if answer.status != http.OK:
+        return result.Failure(interfaces.StoreError.UNAVAILABLE)
+    return result.Success(answer.content['revision'])
--- /dev/null
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/process.py
@@ -0,0 +1,184 @@
+"""The process of an entry host: wiring, timers and graceful shutdown."""
+
+import asyncio
+import typing
+
+from returns import pipeline
+from twisted.internet import defer
+
+from pistachioseam import acceptance
+from pistachioseam import claims
+from pistachioseam import events
+from pistachioseam import health
+from pistachioseam import interfaces
+from pistachioseam import journal
+from pistachioseam import leaving
+from pistachioseam import limits
+from pistachioseam import links
+from pistachioseam.placement import placer
+from pistachioseam import quarantine
+from pistachioseam import retries
+from pistachioseam import router as routers
+from pistachioseam_entry import admin
+from pistachioseam_entry import lifecycle
+from pistachioseam_entry import listener
+from pistachioseam_entry import logs
+from pistachioseam_entry import metrics
+from pistachioseam_entry import platform
+from pistachioseam_entry import reactors
+from pistachioseam_entry import runtime
+from pistachioseam_entry import settings
+from pistachioseam_entry import targets
+
+FIRST_POLL_SECONDS = 0.1
+DRAIN_CHECK_SECONDS = 0.05
+
+
+class LoneHolders:
+    """Holders of claims as seen without peers: none can be asked."""
+
+    async def ask(
+        self, holder: str, key: interfaces.RowKey, token: str
+    ) -> claims.HolderReport:
+        """Return that the holder cannot be reached."""
+        return claims.HolderReport.UNREACHABLE
+
+
+class Process:
+    """One entry host; a context manager that owns its ports and tasks."""
+
+    def __init__(self, options: settings.Settings) -> None:
+        self.settings = options
+        self.metrics = metrics.Metrics()
+        self.sink = logs.LogSink(options.host.name, self.metrics)
+        self.runtime = runtime.AsyncioRuntime(self.sink)
+        self.lifecycle = lifecycle.create_lifecycle(self.sink)
+        self.platform = platform.PlatformClient(options.platform)
+        self.router = self._create_router()
+        self.listener = listener.Listener(
+            self.router, self.metrics, options.requests
+        )
+        self._admin = admin.Admin(self)
+        self._ports: list[typing.Any] = []
+
+    def _create_router(self) -> routers.Router:
+        options = self.settings
+        random = runtime.SystemRandom()
+        topology = links.Topology(
+            domain=options.host.domain, regions=options.regions
+        )
+        keeper = claims.ClaimKeeper(
+            store=self.platform,
+            runtime=self.runtime,
+            random=random,
+            sink=self.sink,
+            holders=LoneHolders(),
+            holder=f'{options.host.name}:{random.token()}',
+        )
+        return routers.Router(
+            runtime=self.runtime,
+            random=random,
+            sink=self.sink,
+            client=targets.HttpTargetClient(options.requests),
+            callers=options.callers,
+            topology=topology,
+            acceptor=acceptance.Acceptor(self.platform, self.sink),
+            claims=keeper,
+            placer=placer.Placer(options.placement, random),
+            limits=limits.AccountLimits(options.limits),
+            link=links.LinkBudget(
+                bytes_per_second=options.link.bytes_per_second,
+                burst_bytes=options.link.burst_bytes,
+            ),
+            health=health.HealthBoard(self.runtime, self.sink),
+            quarantine=quarantine.Quarantine(self.runtime),
+            leaving=leaving.LeavingTargets(),
+            budget=retries.RetryBudget(),
+            journal=journal.Journal(),
+        )
+
+    def __enter__(self) -> 'Process':
+        """Open the ports and start the timers."""
+        host = self.settings.host
+        self.sink.emit(events.Event.PROCESS_STARTED, domain=host.domain)
+        self.runtime.__enter__()
+        self._listen(self._admin.create_site(), host.admin_address)
+        self._listen(self.listener.create_site(), host.listen_address)
+        self.runtime.start(self._poll_configuration())
+        self.runtime.start(self._poll_hosts())
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Close what is still open."""
+        self.runtime.__exit__()
+
+    def _listen(self, site: typing.Any, address: str) -> None:
+        host, _, port = address.rpartition(':')
+        listening = reactors.get_reactor().listenTCP(
+            int(port), site, interface=host.strip('[]')
+        )
+        self._ports.append(listening)
+
+    async def _poll_configuration(self) -> None:
+        """Accept and follow the operators' tables."""
+        delay = FIRST_POLL_SECONDS
+        while True:
+            await self.router.acceptor.refresh()
+            if self.router.acceptor.snapshot.number > 0:
+                self.lifecycle.become_ready()
+                delay = self.settings.platform.poll_seconds
+            await asyncio.sleep(delay)
+
+    async def _poll_hosts(self) -> None:
+        """Follow the platform's list of leaving hosts."""
+        while True:
+            listed = await self.platform.list_hosts()
+            if pipeline.is_successful(listed):
+                hosts = listed.unwrap()
+                leaving = [h.address for h in hosts if h.is_leaving]
+                self.router.leaving.set_listed(leaving)
+            await asyncio.sleep(self.settings.platform.poll_seconds)
+
+    def measure_state(self) -> None:
+        """Set the gauges of the state's sizes."""
+        router = self.router
+        self.metrics.set_state('active_requests', self.listener.active)
+        self.metrics.set_state('held_claims', router.claims.count_held())
+        self.metrics.set_state(
+            'unsettled_claims', router.claims.count_unsettled()
+        )
+        self.metrics.set_state(
+            'tracked_prefixes', router.placer.evidence.count_prefixes()
+        )
+        self.metrics.set_state('journal_entries', router.journal.count())
+        self.metrics.set_state(
+            'configuration_number', router.acceptor.snapshot.number
+        )
+
+    def describe_peers(self) -> dict[str, typing.Any]:
+        """Return what is known of the other entry hosts."""
+        return {}
+
+    def shut_down(self) -> defer.Deferred[None]:
+        """Return a Deferred that fires when a graceful shutdown has ended."""
+        work = asyncio.ensure_future(self._drain())
+        return defer.Deferred.fromFuture(work)
+
+    async def _drain(self) -> None:
+        """Stop without cutting off a request, within the limit."""
+        self.lifecycle.drain()
+        self.listener.is_draining = True
+        limits_ = self.settings.shutdown
+        try:
+            async with asyncio.timeout(limits_.limit_seconds):
+                await asyncio.sleep(limits_.notice_seconds)
+                await self._ports[1].stopListening()
+                while self.listener.active:
+                    await asyncio.sleep(DRAIN_CHECK_SECONDS)
+                await self.router.claims.drain()
+        except TimeoutError:
+            self.sink.emit(
+                events.Event.INTERNAL_ERROR,
+                error='the shutdown limit passed with requests in progress',
+            )
+        self.lifecycle.stop()
--- /dev/null
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/reactors.py
@@ -0,0 +1,20 @@
+"""The asyncio reactor, shared by twisted and asyncio libraries."""
+
+import asyncio
+import typing
+
+from twisted.internet import asyncioreactor
+
+
+def install_reactor() -> None:
+    """Install the asyncio reactor on a loop that is also the current one."""
+    loop = asyncio.new_event_loop()
+    asyncio.set_event_loop(loop)
+    asyncioreactor.install(loop)
+
+
+def get_reactor() -> typing.Any:
+    """Return the reactor; importing it earlier would install a default."""
+    from twisted.internet import reactor
+
+    return reactor
--- /dev/null
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/reply.py
@@ -0,0 +1,130 @@
+"""Answer to a caller over its HTTP connection."""
+
+import asyncio
+from collections import abc
+import json
+import math
+import typing
+
+from twisted.internet import interfaces as twisted_interfaces
+from zope import interface
+
+from pistachioseam import exchanges
+from pistachioseam import refusals
+
+REQUEST_ID_HEADER = 'pistachioseam-request-id'
+OUTCOME_HEADER = 'pistachioseam-outcome'
+CONFIGURATION_HEADER = 'pistachioseam-configuration'
+JSON_TYPE = 'application/json'
+
+
+@interface.implementer(twisted_interfaces.IPushProducer)
+class HttpReply:
+    """Reply that waits while the caller's connection is full."""
+
+    def __init__(self, request: typing.Any) -> None:
+        self._request = request
+        self._is_begun = False
+        self._has_room = asyncio.Event()
+        self._has_room.set()
+
+    def __enter__(self) -> 'HttpReply':
+        """Register for back pressure."""
+        self._request.registerProducer(self, True)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Stop listening for back pressure."""
+        if not self._request.finished and self._request.channel is not None:
+            self._request.unregisterProducer()
+
+    def pauseProducing(self) -> None:  # noqa: N802
+        """Make writers wait."""
+        self._has_room.clear()
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Let writers go on."""
+        self._has_room.set()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Let writers go on to find the connection gone."""
+        self._has_room.set()
+
+    def is_begun(self) -> bool:
+        """Tell whether a status has been sent."""
+        return self._is_begun
+
+    async def begin(self, status: int, headers: abc.Mapping[str, str]) -> None:
+        """Send status and headers."""
+        self._is_begun = True
+        self._request.setResponseCode(status)
+        for name, value in headers.items():
+            self._request.setHeader(name, value)
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body, waiting for room in the buffer."""
+        await self._has_room.wait()
+        self._request.write(data)
+
+    async def end(self, exchange: exchanges.Exchange) -> None:
+        """Send what the filters left to send: answer, refusal or error."""
+        refusal = exchange.refusal
+        if refusal is None and exchange.answer is None:
+            return
+        if self._is_begun:
+            assert refusal is not None
+            await self.write(_encode_stream_error(exchange, refusal))
+            return
+        headers = create_headers(exchange)
+        if refusal is not None:
+            await self._send_refusal(exchange, refusal, headers)
+            return
+        assert exchange.answer is not None
+        headers['content-type'] = exchange.answer.content_type
+        headers['content-length'] = str(len(exchange.answer.body))
+        await self.begin(exchange.answer.status, headers)
+        await self.write(exchange.answer.body)
+
+    async def _send_refusal(
+        self,
+        exchange: exchanges.Exchange,
+        refusal: refusals.Refusal,
+        headers: dict[str, str],
+    ) -> None:
+        body = encode_refusal(exchange.request_id, refusal)
+        headers['content-type'] = JSON_TYPE
+        headers['content-length'] = str(len(body))
+        if refusal.retry_after_seconds is not None:
+            seconds = math.ceil(refusal.retry_after_seconds)
+            headers['retry-after'] = str(seconds)
+        await self.begin(refusal.status, headers)
+        await self.write(body)
+
+
+def create_headers(exchange: exchanges.Exchange) -> dict[str, str]:
+    """Return the headers that every answer carries."""
+    return {
+        REQUEST_ID_HEADER: exchange.request_id,
+        OUTCOME_HEADER: exchange.get_outcome().value,
+        CONFIGURATION_HEADER: str(exchange.configuration_number),
+    }
+
+
+def encode_refusal(request_id: str, refusal: refusals.Refusal) -> bytes:
+    """Return the typed error body of a refusal."""
+    error = {
+        'message': refusal.message,
+        'type': refusal.reason.value,
+        'code': refusal.reason.value,
+        'outcome': refusal.outcome.value,
+        'retry_after_seconds': refusal.retry_after_seconds,
+        'request_id': request_id,
+    }
+    return json.dumps({'error': error}).encode()
+
+
+def _encode_stream_error(
+    exchange: exchanges.Exchange, refusal: refusals.Refusal
+) -> bytes:
+    body = encode_refusal(exchange.request_id, refusal)
+    return b'event: error\ndata: %b\n\n' % body
--- /dev/null
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/targets.py
@@ -0,0 +1,242 @@
+"""Client of the targets; implements `interfaces.TargetClient`."""
+
+import asyncio
+import typing
+
+from returns import pipeline
+from returns import result
+import treq
+from twisted.internet import error
+from twisted.web import client
+from twisted.web import http
+
+from pistachioseam import interfaces
+from pistachioseam_entry import bodies
+from pistachioseam_entry import reactors
+from pistachioseam_entry import settings
+
+CACHED_CONNECTION_SECONDS = 10
+CANCEL_TIMEOUT_SECONDS = 2.0
+
+CallResult: typing.TypeAlias = result.Result[
+    interfaces.TargetAnswer, interfaces.CallFailure
+]
+StreamResult: typing.TypeAlias = result.Result[
+    interfaces.TargetStream, interfaces.CallFailure
+]
+
+
+class HttpTargetClient:
+    """Calls over HTTP; a non-idempotent call never reuses a connection."""
+
+    def __init__(self, options: settings.Requests) -> None:
+        self._options = options
+        pool = client.HTTPConnectionPool(
+            reactors.get_reactor(), persistent=True
+        )
+        pool.retryAutomatically = False
+        pool.maxPersistentPerHost = 64
+        pool.cachedConnectionTimeout = CACHED_CONNECTION_SECONDS
+        timeout = options.connect_timeout_seconds
+        self._pooled = client.Agent(
+            reactors.get_reactor(), connectTimeout=timeout, pool=pool
+        )
+        self._unpooled = client.Agent(
+            reactors.get_reactor(), connectTimeout=timeout
+        )
+
+    async def call(
+        self, address: str, request: interfaces.TargetRequest
+    ) -> CallResult:
+        """Send once and return the whole answer."""
+        sent = await self._send(address, request, request.timeout_seconds)
+        if not pipeline.is_successful(sent):
+            return result.Failure(sent.failure())
+        return await self._read_answer(sent.unwrap())
+
+    async def open_stream(
+        self, address: str, request: interfaces.TargetRequest
+    ) -> StreamResult:
+        """Send once and return the stream of the answer."""
+        sent = await self._send(address, request, request.timeout_seconds)
+        return sent.map(
+            lambda response: self._wrap(address, response, request)
+        )
+
+    async def resume_stream(
+        self, address: str, incarnation: str, request_id: str, after: int
+    ) -> StreamResult:
+        """Reopen a stream of the same incarnation behind piece `after`."""
+        request = interfaces.TargetRequest(
+            request_id=request_id,
+            method='GET',
+            path=f'/v1/streams/{request_id}?after={after}',
+            headers={'expected-incarnation': incarnation},
+            body=b'',
+            timeout_seconds=self._options.connect_timeout_seconds,
+        )
+        sent = await self._send(address, request, request.timeout_seconds)
+        return sent.map(
+            lambda response: self._wrap(address, response, request)
+        )
+
+    def _wrap(
+        self,
+        address: str,
+        response: typing.Any,
+        request: interfaces.TargetRequest,
+    ) -> interfaces.TargetStream:
+        return HttpTargetStream(
+            self, address, response, request.request_id, self._options
+        )
+
+    async def _send(
+        self,
+        address: str,
+        request: interfaces.TargetRequest,
+        timeout_seconds: float,
+    ) -> result.Result[typing.Any, interfaces.CallFailure]:
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                response = await self._start(address, request)
+        except Exception as raised:
+            return result.Failure(_describe(raised))
+        if not _is_model_request(request):
+            return result.Success(response)
+        refused = _read_refusal(response.code)
+        if refused is None:
+            return result.Success(response)
+        response.deliverBody(bodies.Discarder())
+        return result.Failure(refused)
+
+    def _start(
+        self, address: str, request: interfaces.TargetRequest
+    ) -> asyncio.Future[typing.Any]:
+        headers = {name: [value] for name, value in request.headers.items()}
+        headers['request-id'] = [request.request_id]
+        headers['fencing-number'] = [str(request.fencing_number)]
+        is_pooled = request.method == 'GET' or _is_model_request(request)
+        sent = treq.request(
+            request.method,
+            f'http://{address}{request.path}',
+            headers=headers,
+            data=request.body or None,
+            agent=self._pooled if is_pooled else self._unpooled,
+            allow_redirects=False,
+            unbuffered=True,
+        )
+        return sent.asFuture(asyncio.get_running_loop())
+
+    async def _read_answer(self, response: typing.Any) -> CallResult:
+        limit = self._options.max_answer_bytes
+        body = bodies.Body(limit)
+        response.deliverBody(body)
+        read = await body.read_all(self._options.piece_timeout_seconds)
+        return read.map(lambda content: _create_answer(response, content))
+
+    async def cancel(self, address: str, request_id: str) -> None:
+        """Tell an engine to stop a generation; errors are ignored."""
+        request = interfaces.TargetRequest(
+            request_id=request_id,
+            method='DELETE',
+            path=f'/v1/streams/{request_id}',
+            headers={},
+            body=b'',
+            timeout_seconds=CANCEL_TIMEOUT_SECONDS,
+        )
+        sent = await self._send(address, request, CANCEL_TIMEOUT_SECONDS)
+        sent.map(lambda response: response.deliverBody(bodies.Discarder()))
+
+
+class HttpTargetStream:
+    """Server-sent events of an engine as numbered pieces."""
+
+    def __init__(
+        self,
+        owner: HttpTargetClient,
+        address: str,
+        response: typing.Any,
+        request_id: str,
+        options: settings.Requests,
+    ) -> None:
+        self.incarnation = _get_header(response, 'incarnation')
+        self.cached_pieces = int(_get_header(response, 'cached-pieces') or 0)
+        self._owner = owner
+        self._address = address
+        self._request_id = request_id
+        self._timeout = options.piece_timeout_seconds
+        self._is_ended = False
+        self._body = bodies.Body(options.max_answer_bytes)
+        response.deliverBody(self._body)
+
+    async def receive(
+        self,
+    ) -> result.Result[interfaces.Piece, interfaces.CallFailure]:
+        """Return the next piece in order of arrival."""
+        received = await self._body.read_event(self._timeout)
+        pieced = received.bind(bodies.parse_piece)
+        if isinstance(pieced, result.Success) and pieced.unwrap().is_end:
+            self._is_ended = True
+        return pieced
+
+    def cancel(self) -> None:
+        """Stop the generation at the engine; nothing after the end mark."""
+        if self._is_ended:
+            return
+        self._is_ended = True
+        self.disconnect()
+        cancelling = self._owner.cancel(self._address, self._request_id)
+        task = asyncio.ensure_future(cancelling)
+        _CANCELLING.add(task)
+        task.add_done_callback(_CANCELLING.discard)
+
+    def disconnect(self) -> None:
+        """Drop the connection; the engine keeps the stream for a resume."""
+        self._body.abort()
+
+
+_CANCELLING: set[asyncio.Task[None]] = set()
+
+
+def _is_model_request(request: interfaces.TargetRequest) -> bool:
+    return 'cache-salt' in request.headers or (
+        'expected-incarnation' in request.headers
+    )
+
+
+def _read_refusal(status: int) -> interfaces.CallFailure | None:
+    kind = interfaces.FailureKind
+    if status in (http.SERVICE_UNAVAILABLE, http.CONFLICT):
+        return interfaces.CallFailure(kind.BUSY, f'status {status}')
+    if status == http.GONE:
+        return interfaces.CallFailure(kind.GONE, f'status {status}')
+    if status >= http.INTERNAL_SERVER_ERROR:
+        return interfaces.CallFailure(kind.BROKEN, f'status {status}')
+    return None
+
+
+def _describe(raised: Exception) -> interfaces.CallFailure:
+    kind = interfaces.FailureKind.BROKEN
+    if isinstance(raised, TimeoutError):
+        kind = interfaces.FailureKind.TIMED_OUT
+    elif isinstance(raised, error.ConnectError | error.TimeoutError):
+        kind = interfaces.FailureKind.NOT_SENT
+    return interfaces.CallFailure(kind, type(raised).__name__)
+
+
+def _get_header(response: typing.Any, name: str) -> str:
+    values = response.headers.getRawHeaders(name)
+    return str(values[0]) if values else ''
+
+
+def _create_answer(
+    response: typing.Any, body: bytes
+) -> interfaces.TargetAnswer:
+    cached = _get_header(response, 'cached-pieces')
+    return interfaces.TargetAnswer(
+        status=response.code,
+        content_type=_get_header(response, 'content-type'),
+        body=body,
+        incarnation=_get_header(response, 'incarnation'),
+        cached_pieces=int(cached) if cached else None,
+    )
--- /dev/null
+++ b/packages/pistachioseam-operator/src/pistachioseam_operator/__init__.py
@@ -0,0 +1,1 @@
+"""The operators command line, pistachioseam."""
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/filters/admit.py
@@ -0,0 +1,55 @@
+"""Refuse quarantined requests and accounts beyond their limits."""
+
+import math
+
+from returns import result
+
+from pistachioseam import events
+from pistachioseam import exchanges
+from pistachioseam import pipeline
+from pistachioseam import refusals
+from pistachioseam import router as routers
+
+
+@pipeline.register('admit')
+async def admit_request(
+    exchange: exchanges.Exchange, router: routers.Router
+) -> pipeline.FilterResult:
+    """Check quarantine, rate and concurrency."""
+    if router.quarantine.is_quarantined(exchange.digest):
+        return _refuse_quarantined(exchange, router)
+    now = router.runtime.now()
+    account = exchange.get_account()
+    assert exchange.caller is not None
+    router.limits.set_share(account, exchange.caller.share, now)
+    if router.limits.admit(account, now):
+        exchange.add_note('admit', 'within the limits')
+        return pipeline.CONTINUE
+    seconds = router.limits.compute_retry_after(
+        account, now, router.random.random()
+    )
+    return result.Failure(
+        refusals.Refusal(
+            429,
+            refusals.Reason.LIMITED,
+            'the account is above its limit',
+            retry_after_seconds=seconds,
+        )
+    )
+
+
+def _refuse_quarantined(
+    exchange: exchanges.Exchange, router: routers.Router
+) -> pipeline.FilterResult:
+    router.sink.emit(
+        events.Event.REQUEST_QUARANTINED, request_id=exchange.request_id
+    )
+    seconds = router.quarantine.get_retry_seconds(exchange.digest)
+    return result.Failure(
+        refusals.Refusal(
+            422,
+            refusals.Reason.QUARANTINED,
+            'this request crashed the targets that ran it',
+            retry_after_seconds=math.ceil(seconds),
+        )
+    )
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/filters/claim.py
@@ -0,0 +1,57 @@
+"""Claim non-idempotent calls before anything is sent."""
+
+from returns import pipeline as railway
+from returns import result
+
+from pistachioseam import claims
+from pistachioseam import exchanges
+from pistachioseam import pipeline
+from pistachioseam import refusals
+from pistachioseam import router as routers
+
+KEY_HEADER = 'idempotency-key'
+
+
+@pipeline.register('claim')
+async def claim_call(
+    exchange: exchanges.Exchange, router: routers.Router
+) -> pipeline.FilterResult:
+    """Set the claim, or answer from an equal earlier call."""
+    if exchange.is_repeatable():
+        exchange.add_note('claim', 'not needed')
+        return pipeline.CONTINUE
+    assert exchange.route is not None
+    idempotency_key = exchange.headers.get(KEY_HEADER, '')
+    if not idempotency_key:
+        return _handle_keyless(exchange)
+    key = claims.create_key(
+        exchange.get_account(), exchange.route.name, idempotency_key
+    )
+    digest = claims.digest_call(exchange.method, exchange.path, exchange.body)
+    acquired = await router.claims.acquire(
+        key, digest, exchange.configuration_number, exchange.deadline
+    )
+    if not railway.is_successful(acquired):
+        return result.Failure(acquired.failure())
+    granted = acquired.unwrap()
+    if isinstance(granted, claims.Remembered):
+        exchange.answer = granted.answer
+        exchange.add_note('claim', 'answered from the recorded answer')
+    else:
+        exchange.claim = granted
+        exchange.add_note('claim', f'claimed as {granted.record.token}')
+    return pipeline.CONTINUE
+
+
+def _handle_keyless(exchange: exchanges.Exchange) -> pipeline.FilterResult:
+    assert exchange.route is not None
+    if exchange.route.single_attempts:
+        exchange.add_note('claim', 'single attempt without a key')
+        return pipeline.CONTINUE
+    return result.Failure(
+        refusals.Refusal(
+            400,
+            refusals.Reason.KEY_REQUIRED,
+            'a non-idempotent call needs an Idempotency-Key header',
+        )
+    )
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/filters/relay.py
@@ -0,0 +1,106 @@
+"""Relay a stream piece by piece, resuming it when its connection breaks."""
+
+from returns import pipeline as railway
+
+from pistachioseam import events
+from pistachioseam import exchanges
+from pistachioseam.filters import place
+from pistachioseam.filters import send
+from pistachioseam import interfaces
+from pistachioseam import router as routers
+from pistachioseam import streams
+
+MAX_RESUMES = 2
+STREAM_HEADERS = {'content-type': 'text/event-stream'}
+
+
+async def relay_stream(
+    exchange: exchanges.Exchange,
+    router: routers.Router,
+    attempt: exchanges.Attempt,
+) -> interfaces.CallFailure | None:
+    """Deliver every piece once and in order; None when it is complete."""
+    assembly = streams.Assembly(
+        exchange.request_id, next_number=len(exchange.delivered)
+    )
+    resumes = 0
+    while True:
+        failure = await _receive_pieces(exchange, router, attempt, assembly)
+        if failure is None:
+            send.note_success(exchange, router, attempt)
+            return None
+        if resumes < MAX_RESUMES:
+            resumes += 1
+            if await _resume(exchange, router, attempt):
+                continue
+        send.note_failure(exchange, router, attempt, failure)
+        router.sink.emit(
+            events.Event.STREAM_CONTINUED,
+            request_id=exchange.request_id,
+            delivered=len(exchange.delivered),
+        )
+        return failure
+
+
+async def _receive_pieces(
+    exchange: exchanges.Exchange,
+    router: routers.Router,
+    attempt: exchanges.Attempt,
+    assembly: streams.Assembly,
+) -> interfaces.CallFailure | None:
+    """Deliver pieces until the end mark or a failure."""
+    assert attempt.stream is not None
+    while True:
+        received = await attempt.stream.receive()
+        if not railway.is_successful(received):
+            return received.failure()
+        piece = received.unwrap()
+        verdict = assembly.accept(piece)
+        if verdict is streams.Verdict.DUPLICATE:
+            continue
+        if verdict in (streams.Verdict.GAP, streams.Verdict.FOREIGN):
+            kind = interfaces.FailureKind.BROKEN
+            return interfaces.CallFailure(kind, f'{verdict.value} in stream')
+        place.note_prefilled(router, attempt, attempt.stream.cached_pieces)
+        await _deliver(exchange, router, piece)
+        if verdict is streams.Verdict.END:
+            return None
+
+
+async def _deliver(
+    exchange: exchanges.Exchange,
+    router: routers.Router,
+    piece: interfaces.Piece,
+) -> None:
+    if not exchange.reply.is_begun():
+        exchange.first_token_at = router.runtime.now()
+        await exchange.reply.begin(200, STREAM_HEADERS)
+    if not piece.is_end:
+        exchange.delivered.append(piece)
+    event = b'id: %d\ndata: %b\n\n' % (piece.number, piece.data)
+    await exchange.reply.write(event)
+
+
+async def _resume(
+    exchange: exchanges.Exchange,
+    router: routers.Router,
+    attempt: exchanges.Attempt,
+) -> bool:
+    """Reopen the stream at the same incarnation; tell whether it did."""
+    assert attempt.stream is not None
+    attempt.stream.disconnect()
+    resumed = await router.client.resume_stream(
+        attempt.target.address,
+        attempt.stream.incarnation,
+        exchange.request_id,
+        len(exchange.delivered),
+    )
+    if not railway.is_successful(resumed):
+        return False
+    attempt.stream = resumed.unwrap()
+    router.sink.emit(
+        events.Event.STREAM_RESUMED,
+        request_id=exchange.request_id,
+        delivered=len(exchange.delivered),
+    )
+    return True
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/filters/send.py
@@ -0,0 +1,152 @@
+"""Send one attempt to its target."""
+
+from returns import pipeline as railway
+from returns import result
+
+from pistachioseam import chats
+from pistachioseam import events
+from pistachioseam import exchanges
+from pistachioseam.filters import place
+from pistachioseam import interfaces
+from pistachioseam import router as routers
+
+PASSED_HEADERS = ('accept', 'content-type', 'idempotency-key')
+LEAST_TIMEOUT_SECONDS = 0.05
+AGING_FACTOR = 10.0
+
+SendResult = result.Result[None, interfaces.CallFailure]
+
+
+async def send_request(
+    exchange: exchanges.Exchange,
+    router: routers.Router,
+    attempt: exchanges.Attempt,
+) -> SendResult:
+    """Send once; set the answer or the attempt's stream."""
+    request = _create_request(exchange, router, attempt)
+    is_stream = exchange.chat is not None and exchange.chat.is_stream
+    if not exchange.is_repeatable():
+        exchange.may_have_run = True
+    if is_stream:
+        return await _open_stream(exchange, router, attempt, request)
+    return await _call(exchange, router, attempt, request)
+
+
+def _create_request(
+    exchange: exchanges.Exchange,
+    router: routers.Router,
+    attempt: exchanges.Attempt,
+) -> interfaces.TargetRequest:
+    headers = {
+        name: exchange.headers[name]
+        for name in PASSED_HEADERS
+        if name in exchange.headers
+    }
+    body = exchange.body
+    if exchange.chat is not None and exchange.pool is not None:
+        assert attempt.decision is not None
+        headers['cache-salt'] = exchange.cache_salt
+        headers['weights-version'] = exchange.pool.weights_version
+        headers['priority'] = f'{_compute_priority(exchange, attempt):.3f}'
+        if exchange.delivered:
+            headers['first-piece-number'] = str(len(exchange.delivered))
+            body = chats.create_continuation(
+                body, exchange.delivered, exchange.chat.max_tokens
+            )
+    remaining = exchange.deadline - router.runtime.now()
+    return interfaces.TargetRequest(
+        request_id=exchange.request_id,
+        method=exchange.method,
+        path=exchange.path,
+        headers=headers,
+        body=body,
+        timeout_seconds=max(LEAST_TIMEOUT_SECONDS, remaining),
+        fencing_number=exchange.configuration_number,
+    )
+
+
+def _compute_priority(
+    exchange: exchanges.Exchange, attempt: exchanges.Attempt
+) -> float:
+    """Return seconds; lower runs first, and waiting requests age."""
+    assert attempt.decision is not None
+    waited = attempt.started_at - exchange.received_at
+    return attempt.decision.work * AGING_FACTOR - waited
+
+
+async def _call(
+    exchange: exchanges.Exchange,
+    router: routers.Router,
+    attempt: exchanges.Attempt,
+    request: interfaces.TargetRequest,
+) -> SendResult:
+    called = await router.client.call(attempt.target.address, request)
+    if not railway.is_successful(called):
+        failure = called.failure()
+        note_failure(exchange, router, attempt, failure)
+        return result.Failure(failure)
+    answer = called.unwrap()
+    if answer.incarnation:
+        note_incarnation(router, attempt, answer.incarnation)
+    place.note_prefilled(router, attempt, answer.cached_pieces)
+    note_success(exchange, router, attempt)
+    exchange.answer = answer
+    return result.Success(None)
+
+
+async def _open_stream(
+    exchange: exchanges.Exchange,
+    router: routers.Router,
+    attempt: exchanges.Attempt,
+    request: interfaces.TargetRequest,
+) -> SendResult:
+    opened = await router.client.open_stream(attempt.target.address, request)
+    if not railway.is_successful(opened):
+        failure = opened.failure()
+        note_failure(exchange, router, attempt, failure)
+        return result.Failure(failure)
+    attempt.stream = opened.unwrap()
+    note_incarnation(router, attempt, attempt.stream.incarnation)
+    return result.Success(None)
+
+
+def note_incarnation(
+    router: routers.Router, attempt: exchanges.Attempt, incarnation: str
+) -> None:
+    """Drop what is known of a target that has restarted."""
+    name = attempt.target.name
+    if router.placer.note_incarnation(name, incarnation):
+        router.sink.emit(events.Event.TARGET_INCARNATION, target=name)
+
+
+def note_success(
+    exchange: exchanges.Exchange,
+    router: routers.Router,
+    attempt: exchanges.Attempt,
+) -> None:
+    """Note a whole answer."""
+    router.health.note_success(attempt.target.name)
+    router.quarantine.note_completion(exchange.digest)
+    router.budget.note_success()
+
+
+def note_failure(
+    exchange: exchanges.Exchange,
+    router: routers.Router,
+    attempt: exchanges.Attempt,
+    failure: interfaces.CallFailure,
+) -> None:
+    """Note a failed attempt with the target, the quarantine and the trace."""
+    attempt.failure = failure.kind.value
+    exchange.add_note('send', f'{failure.kind.value}: {failure.detail}')
+    if failure.kind is interfaces.FailureKind.BUSY:
+        return
+    if failure.kind is interfaces.FailureKind.NOT_SENT:
+        exchange.may_have_run = any(
+            a.failure not in ('', failure.kind.value, 'busy')
+            for a in exchange.attempts
+        )
+    router.health.note_failure(attempt.target.name)
+    if failure.kind is interfaces.FailureKind.BROKEN:
+        router.placer.evidence.drop_target(attempt.target.name)
+        router.quarantine.note_crash(exchange.digest)
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/filters/serve.py
@@ -0,0 +1,124 @@
+"""Send a request to targets until it is served or a retry is unsafe."""
+
+from returns import pipeline as railway
+from returns import result
+
+from pistachioseam import claims
+from pistachioseam import events
+from pistachioseam import exchanges
+from pistachioseam.filters import place
+from pistachioseam.filters import relay
+from pistachioseam.filters import send
+from pistachioseam import interfaces
+from pistachioseam import pipeline
+from pistachioseam import refusals
+from pistachioseam import router as routers
+
+MAX_ATTEMPTS = 4
+RETRY_AFTER_SECONDS = 1.0
+
+
+@pipeline.register('serve')
+async def serve_request(
+    exchange: exchanges.Exchange, router: routers.Router
+) -> pipeline.FilterResult:
+    """Place, send and relay; settle the claim whatever happens."""
+    account = exchange.get_account()
+    router.limits.begin(account, router.runtime.now())
+    served: pipeline.FilterResult = result.Failure(claims.refuse_unknown())
+    try:
+        served = await _attempt_until_served(exchange, router)
+    finally:
+        router.limits.end(account, router.runtime.now())
+        _end_claim(exchange, router)
+    return served
+
+
+async def _attempt_until_served(
+    exchange: exchanges.Exchange, router: routers.Router
+) -> pipeline.FilterResult:
+    while True:
+        placed = place.place_request(exchange, router)
+        if not railway.is_successful(placed):
+            return result.Failure(placed.failure())
+        attempt = placed.unwrap()
+        failure = await _run_attempt(exchange, router, attempt)
+        if failure is None:
+            return pipeline.CONTINUE
+        refusal = _judge_failure(exchange, router, failure)
+        if refusal is not None:
+            return result.Failure(refusal)
+        router.sink.emit(
+            events.Event.REQUEST_RETRIED,
+            request_id=exchange.request_id,
+            target=attempt.target.name,
+            failure=failure.kind.value,
+        )
+
+
+async def _run_attempt(
+    exchange: exchanges.Exchange,
+    router: routers.Router,
+    attempt: exchanges.Attempt,
+) -> interfaces.CallFailure | None:
+    try:
+        sent = await send.send_request(exchange, router, attempt)
+        if railway.is_successful(sent) and attempt.stream is not None:
+            return await relay.relay_stream(exchange, router, attempt)
+    finally:
+        place.end_attempt(exchange, router, attempt)
+    return None if railway.is_successful(sent) else sent.failure()
+
+
+def _judge_failure(
+    exchange: exchanges.Exchange,
+    router: routers.Router,
+    failure: interfaces.CallFailure,
+) -> refusals.Refusal | None:
+    """Return the refusal, or None when another attempt is safe."""
+    if _may_run(failure):
+        exchange.may_have_run = True
+        if not exchange.is_repeatable():
+            return claims.refuse_unknown()
+    is_late = router.runtime.now() >= exchange.deadline
+    is_spent = len(exchange.attempts) >= MAX_ATTEMPTS
+    if is_late or is_spent:
+        return refuse_failed(exchange, failure)
+    if _may_run(failure) and not router.budget.take():
+        return refuse_failed(exchange, failure)
+    return None
+
+
+def _may_run(failure: interfaces.CallFailure) -> bool:
+    return failure.kind in (
+        interfaces.FailureKind.BROKEN,
+        interfaces.FailureKind.TIMED_OUT,
+        interfaces.FailureKind.GONE,
+    )
+
+
+def refuse_failed(
+    exchange: exchanges.Exchange, failure: interfaces.CallFailure
+) -> refusals.Refusal:
+    """Return the refusal of a request whose targets failed."""
+    outcome = refusals.Outcome.NOT_RUN
+    if exchange.may_have_run:
+        outcome = refusals.Outcome.UNKNOWN
+    return refusals.Refusal(
+        502,
+        refusals.Reason.TARGET_FAILED,
+        f'the targets failed: {failure.kind.value}',
+        outcome,
+        RETRY_AFTER_SECONDS,
+    )
+
+
+def _end_claim(exchange: exchanges.Exchange, router: routers.Router) -> None:
+    if exchange.claim is None:
+        return
+    if exchange.answer is not None:
+        router.claims.settle(exchange.claim, exchange.answer)
+    elif exchange.may_have_run:
+        router.claims.mark_unknown(exchange.claim)
+    else:
+        router.claims.release(exchange.claim)
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/interfaces.py
@@ -0,0 +1,238 @@
+"""Narrow protocols between the decisions and everything outside them.
+
+Adapters of the entry process, test fakes and any later bench implement these
+protocols. Nothing in this package reads a clock, a socket or entropy.
+"""
+
+from collections import abc
+import enum
+import typing
+
+import attrs
+from returns import result
+
+
+class StoreError(enum.Enum):
+    """Reason why a table transaction has no known success."""
+
+    CONFLICT = 'conflict'
+    """A condition failed; nothing was written."""
+    UNAVAILABLE = 'unavailable'
+    """The store refused the call; nothing was written."""
+    LOST = 'lost'
+    """No answer came; the write may or may not have taken effect."""
+
+
+@attrs.frozen
+class RowKey:
+    """Address of one row: table name and key inside the table."""
+
+    table: str
+    key: str
+
+
+@attrs.frozen
+class Row:
+    """One stored row; `version` is 0 and `value` None while it is absent."""
+
+    key: RowKey
+    version: int
+    value: dict[str, typing.Any] | None
+
+
+@attrs.frozen
+class Condition:
+    """Precondition of a transaction: the row has exactly this version."""
+
+    key: RowKey
+    version: int
+
+
+@attrs.frozen
+class Write:
+    """New content of a row; None deletes it."""
+
+    key: RowKey
+    value: dict[str, typing.Any] | None
+
+
+@attrs.frozen
+class TablesView:
+    """Rows of several tables at one store revision."""
+
+    revision: int
+    rows: tuple[Row, ...]
+
+
+CommitResult: typing.TypeAlias = result.Result[int, StoreError]
+ReadResult: typing.TypeAlias = result.Result[Row, StoreError]
+ScanResult: typing.TypeAlias = result.Result[TablesView, StoreError]
+
+
+class TableStore(typing.Protocol):
+    """Transactional table service of the platform."""
+
+    async def read(self, key: RowKey) -> ReadResult:
+        """Return the current row."""
+
+    async def scan(self, tables: abc.Sequence[str]) -> ScanResult:
+        """Return all rows of the tables, read in one transaction."""
+
+    async def commit(
+        self,
+        conditions: abc.Sequence[Condition],
+        writes: abc.Sequence[Write],
+    ) -> CommitResult:
+        """Apply the writes if all conditions hold; return the revision."""
+
+
+class Signal(typing.Protocol):
+    """One-shot event that any number of coroutines may wait for."""
+
+    def set(self) -> None:
+        """Wake all present and later waiters."""
+
+    async def wait(self) -> None:
+        """Return once the signal is set."""
+
+
+class Runtime(typing.Protocol):
+    """Time and concurrency as the decisions see them."""
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+
+    async def sleep(self, seconds: float) -> None:
+        """Return after a delay."""
+
+    def create_signal(self) -> Signal:
+        """Return a new unset signal."""
+
+    def start(self, work: abc.Coroutine[typing.Any, typing.Any, None]) -> None:
+        """Run a coroutine in the background until it ends."""
+
+
+class RandomSource(typing.Protocol):
+    """Source of randomness; seeded in tests."""
+
+    def random(self) -> float:
+        """Return a float in [0, 1)."""
+
+    def token(self) -> str:
+        """Return a new unique token."""
+
+
+class FailureKind(enum.Enum):
+    """What is known about a call that brought no whole answer."""
+
+    NOT_SENT = 'not-sent'
+    """No byte of the request left this host."""
+    BROKEN = 'broken'
+    """The connection ended or timed out after sending; it may have run."""
+    TIMED_OUT = 'timed-out'
+    """No answer came in time; it may have run."""
+    BUSY = 'busy'
+    """An engine refused to queue a model request; it has not run."""
+    GONE = 'gone'
+    """The engine no longer knows the stream that was to be resumed."""
+
+
+@attrs.frozen
+class CallFailure:
+    """Failure of one call to a target."""
+
+    kind: FailureKind
+    detail: str
+
+
+@attrs.frozen
+class TargetRequest:
+    """What is sent to a target.
+
+    `headers` holds only what the target may see. `fencing_number` grows with
+    every configuration a call ran under; targets may check it.
+    """
+
+    request_id: str
+    method: str
+    path: str
+    headers: abc.Mapping[str, str]
+    body: bytes
+    timeout_seconds: float
+    fencing_number: int = 0
+
+
+@attrs.frozen
+class TargetAnswer:
+    """Whole answer of a target; `cached_pieces` is None for plain services."""
+
+    status: int
+    content_type: str
+    body: bytes
+    incarnation: str = ''
+    cached_pieces: int | None = None
+
+
+@attrs.frozen
+class Piece:
+    """One numbered piece of a stream; the end mark carries the total."""
+
+    request_id: str
+    number: int
+    data: bytes
+    is_end: bool = False
+
+
+class TargetStream(typing.Protocol):
+    """Open stream of numbered pieces from an engine."""
+
+    incarnation: str
+    cached_pieces: int
+
+    async def receive(self) -> result.Result[Piece, CallFailure]:
+        """Return the next piece in order of arrival."""
+
+    def cancel(self) -> None:
+        """Stop the generation at the engine; nothing after the end mark."""
+
+    def disconnect(self) -> None:
+        """Drop the connection; the engine keeps the stream for a resume."""
+
+
+class TargetClient(typing.Protocol):
+    """Connection to targets; addresses are `host:port` with IP numbers."""
+
+    async def call(
+        self, address: str, request: TargetRequest
+    ) -> result.Result[TargetAnswer, CallFailure]:
+        """Send once and return the whole answer."""
+
+    async def open_stream(
+        self, address: str, request: TargetRequest
+    ) -> result.Result[TargetStream, CallFailure]:
+        """Send once and return the stream of the answer."""
+
+    async def resume_stream(
+        self, address: str, incarnation: str, request_id: str, after: int
+    ) -> result.Result[TargetStream, CallFailure]:
+        """Reopen a stream of the same incarnation behind piece `after`."""
+
+
+class Reply(typing.Protocol):
+    """Answer to the caller; writing waits while the caller is slow."""
+
+    async def begin(self, status: int, headers: abc.Mapping[str, str]) -> None:
+        """Send status and headers."""
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body, waiting for room in the buffer."""
+
+    def is_begun(self) -> bool:
+        """Tell whether a status has been sent."""
+
+
+class EventSink(typing.Protocol):
+    """Receiver of numbered events, see `pistachioseam.events`."""
+
+    def emit(self, event: typing.Any, **fields: object) -> None:
+        """Record one event with its fields."""
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/journal.py
@@ -0,0 +1,94 @@
+"""Bounded ring of ended requests, kept to explain them."""
+
+import collections
+import typing
+
+import attrs
+
+from pistachioseam import conversion
+from pistachioseam import exchanges
+
+CAPACITY = 500
+
+
+@attrs.frozen(kw_only=True)
+class AttemptEntry:
+    """One call to a target; seconds are relative to the request's start."""
+
+    target: str
+    started_after_seconds: float
+    failure: str
+    candidates: tuple[dict[str, typing.Any], ...]
+
+
+@attrs.frozen(kw_only=True)
+class Entry:
+    """Explanation of one request; holds no credentials and no bodies."""
+
+    request_id: str
+    account: str
+    method: str
+    path: str
+    outcome: str
+    reason: str
+    configuration_number: int
+    seconds: float
+    delivered_pieces: int
+    notes: tuple[exchanges.Note, ...]
+    attempts: tuple[AttemptEntry, ...]
+
+
+class Journal:
+    """Latest entries by request id."""
+
+    def __init__(self, capacity: int = CAPACITY) -> None:
+        self._capacity = capacity
+        self._entries: collections.OrderedDict[str, Entry] = (
+            collections.OrderedDict()
+        )
+
+    def add(self, exchange: exchanges.Exchange, now: float) -> None:
+        """Keep an ended request."""
+        self._entries[exchange.request_id] = _create_entry(exchange, now)
+        if len(self._entries) > self._capacity:
+            self._entries.popitem(last=False)
+
+    def find(self, request_id: str) -> Entry | None:
+        """Return the entry of a request."""
+        return self._entries.get(request_id)
+
+    def count(self) -> int:
+        """Return the number of entries."""
+        return len(self._entries)
+
+
+def _create_entry(exchange: exchanges.Exchange, now: float) -> Entry:
+    refusal = exchange.refusal
+    return Entry(
+        request_id=exchange.request_id,
+        account=exchange.get_account(),
+        method=exchange.method,
+        path=exchange.path,
+        outcome=exchange.get_outcome().value,
+        reason=refusal.reason.value if refusal else '',
+        configuration_number=exchange.configuration_number,
+        seconds=now - exchange.received_at,
+        delivered_pieces=len(exchange.delivered),
+        notes=tuple(exchange.notes),
+        attempts=tuple(
+            _create_attempt(attempt, exchange) for attempt in exchange.attempts
+        ),
+    )
+
+
+def _create_attempt(
+    attempt: exchanges.Attempt, exchange: exchanges.Exchange
+) -> AttemptEntry:
+    decision = attempt.decision
+    candidates = decision.candidates if decision else ()
+    return AttemptEntry(
+        target=attempt.target.name,
+        started_after_seconds=attempt.started_at - exchange.received_at,
+        failure=attempt.failure,
+        candidates=tuple(conversion.unstructure(c) for c in candidates),
+    )
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of requests on targets: prefixes, evidence, load and policies."""
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/quarantine.py
@@ -0,0 +1,101 @@
+"""Quarantine of requests that crash the targets that run them.
+
+Every crash of a target makes what was in flight there a suspect. A suspect
+runs again only on a target with no other suspect, so the next crash tells.
+"""
+
+import hashlib
+
+import attrs
+
+from pistachioseam import interfaces
+
+CRASHES_TO_QUARANTINE = 2
+QUARANTINE_SECONDS = 120.0
+SUSPICION_SECONDS = 60.0
+DIGEST_BYTES = 16
+
+
+@attrs.define
+class _Record:
+    crashes: int
+    expires_at: float
+
+
+def digest_request(account: str, body: bytes) -> str:
+    """Return the identity under which a request is suspected."""
+    digest = hashlib.blake2b(account.encode(), digest_size=DIGEST_BYTES)
+    digest.update(body)
+    return digest.hexdigest()
+
+
+class Quarantine:
+    """Suspected and quarantined requests by digest."""
+
+    def __init__(self, runtime: interfaces.Runtime) -> None:
+        self._runtime = runtime
+        self._records: dict[str, _Record] = {}
+        self._suspects: dict[str, str] = {}
+
+    def is_suspect(self, digest: str) -> bool:
+        """Tell whether the request was in flight at a crash."""
+        return self._get(digest) is not None
+
+    def is_quarantined(self, digest: str) -> bool:
+        """Tell whether the request is to be refused."""
+        record = self._get(digest)
+        if record is None:
+            return False
+        return record.crashes >= CRASHES_TO_QUARANTINE
+
+    def get_retry_seconds(self, digest: str) -> float:
+        """Return the seconds until the request may be tried again."""
+        record = self._records[digest]
+        return max(0.0, record.expires_at - self._runtime.now())
+
+    def has_suspect(self, target: str, digest: str) -> bool:
+        """Tell whether another suspect runs on the target."""
+        other = self._suspects.get(target)
+        return other is not None and other != digest
+
+    def note_start(self, target: str, digest: str) -> None:
+        """Note that a suspect now runs on a target."""
+        if self.is_suspect(digest):
+            self._suspects[target] = digest
+
+    def note_end(self, target: str, digest: str) -> None:
+        """Note that a request has left a target, whatever became of it."""
+        if self._suspects.get(target) == digest:
+            del self._suspects[target]
+
+    def note_crash(self, digest: str) -> bool:
+        """Count a crash against a request; return if it is quarantined."""
+        now = self._runtime.now()
+        self._expire(now)
+        record = self._records.get(digest)
+        crashes = record.crashes + 1 if record else 1
+        is_over = crashes >= CRASHES_TO_QUARANTINE
+        seconds = QUARANTINE_SECONDS if is_over else SUSPICION_SECONDS
+        self._records[digest] = _Record(crashes, now + seconds)
+        return is_over
+
+    def note_completion(self, digest: str) -> None:
+        """Clear a request that ran to its end."""
+        self._records.pop(digest, None)
+
+    def list_quarantined(self) -> tuple[str, ...]:
+        """Return the digests of quarantined requests."""
+        return tuple(
+            sorted(d for d in self._records if self.is_quarantined(d))
+        )
+
+    def _get(self, digest: str) -> _Record | None:
+        record = self._records.get(digest)
+        if record is None or record.expires_at <= self._runtime.now():
+            return None
+        return record
+
+    def _expire(self, now: float) -> None:
+        ended = [d for d, r in self._records.items() if r.expires_at <= now]
+        for digest in ended:
+            del self._records[digest]
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of all packages; `python -m tests` runs them."""
--- /dev/null
+++ b/tests/__main__.py
@@ -0,0 +1,71 @@
+"""Run all tests, or those whose name holds an argument."""
+
+import os
+import pathlib
+import sys
+import typing
+import unittest
+
+import hypothesis
+
+ROOT = pathlib.Path(__file__).parent.parent
+KNOWN_RED = ROOT / 'KNOWN-RED.txt'
+DEFAULT_EXAMPLES = 50
+
+
+def read_known_red() -> frozenset[str]:
+    """Return the names of tests that are known to fail."""
+    if not KNOWN_RED.exists():
+        return frozenset()
+    lines = KNOWN_RED.read_text().splitlines()
+    return frozenset(
+        line.removeprefix('test: ').strip()
+        for line in lines
+        if line.startswith('test: ')
+    )
+
+
+def select(
+    suite: unittest.TestSuite, wanted: typing.Sequence[str]
+) -> typing.Iterator[unittest.TestCase]:
+    """Yield the tests whose id holds a wanted word."""
+    for test in suite:
+        if isinstance(test, unittest.TestSuite):
+            yield from select(test, wanted)
+        elif not wanted or any(word in test.id() for word in wanted):
+            yield test
+
+
+def main() -> int:
+    """Run the tests; return 1 if any failed that is not known red."""
+    hypothesis.settings.register_profile(
+        'fixed',
+        derandomize=True,
+        database=None,
+        deadline=None,
+        max_examples=int(os.environ.get('EXAMPLES', DEFAULT_EXAMPLES)),
+    )
+    hypothesis.settings.register_profile(
+        'more',
+        database=None,
+        deadline=None,
+        max_examples=int(os.environ.get('EXAMPLES', DEFAULT_EXAMPLES)),
+    )
+    hypothesis.settings.load_profile(os.environ.get('SEEDS', 'fixed'))
+    loader = unittest.TestLoader()
+    found = loader.discover(str(ROOT / 'tests'), top_level_dir=str(ROOT))
+    suite = unittest.TestSuite(select(found, sys.argv[1:]))
+    ran = unittest.TextTestRunner(verbosity=2).run(suite)
+    failed = {test.id() for test, _ in (*ran.failures, *ran.errors)}
+    known = failed & read_known_red()
+    for name in sorted(known):
+        print(f'known red: {name}')
+    passed = ran.testsRun - len(failed)
+    sys.stdout.flush()
+    sys.stderr.flush()
+    print(f'{passed} passed, {len(failed - known)} failed')
+    return 1 if failed - known or not ran.testsRun else 0
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/support.py
@@ -0,0 +1,43 @@
+"""Arrangement of tests as functions that receive a case with fixtures."""
+
+import types
+import typing
+import unittest
+
+import fixtures
+
+
+class Case(fixtures.TestWithFixtures):
+    """One test function; `useFixture` sets up and cleans up fixtures."""
+
+    def __init__(self, function: types.FunctionType) -> None:
+        super().__init__('run_function')
+        self._function = function
+
+    def run_function(self) -> None:
+        """Run the function."""
+        self._function(self)
+
+    def id(self) -> str:
+        """Return module and function name."""
+        return f'{self._function.__module__}.{self._function.__name__}'
+
+    def __str__(self) -> str:
+        """Return module and function name."""
+        return self.id()
+
+    def shortDescription(self) -> str | None:  # noqa: N802
+        """Return no description; the name says it."""
+        return None
+
+
+def load_functions(names: dict[str, typing.Any]) -> unittest.TestSuite:
+    """Return a suite of all test functions of a module."""
+    module = names['__name__']
+    return unittest.TestSuite(
+        Case(value)
+        for name, value in names.items()
+        if name.startswith('test_')
+        and isinstance(value, types.FunctionType)
+        and value.__module__ == module
+    )
