--- a/packages/pistachioseam/src/pistachioseam/claims.py
+++ b/packages/pistachioseam/src/pistachioseam/claims.py
@@ -266,7 +266,7 @@
             read = await self._store.read(key)
             if not pipeline.is_successful(read):
                 self._drop(key, held)
-                return result.Failure(_refuse_store())
+                return result.Failure(refuse_unknown())
             row = read.unwrap()
             record = _decode(row)
             if record is None:
--- a/packages/pistachioseam/src/pistachioseam/filters/serve.py
+++ b/packages/pistachioseam/src/pistachioseam/filters/serve.py
@@ -1,5 +1,6 @@
 """Send a request to targets until it is served or a retry is unsafe."""
 
+import attrs
 from returns import pipeline as railway
 from returns import result
 
@@ -40,7 +41,7 @@
     while True:
         placed = place.place_request(exchange, router)
         if not railway.is_successful(placed):
-            return result.Failure(placed.failure())
+            return result.Failure(_correct_outcome(exchange, placed.failure()))
         attempt = placed.unwrap()
         failure = await _run_attempt(exchange, router, attempt)
         if failure is None:
@@ -56,6 +57,15 @@
         )
 
 
+def _correct_outcome(
+    exchange: exchanges.Exchange, refusal: refusals.Refusal
+) -> refusals.Refusal:
+    """Return the refusal of a retry, true about the earlier attempts."""
+    if not exchange.may_have_run:
+        return refusal
+    return attrs.evolve(refusal, outcome=refusals.Outcome.UNKNOWN)
+
+
 async def _run_attempt(
     exchange: exchanges.Exchange,
     router: routers.Router,
