--- a/packages/pistachioseam-entry/src/pistachioseam_entry/listener.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/listener.py
@@ -56,6 +56,7 @@
         """Return the protocol of a new connection."""
         channel: typing.Any = super().buildProtocol(addr)
         channel._channel.totalHeadersSize = self.header_room
+        channel._channel.MAX_LENGTH = self.header_room
         return channel
 
 
--- /dev/null
+++ b/packages/pistachioseam-operator/src/pistachioseam_operator/command.py
@@ -0,0 +1,191 @@
+"""Command line of `pistachioseam`, the operator's tool."""
+
+import asyncio
+from collections import abc
+import http
+import os
+import pathlib
+import sys
+import typing
+
+import attrs
+import fire
+from returns import pipeline
+import yaml
+
+from pistachioseam import findings
+from pistachioseam import history
+from pistachioseam.history import checkers
+from pistachioseam.history import records
+from pistachioseam_entry import reactors
+from pistachioseam_entry import settings as entry_settings
+from pistachioseam_operator import edits
+from pistachioseam_operator import files
+from pistachioseam_operator import reference
+
+EXIT_FINDINGS = 1
+EXIT_LOST_RACE = 3
+EXIT_UNAVAILABLE = 4
+HOSTS_VARIABLE = 'PISTACHIOSEAM_HOSTS'
+PLATFORM_VARIABLE = 'PISTACHIOSEAM_PLATFORM'
+ADMIN_TIMEOUT_SECONDS = 5.0
+
+T = typing.TypeVar('T')
+assert history
+
+
+def _run(
+    create: abc.Callable[[], abc.Coroutine[typing.Any, typing.Any, T]],
+) -> T:
+    """Run a coroutine on the reactor that HTTP libraries need."""
+    reactors.install_reactor()
+    reactor = reactors.get_reactor()
+    started: list[asyncio.Future[T]] = []
+
+    def start() -> None:
+        work = asyncio.ensure_future(create())
+        started.append(work)
+        work.add_done_callback(lambda _: reactor.stop())
+
+    reactor.callWhenRunning(start)
+    reactor.run(installSignalHandlers=False)
+    return started[0].result()
+
+
+def _print_findings(found: typing.Iterable[findings.Finding]) -> None:
+    for finding in found:
+        print(finding.format())
+
+
+class Commands:
+    """Operate pistachioseam: tables, hosts, requests and histories."""
+
+    def check(self, *paths: str) -> None:
+        """Report all findings of table files; exit 1 if any is an error."""
+        found = files.check_files([pathlib.Path(path) for path in paths])
+        _print_findings(found)
+        if findings.has_errors(found):
+            sys.exit(EXIT_FINDINGS)
+
+    def tables(self, platform: str = '') -> None:
+        """Print both tables as a table file with its base revision."""
+        scanned = _run(lambda: edits.fetch_tables(_create_store(platform)))
+        if not pipeline.is_successful(scanned):
+            _fail(f'the platform failed: {scanned.failure().value}')
+        view = scanned.unwrap()
+        content: dict[str, typing.Any] = {'base_revision': view.revision}
+        for table in files.TABLES:
+            content[table] = [
+                row.value for row in view.rows if row.key.table == table
+            ]
+        print(yaml.safe_dump(content, sort_keys=False), end='')
+
+    def apply(self, *paths: str, platform: str = '') -> None:
+        """Write table files by compare-and-set; exit 3 on a lost race."""
+        read = files.read_files([pathlib.Path(path) for path in paths])
+        if not pipeline.is_successful(read):
+            _print_findings(read.failure())
+            sys.exit(EXIT_FINDINGS)
+        edit = read.unwrap()
+        applied = _run(lambda: edits.apply_edit(_create_store(platform), edit))
+        if pipeline.is_successful(applied):
+            print(f'applied as revision {applied.unwrap()}')
+            return
+        _report_failed_edit(applied.failure())
+
+    def dump(self, host: str) -> None:
+        """Print the state of the process at an admin address."""
+        print(_run(lambda: _fetch_page(host, '/dump')).text)
+
+    def explain(self, request: str, hosts: str = '') -> None:
+        """Print what the filters found for a request, from any host."""
+        listed = hosts or os.environ.get(HOSTS_VARIABLE, '')
+        path = f'/explain/{request}'
+        page = _run(lambda: _find_page(listed.split(','), path))
+        if page is None:
+            _fail(f'no host of "{listed}" knows {request}')
+        print(page.text)
+
+    def settings(self) -> None:
+        """Print the reference of all settings of `pistachioseamd`."""
+        for line in reference.list_settings(entry_settings.Settings):
+            print(line)
+
+    def events(self) -> None:
+        """Print the catalogue of the log's numbered events."""
+        for line in reference.list_events():
+            print(line)
+
+    def verify(self, path: str) -> None:
+        """Check a history file against every promise; exit 1 if broken."""
+        lines = pathlib.Path(path).read_text().splitlines()
+        recorded = [records.decode(line) for line in lines]
+        violations = checkers.check_history(recorded)
+        for violation in violations:
+            print(f'{violation.at} {violation.promise}: {violation.detail}')
+        print(f'{len(recorded)} records, {len(violations)} violations')
+        if violations:
+            sys.exit(EXIT_FINDINGS)
+
+
+def _create_store(platform: str) -> typing.Any:
+    # The client needs the reactor that `_run` installs.
+    from pistachioseam_entry import platform as platforms
+
+    address = platform or os.environ.get(PLATFORM_VARIABLE, '')
+    if not address:
+        _fail(f'give --platform or set {PLATFORM_VARIABLE}')
+    return platforms.PlatformClient(entry_settings.Platform(address=address))
+
+
+@attrs.frozen
+class _Page:
+    status: int
+    text: str
+
+
+async def _fetch_page(host: str, path: str) -> _Page:
+    import treq
+
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(ADMIN_TIMEOUT_SECONDS):
+        response = await treq.get(f'http://{host}{path}').asFuture(loop)
+        text = await response.text().asFuture(loop)
+    return _Page(response.code, text)
+
+
+async def _find_page(hosts: abc.Iterable[str], path: str) -> _Page | None:
+    """Return the page of the first host that has it."""
+    for host in hosts:
+        try:
+            page = await _fetch_page(host, path)
+        except Exception as error:
+            print(f'{host}: {type(error).__name__}', file=sys.stderr)
+            continue
+        if page.status == http.HTTPStatus.OK:
+            return page
+    return None
+
+
+def _fail(message: str) -> typing.NoReturn:
+    print(message, file=sys.stderr)
+    sys.exit(EXIT_UNAVAILABLE)
+
+
+def _report_failed_edit(error: edits.EditError) -> typing.NoReturn:
+    if isinstance(error, edits.LostRace):
+        print('lost a race: these rows changed since you read them:')
+        for row in error.rows:
+            print(f'  {row}')
+        print('nothing was written; read the tables again and repeat the edit')
+        sys.exit(EXIT_LOST_RACE)
+    if isinstance(error, edits.Rejected):
+        _print_findings(error.findings)
+        print('nothing was written')
+        sys.exit(EXIT_FINDINGS)
+    _fail(f'the platform failed: {error.value}; read the tables to see more')
+
+
+def main() -> None:
+    """Run the command line."""
+    fire.Fire(Commands, name='pistachioseam')
--- a/packages/pistachioseam/src/pistachioseam/conversion.py
+++ b/packages/pistachioseam/src/pistachioseam/conversion.py
@@ -5,6 +5,7 @@
 import attrs
 import cattrs
 from cattrs import errors
+from cattrs import gen
 from cattrs import v
 from returns import result
 
@@ -17,9 +18,42 @@
     converter = cattrs.Converter(forbid_extra_keys=True)
     for scalar in (str, int, float, bool):
         converter.register_structure_hook(scalar, _make_scalar_hook(scalar))
+    converter.register_structure_hook_factory(
+        attrs.has, lambda kind: _make_class_hook(kind, converter)
+    )
     return converter
 
 
+def _make_class_hook(
+    kind: type[typing.Any], converter: cattrs.Converter
+) -> typing.Callable[[typing.Any, typing.Any], typing.Any]:
+    """Return a hook that validates each field, so its place is known."""
+    overrides = {
+        field.name: gen.override(
+            struct_hook=_make_field_hook(field, converter)
+        )
+        for field in attrs.fields(kind)
+        if field.validator is not None
+    }
+    # The stubs of the library do not know its keyword overrides.
+    make: typing.Any = gen.make_dict_structure_fn
+    hook: typing.Callable[[typing.Any, typing.Any], typing.Any] = make(
+        kind, converter, _cattrs_forbid_extra_keys=True, **overrides
+    )
+    return hook
+
+
+def _make_field_hook(
+    field: typing.Any, converter: cattrs.Converter
+) -> typing.Callable[[typing.Any, typing.Any], typing.Any]:
+    def structure_field(value: typing.Any, kind: typing.Any) -> typing.Any:
+        structured = converter.structure(value, kind)
+        field.validator(None, field, structured)
+        return structured
+
+    return structure_field
+
+
 def _make_scalar_hook(
     scalar: type,
 ) -> typing.Callable[[typing.Any, typing.Any], typing.Any]:
--- a/packages/pistachioseam/src/pistachioseam/filters/admit.py
+++ b/packages/pistachioseam/src/pistachioseam/filters/admit.py
@@ -17,7 +17,7 @@
 ) -> pipeline.FilterResult:
     """Check quarantine, rate and concurrency."""
     if router.quarantine.is_quarantined(exchange.digest):
-        return _refuse_quarantined(exchange, router)
+        return result.Failure(refuse_quarantined(exchange, router))
     now = router.runtime.now()
     account = exchange.get_account()
     assert exchange.caller is not None
@@ -38,18 +38,17 @@
     )
 
 
-def _refuse_quarantined(
+def refuse_quarantined(
     exchange: exchanges.Exchange, router: routers.Router
-) -> pipeline.FilterResult:
+) -> refusals.Refusal:
+    """Return the refusal of a request that crashes its targets."""
     router.sink.emit(
         events.Event.REQUEST_QUARANTINED, request_id=exchange.request_id
     )
     seconds = router.quarantine.get_retry_seconds(exchange.digest)
-    return result.Failure(
-        refusals.Refusal(
-            422,
-            refusals.Reason.QUARANTINED,
-            'this request crashed the targets that ran it',
-            retry_after_seconds=math.ceil(seconds),
-        )
+    return refusals.Refusal(
+        422,
+        refusals.Reason.QUARANTINED,
+        'this request crashed the targets that ran it',
+        retry_after_seconds=math.ceil(seconds),
     )
--- a/packages/pistachioseam/src/pistachioseam/filters/serve.py
+++ b/packages/pistachioseam/src/pistachioseam/filters/serve.py
@@ -7,6 +7,7 @@
 from pistachioseam import claims
 from pistachioseam import events
 from pistachioseam import exchanges
+from pistachioseam.filters import admit
 from pistachioseam.filters import place
 from pistachioseam.filters import relay
 from pistachioseam.filters import send
@@ -90,6 +91,9 @@
         exchange.may_have_run = True
         if not exchange.is_repeatable():
             return claims.refuse_unknown()
+    if router.quarantine.is_quarantined(exchange.digest):
+        refusal = admit.refuse_quarantined(exchange, router)
+        return _correct_outcome(exchange, refusal)
     is_late = router.runtime.now() >= exchange.deadline
     is_spent = len(exchange.attempts) >= MAX_ATTEMPTS
     if is_late or is_spent:
--- /dev/null
+++ b/tests/operator/test_command.py
@@ -0,0 +1,124 @@
+"""The operator's tool against files and a running deployment."""
+
+import json
+import pathlib
+import subprocess
+import sys
+
+import attrs
+import fixtures
+import yaml
+
+from pistachioseam_standins import deployment
+from tests import deployments
+from tests import support
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+REFERENCE = ROOT / 'docs' / 'reference'
+
+
+def _run(*arguments: object) -> subprocess.CompletedProcess[str]:
+    command = [sys.executable, '-m', 'pistachioseam_operator']
+    return subprocess.run(
+        [*command, *map(str, arguments)],
+        capture_output=True,
+        text=True,
+        timeout=30,
+    )
+
+
+def _write(case: support.Case, content: object) -> pathlib.Path:
+    folder = pathlib.Path(case.useFixture(fixtures.TempDir()).path)
+    path = folder / 'tables.yaml'
+    path.write_text(yaml.safe_dump(content))
+    return path
+
+
+def test_check_reports_all_findings_at_once(case: support.Case) -> None:
+    """Every defect of both tables is shown with table, row and field."""
+    target = {'name': 'e', 'address': 'host:1', 'domain': 'd', 'size': 3}
+    pool = {'name': 'p', 'kind': 'model', 'targets': [target]}
+    routes = [
+        {'name': 'r', 'team': 't', 'pool': 'none'},
+        {'name': 's', 'team': 't'},
+    ]
+    path = _write(case, {'routes': routes, 'pools': [pool]})
+    ended = _run('check', path)
+    case.assertEqual(1, ended.returncode)
+    for part in (
+        'pools:p:targets[0]',
+        'unknown key: size',
+        'routes:r:pool: error: there is no pool "none"',
+        'routes:s:pool: error: required key is missing',
+    ):
+        case.assertIn(part, ended.stdout)
+
+
+def test_check_accepts_the_example(case: support.Case) -> None:
+    """The example tables have no findings."""
+    ended = _run('check', ROOT / 'examples' / 'tables.yaml')
+    case.assertEqual((0, ''), (ended.returncode, ended.stdout))
+
+
+def test_apply_shows_a_lost_race(case: support.Case) -> None:
+    """Of two operators with the same base, the second is told."""
+    shape = deployment.Shape(entries=1)
+    local = case.useFixture(deployments.LocalDeployment(shape)).local
+    platform = f'--platform={local.platform.address}'
+    fetched = yaml.safe_load(_run('tables', platform).stdout)
+    fetched['routes'][0]['deadline_seconds'] = 30.0
+    first = _run('apply', _write(case, fetched), platform)
+    case.assertIn('applied as revision', first.stdout, first.stderr)
+    fetched['routes'][0]['deadline_seconds'] = 40.0
+    second = _run('apply', _write(case, fetched), platform)
+    case.assertEqual(3, second.returncode)
+    case.assertIn(f'routes:{fetched["routes"][0]["name"]}', second.stdout)
+    entry = local.entries[0]
+
+    def is_in_force() -> bool:
+        routes = deployments.dump(entry)['configuration']['routes']
+        return 30.0 in [route['deadline_seconds'] for route in routes]
+
+    deployment.wait_until(is_in_force, 'the first edit is not in force')
+
+
+def test_dump_and_explain(case: support.Case) -> None:
+    """A request can be explained by the host that served it."""
+    shape = deployment.Shape(entries=2)
+    local = case.useFixture(deployments.LocalDeployment(shape)).local
+    answer = deployments.book(local.entries[1].address, 'k')
+    request = answer.headers['pistachioseam-request-id']
+    hosts = ','.join(entry.admin_address for entry in local.entries)
+    explained = json.loads(_run('explain', request, f'--hosts={hosts}').stdout)
+    case.assertEqual('done', explained['outcome'])
+    case.assertEqual('service-1', explained['attempts'][0]['target'])
+    dumped = json.loads(_run('dump', local.entries[0].admin_address).stdout)
+    case.assertEqual('entry-1', dumped['host'])
+    metrics = deployment.call(
+        'GET', local.entries[1].admin_address, '/metrics'
+    )
+    case.assertIn('pistachioseam_requests_total', metrics)
+
+
+@attrs.frozen
+class Page:
+    """Reference page that a command prints."""
+
+    command: str
+    name: str
+
+
+def test_reference_pages_match_the_code(case: support.Case) -> None:
+    """Settings and events in docs/ are those of the code."""
+    for page in (Page('settings', 'settings.md'), Page('events', 'events.md')):
+        text = (REFERENCE / page.name).read_text()
+        for line in _run(page.command).stdout.splitlines():
+            case.assertIn(f'\n    {line}\n', text)
+        lines = [x for x in text.splitlines() if x.startswith('    ')]
+        printed = _run(page.command).stdout.splitlines()
+        case.assertEqual(len(printed), len(lines))
+
+
+def load_tests(*_: object) -> object:
+    """Load the functions of this module."""
+    return support.load_functions(globals())
--- a/tests/worlds.py
+++ b/tests/worlds.py
@@ -455,7 +455,9 @@
         self, host: Host, work: abc.Coroutine[typing.Any, typing.Any, object]
     ) -> None:
         """Run a coroutine until its first wait."""
-        if not host.is_dead:
+        if host.is_dead:
+            work.close()
+        else:
             self._advance(host, work, None)
 
     def _advance(self, host: Host, work: typing.Any, value: object) -> None:
