--- a/packages/pistachioseam-operator/src/pistachioseam_operator/command.py
+++ b/packages/pistachioseam-operator/src/pistachioseam_operator/command.py
@@ -20,6 +20,9 @@
 from pistachioseam_entry import reactors
 from pistachioseam_entry import settings as entry_settings
 from pistachioseam_operator import edits
+from pistachioseam_operator.experiments import runs
+from pistachioseam_operator.experiments import scenarios
+from pistachioseam_operator.experiments import summaries
 from pistachioseam_operator import files
 from pistachioseam_operator import reference
 
@@ -116,6 +119,17 @@
         for line in reference.list_events():
             print(line)
 
+    def experiment(self, path: str) -> None:
+        """Compare placement policies over fake engines in virtual time."""
+        loaded = scenarios.load_experiment(pathlib.Path(path))
+        if not pipeline.is_successful(loaded):
+            _print_findings(loaded.failure())
+            sys.exit(EXIT_FINDINGS)
+        for scenario in loaded.unwrap().scenarios:
+            print(f'{scenario.name}\n{summaries.format_header()}')
+            for row in runs.run_scenario(scenario):
+                print(summaries.format_summary(row.summary), flush=True)
+
     def verify(self, path: str) -> None:
         """Check a history file against every promise; exit 1 if broken."""
         lines = pathlib.Path(path).read_text().splitlines()
--- /dev/null
+++ b/packages/pistachioseam-operator/src/pistachioseam_operator/experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: the core's placement over small fake engines."""
--- /dev/null
+++ b/packages/pistachioseam-operator/src/pistachioseam_operator/experiments/runs.py
@@ -0,0 +1,69 @@
+"""All runs of a scenario: policies, loads and seeds."""
+
+from collections import abc
+
+import attrs
+
+from pistachioseam.placement import policies
+from pistachioseam_operator.experiments import scenarios
+from pistachioseam_operator.experiments import simulation
+from pistachioseam_operator.experiments import summaries
+from pistachioseam_operator.experiments import workloads
+
+CALIBRATION_SEED = 99
+
+
+def compute_capacity(scenario: scenarios.Scenario) -> float:
+    """Return requests a second that keep warm engines busy.
+
+    An oracle run at the cold capacity gives the mean work of a request.
+    """
+    engines = scenario.engines
+    cold = engines.count / workloads.compute_cold_seconds(scenario)
+    requests = list(
+        workloads.create_requests(scenario, cold, CALIBRATION_SEED)
+    )
+    run = simulation.Simulation(
+        scenario, simulation.ORACLE, requests, CALIBRATION_SEED
+    )
+    run.run()
+    missing = sum(s.pieces - s.cached for s in run.samples)
+    seconds = missing * engines.prefill_seconds_per_piece / len(run.samples)
+    return engines.count / (seconds + engines.batch_seconds_per_request)
+
+
+def list_policies(scenario: scenarios.Scenario) -> tuple[str, ...]:
+    """Return the policies to run, the oracle last."""
+    named = scenario.compared or tuple(sorted(policies.REGISTRY))
+    return (*named, simulation.ORACLE)
+
+
+def run_policy(
+    scenario: scenarios.Scenario, policy: str, load: float, capacity: float
+) -> summaries.Summary:
+    """Return the figures of a policy at a load over all seeds."""
+    samples: list[simulation.Sample] = []
+    for seed in scenario.seeds:
+        requests = workloads.create_requests(scenario, load * capacity, seed)
+        run = simulation.Simulation(scenario, policy, requests, seed)
+        run.run()
+        samples += [s for s in run.samples if s.at >= scenario.warm_seconds]
+    seconds = len(scenario.seeds) * (scenario.seconds - scenario.warm_seconds)
+    return summaries.summarize(policy, load, samples, seconds)
+
+
+@attrs.frozen
+class Row:
+    """Figures of one policy in one scenario."""
+
+    scenario: str
+    summary: summaries.Summary
+
+
+def run_scenario(scenario: scenarios.Scenario) -> abc.Iterator[Row]:
+    """Yield the figures of every policy at every load."""
+    capacity = compute_capacity(scenario)
+    for load in scenario.loads:
+        for policy in list_policies(scenario):
+            summary = run_policy(scenario, policy, load, capacity)
+            yield Row(scenario.name, summary)
