Share outstanding work with peers instead of trusting lagging reports

Change: each digest also carries the sender's outstanding work by target, as absolute values, so a lost digest heals with the next one.

--- a/packages/pistachioseam-operator/src/pistachioseam_operator/experiments/runs.py
+++ b/packages/pistachioseam-operator/src/pistachioseam_operator/experiments/runs.py
@@ -18,6 +18,7 @@
 
     An oracle run at the cold capacity gives the mean work of a request.
     """
+    scenario = attrs.evolve(scenario, weights=policies.Weights())
     engines = scenario.engines
     cold = engines.count / workloads.compute_cold_seconds(scenario)
     requests = list(
--- a/packages/pistachioseam-operator/src/pistachioseam_operator/experiments/simulation.py
+++ b/packages/pistachioseam-operator/src/pistachioseam_operator/experiments/simulation.py
@@ -267,8 +267,7 @@
                 )
                 if receiver == sender or lost:
                     continue
-                for sighting in digest:
-                    own.note_sighting(sighting, self._clock)
+                own.note_digest(f'host{sender}', digest, self._clock)
         if self._clock < self._scenario.seconds:
             at = self._clock + self._scenario.digest_seconds
             self._schedule(at, self._exchange_digests, None)
--- a/packages/pistachioseam/src/pistachioseam/placement/placer.py
+++ b/packages/pistachioseam/src/pistachioseam/placement/placer.py
@@ -76,6 +76,14 @@
     chain: tuple[int, ...]
 
 
+@attrs.frozen
+class Digest:
+    """What one host tells its peers several times a second."""
+
+    sightings: tuple[Sighting, ...]
+    shares: tuple[loads.Share, ...]
+
+
 class Placer:
     """Placement of one host; all times are seconds of one clock."""
 
@@ -87,7 +95,7 @@
         self.loads = loads.LoadBoard()
         self._homes = homes.HomeOrder()
         self._random = random
-        self._digest: list[Sighting] = []
+        self._sightings: list[Sighting] = []
 
     def place(
         self, query: Query, options: abc.Sequence[Option], now: float
@@ -154,8 +162,8 @@
         self.loads.add_own(decision.target, decision.work, now)
         chain = decision.query.chain
         if chain:
-            self._digest.append(Sighting(decision.target, chain))
-            del self._digest[:-DIGEST_LIMIT]
+            self._sightings.append(Sighting(decision.target, chain))
+            del self._sightings[:-DIGEST_LIMIT]
 
     def note_prefilled(
         self, decision: Decision, cached_pieces: int | None, now: float
@@ -178,12 +186,14 @@
             self.loads.drop(target)
         return is_restart
 
-    def note_sighting(self, sighting: Sighting, now: float) -> None:
-        """Take in a peer's digest entry."""
-        self.evidence.note_seen(sighting.target, sighting.chain, now)
+    def note_digest(self, peer: str, digest: Digest, now: float) -> None:
+        """Take in a peer's digest."""
+        for sighting in digest.sightings:
+            self.evidence.note_seen(sighting.target, sighting.chain, now)
+        self.loads.note_peer(peer, digest.shares, now)
 
-    def take_digest(self) -> tuple[Sighting, ...]:
-        """Return the own sightings since the last call."""
-        digest = tuple(self._digest)
-        self._digest.clear()
+    def take_digest(self) -> Digest:
+        """Return the own sends since the last call and the work they left."""
+        digest = Digest(tuple(self._sightings), self.loads.list_own())
+        self._sightings.clear()
         return digest
