Calibrate the experiment's capacity at the capacity itself

Cause: the capacity came from one run at the cold rate, whose warming counted as work, so load 1.2 left the oracle without queues (refused 0.000, p95 0.334). Three runs, each at the capacity found before and without the warming, give the mean work of a warm request.

--- a/packages/pistachioseam-operator/src/pistachioseam_operator/experiments/runs.py
+++ b/packages/pistachioseam-operator/src/pistachioseam_operator/experiments/runs.py
@@ -11,26 +11,38 @@
 from pistachioseam_operator.experiments import workloads
 
 CALIBRATION_SEED = 99
+CALIBRATION_RUNS = 3
 
 
 def compute_capacity(scenario: scenarios.Scenario) -> float:
-    """Return requests a second that keep warm engines busy.
+    """Return requests a second that keep warm engines just busy.
 
-    An oracle run at the cold capacity gives the mean work of a request.
+    Oracle runs, the first at the cold capacity and each later one at the
+    capacity found before, give the mean work of a warm request.
     """
     scenario = attrs.evolve(scenario, weights=policies.Weights())
     engines = scenario.engines
-    cold = engines.count / workloads.compute_cold_seconds(scenario)
-    requests = list(
-        workloads.create_requests(scenario, cold, CALIBRATION_SEED)
-    )
-    run = simulation.Simulation(
-        scenario, simulation.ORACLE, requests, CALIBRATION_SEED
-    )
-    run.run()
-    missing = sum(s.pieces - s.cached for s in run.samples)
-    seconds = missing * engines.prefill_seconds_per_piece / len(run.samples)
-    return engines.count / (seconds + engines.batch_seconds_per_request)
+    capacity = engines.count / workloads.compute_cold_seconds(scenario)
+    for _ in range(CALIBRATION_RUNS):
+        requests = workloads.create_requests(
+            scenario, capacity, CALIBRATION_SEED
+        )
+        run = simulation.Simulation(
+            scenario, simulation.ORACLE, requests, CALIBRATION_SEED
+        )
+        run.run()
+        capacity = engines.count / _compute_mean_work(scenario, run)
+    return capacity
+
+
+def _compute_mean_work(
+    scenario: scenarios.Scenario, run: simulation.Simulation
+) -> float:
+    engines = scenario.engines
+    warm = [s for s in run.samples if s.at >= scenario.warm_seconds]
+    missing = sum(s.pieces - s.cached for s in warm)
+    seconds = missing * engines.prefill_seconds_per_piece / len(warm)
+    return seconds + engines.batch_seconds_per_request
 
 
 def list_policies(scenario: scenarios.Scenario) -> tuple[str, ...]:
@@ -50,7 +62,13 @@
         run.run()
         samples += [s for s in run.samples if s.at >= scenario.warm_seconds]
     seconds = len(scenario.seeds) * (scenario.seconds - scenario.warm_seconds)
-    return summaries.summarize(policy, load, samples, seconds)
+    return summaries.summarize(
+        policy,
+        load,
+        samples,
+        seconds,
+        scenario.engines.prefill_seconds_per_piece,
+    )
 
 
 @attrs.frozen
--- a/packages/pistachioseam-operator/src/pistachioseam_operator/experiments/summaries.py
+++ b/packages/pistachioseam-operator/src/pistachioseam_operator/experiments/summaries.py
@@ -6,7 +6,7 @@
 
 from pistachioseam_operator.experiments import simulation
 
-PERCENTILES = (50, 95, 99)
+SHORT_SECONDS = 1.5
 
 
 @attrs.frozen(kw_only=True)
@@ -16,7 +16,8 @@
     `hit_rate` is cached over reusable pieces, `wasted` the recomputed
     reusable pieces over all pieces; times to first token are in seconds;
     `goodput` is answered prompt pieces a second; `fairness` is the least
-    answered share of an account.
+    answered work of an account over its fair share; `short_p95` is the p95 of
+    requests whose own cold prefill is under `SHORT_SECONDS`.
     """
 
     policy: str
@@ -29,6 +30,7 @@
     refused: float
     goodput: float
     fairness: float
+    short_p95: float
 
 
 def summarize(
@@ -36,10 +38,17 @@
     load: float,
     samples: abc.Sequence[simulation.Sample],
     seconds: float,
+    prefill_seconds_per_piece: float,
 ) -> Summary:
     """Return the figures of the samples of one or more runs."""
     answered = [s for s in samples if s.seconds is not None]
     times = sorted(s.seconds for s in answered if s.seconds is not None)
+    short_pieces = SHORT_SECONDS / prefill_seconds_per_piece
+    short = sorted(
+        s.seconds
+        for s in answered
+        if s.seconds is not None and s.pieces < short_pieces
+    )
     reusable = sum(s.reusable for s in answered) or 1
     cached = sum(min(s.cached, s.reusable) for s in answered)
     pieces = sum(s.pieces for s in answered) or 1
@@ -54,6 +63,7 @@
         refused=1 - len(answered) / max(1, len(samples)),
         goodput=pieces / seconds,
         fairness=_compute_fairness(samples),
+        short_p95=_get_percentile(short, 95),
     )
 
 
@@ -64,13 +74,20 @@
 
 
 def _compute_fairness(samples: abc.Sequence[simulation.Sample]) -> float:
-    asked: dict[str, int] = {}
-    answered: dict[str, int] = {}
+    """Return the least answered work of an account over its fair share.
+
+    The fair share is the account's own demand, or an equal part of all
+    answered work if that is less.
+    """
+    asked: dict[str, float] = {}
+    answered: dict[str, float] = {}
     for sample in samples:
-        asked[sample.account] = asked.get(sample.account, 0) + 1
+        account = sample.account
+        asked[account] = asked.get(account, 0.0) + sample.pieces
         if sample.seconds is not None:
-            answered[sample.account] = answered.get(sample.account, 0) + 1
-    return min(answered.get(a, 0) / n for a, n in asked.items())
+            answered[account] = answered.get(account, 0.0) + sample.pieces
+    part = sum(answered.values()) / len(asked)
+    return min(answered.get(a, 0.0) / min(n, part) for a, n in asked.items())
 
 
 def format_header() -> str:
@@ -78,6 +95,7 @@
     return (
         f'{"policy":20}{"load":>6}{"hits":>7}{"wasted":>8}{"p50":>8}'
         f'{"p95":>8}{"p99":>8}{"refused":>9}{"goodput":>9}{"fair":>6}'
+        f'{"short95":>9}'
     )
 
 
@@ -87,5 +105,5 @@
         f'{summary.policy:20}{summary.load:6.2f}{summary.hit_rate:7.3f}'
         f'{summary.wasted:8.3f}{summary.p50:8.3f}{summary.p95:8.3f}'
         f'{summary.p99:8.3f}{summary.refused:9.3f}{summary.goodput:9.1f}'
-        f'{summary.fairness:6.2f}'
+        f'{summary.fairness:6.2f}{summary.short_p95:9.3f}'
     )
