--- a/packages/pistachioseam/src/pistachioseam/limits.py
+++ b/packages/pistachioseam/src/pistachioseam/limits.py
@@ -12,6 +12,7 @@
 RETRY_LAST_SECONDS = 30.0
 JITTER_SHARE = 0.5
 ACTIVE_USAGE = 0.001
+LEAST_PRESSURE = 0.25
 
 
 @attrs.frozen(kw_only=True)
@@ -108,7 +109,7 @@
     def compute_max_wait(self, account: str, now: float) -> float:
         """Return the expected wait beyond which the account is refused."""
         pressure = self.compute_pressure(account, now)
-        return self.settings.max_wait_seconds / max(1.0, pressure)
+        return self.settings.max_wait_seconds / max(LEAST_PRESSURE, pressure)
 
     def compute_retry_after(
         self, account: str, now: float, random: float
