Try: choose only among targets within the allowed wait

Cause sought: small accounts refused at load 1.2 though another target had room. Spreading recomputes prefixes, which is load itself.

--- a/packages/pistachioseam/src/pistachioseam/filters/place.py
+++ b/packages/pistachioseam/src/pistachioseam/filters/place.py
@@ -79,7 +79,9 @@
         )
         for target in targets
     ]
-    return router.placer.place(query, options, router.runtime.now())
+    now = router.runtime.now()
+    max_wait = router.limits.compute_max_wait(exchange.get_account(), now)
+    return router.placer.place(query, options, now, max_wait)
 
 
 def _is_late(
