--- a/packages/pistachioseam-operator/src/pistachioseam_operator/experiments/simulation.py
+++ b/packages/pistachioseam-operator/src/pistachioseam_operator/experiments/simulation.py
@@ -117,9 +117,9 @@
 
     def _place(self, job: engines.Job, host: int) -> None:
         now = self._clock
+        decision = self._decide(job, host)
         accounts = self._limits[host]
         max_wait = accounts.compute_max_wait(job.account, now)
-        decision = self._decide(job, host, max_wait)
         if job.attempts == 0 and decision.expected_wait > max_wait:
             self._record(job, is_refused=True)
             return
@@ -132,13 +132,11 @@
         engine.submit(job)
         self._start(engine, job, host, decision)
 
-    def _decide(
-        self, job: engines.Job, host: int, max_wait: float
-    ) -> placer.Decision:
+    def _decide(self, job: engines.Job, host: int) -> placer.Decision:
         query = placer.Query(chain=job.chain, pieces=job.pieces)
         if not self._is_oracle:
             decision = self._placers[host].place(
-                query, self._options, self._clock, max_wait
+                query, self._options, self._clock
             )
             assert decision is not None
             return decision
--- a/packages/pistachioseam/src/pistachioseam/filters/place.py
+++ b/packages/pistachioseam/src/pistachioseam/filters/place.py
@@ -79,9 +79,7 @@
         )
         for target in targets
     ]
-    now = router.runtime.now()
-    max_wait = router.limits.compute_max_wait(exchange.get_account(), now)
-    return router.placer.place(query, options, now, max_wait)
+    return router.placer.place(query, options, router.runtime.now())
 
 
 def _is_late(
--- a/packages/pistachioseam/src/pistachioseam/placement/placer.py
+++ b/packages/pistachioseam/src/pistachioseam/placement/placer.py
@@ -1,7 +1,6 @@
 """Choice of a target for one request, from prefix, evidence and load."""
 
 from collections import abc
-import math
 
 import attrs
 
@@ -99,25 +98,14 @@
         self._sightings: list[Sighting] = []
 
     def place(
-        self,
-        query: Query,
-        options: abc.Sequence[Option],
-        now: float,
-        max_wait: float = math.inf,
+        self, query: Query, options: abc.Sequence[Option], now: float
     ) -> Decision | None:
-        """Return the choice among the options, or None without any.
-
-        Candidates that cannot start within `max_wait` seconds are only
-        chosen when no other can.
-        """
+        """Return the choice among the options, or None without any."""
         if not options:
             return None
         candidates = self._list_candidates(query, options, now)
-        prompt = [c for c in candidates if c.wait <= max_wait]
         policy = policies.REGISTRY[self.settings.policy]
-        chosen = policy(
-            prompt or candidates, self.settings.weights, self._random
-        )
+        chosen = policy(candidates, self.settings.weights, self._random)
         return Decision(
             target=chosen.name,
             query=query,
