Let hosts share configuration, suspects, loads and claims by gossip

Cause: each host stood alone. With gossip switched off, a host that restarted during a platform outage never became ready (TimeoutError after 6 s), and one poison request sent to all hosts killed every engine (0 of 5 left).

--- /dev/null
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/peers.py
@@ -0,0 +1,289 @@
+"""Gossip between entry hosts: membership, configuration, loads, suspects."""
+
+import asyncio
+import json
+import pathlib
+import typing
+
+from returns import pipeline
+
+from pistachioseam import claims
+from pistachioseam import events
+from pistachioseam import interfaces
+from pistachioseam import membership
+from pistachioseam.placement import loads
+from pistachioseam.placement import placer
+from pistachioseam import quarantine
+from pistachioseam import router as routers
+from pistachioseam import snapshots
+from pistachioseam_entry import settings
+from pistachioseam_peer import clients
+from pistachioseam_peer import envelopes
+from pistachioseam_peer.generated import messages_pb2
+from pistachioseam_peer import servers
+
+SPREAD_SECONDS = 0.3
+WARM_START_SECONDS = 0.5
+MESSAGE_SECONDS = 1.0
+RETRY_SILENT_SECONDS = 1.0
+
+
+class PeerNetwork:
+    """This host among its peers; a context manager that owns its links.
+
+    Implements the spreader of configurations and the access to the holders
+    of claims.
+    """
+
+    def __init__(
+        self,
+        own: membership.Peer,
+        options: settings.Peers,
+        runtime: interfaces.Runtime,
+        sink: interfaces.EventSink,
+    ) -> None:
+        self.members = membership.Members(own, runtime, sink)
+        self.rejected = 0
+        self._options = options
+        self._runtime = runtime
+        self._sink = sink
+        secret = pathlib.Path(options.secret_file).read_bytes().strip()
+        self._client = clients.PeerClient(secret)
+        self._server = servers.PeerServer(secret, self._answer, self._reject)
+        self._router: routers.Router | None = None
+        self._tried_at: dict[str, float] = {}
+
+    def __enter__(self) -> 'PeerNetwork':
+        """Return the network."""
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Close the port and all connections."""
+        self._server.close()
+        self._client.__exit__()
+
+    async def start(self, router: routers.Router) -> None:
+        """Listen, and take over what the first live peers know."""
+        self._router = router
+        host, _, port = self.members.own.address.rpartition(':')
+        await self._server.start(host.strip('[]'), int(port))
+        message = self._create_gossip(placer.Digest((), ()))
+        greetings = [
+            self._send(seed, message, WARM_START_SECONDS)
+            for seed in self._options.seeds
+            if seed != self.members.own.address
+        ]
+        await asyncio.gather(*greetings)
+        self._runtime.start(self._gossip())
+
+    async def _gossip(self) -> None:
+        """Tell the region's peers of this host several times a second."""
+        while True:
+            await asyncio.sleep(self._options.gossip_seconds)
+            assert self._router is not None
+            digest = self._router.placer.take_digest()
+            message = self._create_gossip(digest)
+            for address in self._list_addresses():
+                send = self._send(address, message, MESSAGE_SECONDS)
+                self._runtime.start(_ignore(send))
+            self.members.note_silence()
+
+    def _list_addresses(self) -> list[str]:
+        """Return live peers, and silent ones that are due for a try."""
+        now = self._runtime.now()
+        alive = [peer.address for peer in self.members.list_alive()]
+        known = [peer.address for peer in self.members.list_known()]
+        due = []
+        for address in dict.fromkeys((*known, *self._options.seeds)):
+            if address in alive or address == self.members.own.address:
+                continue
+            if now - self._tried_at.get(address, 0.0) >= RETRY_SILENT_SECONDS:
+                self._tried_at[address] = now
+                due.append(address)
+        return [*alive, *due]
+
+    async def _send(
+        self, address: str, message: messages_pb2.Message, seconds: float
+    ) -> messages_pb2.Message | None:
+        answered = await self._client.exchange(address, message, seconds)
+        if not pipeline.is_successful(answered):
+            self._client.forget(address)
+            return None
+        answer = answered.unwrap()
+        self._take_in(answer)
+        if self._is_behind(answer):
+            await self._send_snapshot(address)
+        return answer
+
+    def _is_behind(self, answer: messages_pb2.Message) -> bool:
+        assert self._router is not None
+        own = self._router.acceptor.snapshot.number
+        return (
+            answer.WhichOneof('content') == 'gossip'
+            and answer.gossip.configuration_number < own
+        )
+
+    async def _send_snapshot(self, address: str) -> None:
+        assert self._router is not None
+        snapshot = self._router.acceptor.snapshot
+        message = self._create_snapshot_message(snapshot)
+        await self._client.exchange(address, message, MESSAGE_SECONDS)
+
+    def _create_message(self) -> messages_pb2.Message:
+        return messages_pb2.Message(sender=_encode_peer(self.members.own))
+
+    def _create_gossip(self, digest: placer.Digest) -> messages_pb2.Message:
+        assert self._router is not None
+        message = self._create_message()
+        gossip = message.gossip
+        gossip.SetInParent()
+        gossip.configuration_number = self._router.acceptor.snapshot.number
+        for sighting in digest.sightings:
+            gossip.sightings.add(target=sighting.target, chain=sighting.chain)
+        for share in digest.shares:
+            gossip.shares.add(target=share.target, seconds=share.seconds)
+        for suspect in self._router.quarantine.list_suspects():
+            gossip.suspects.add(
+                digest=suspect.digest,
+                crashes=suspect.crashes,
+                seconds_left=suspect.seconds_left,
+            )
+        return message
+
+    def _create_snapshot_message(
+        self, snapshot: snapshots.Snapshot
+    ) -> messages_pb2.Message:
+        message = self._create_message()
+        message.gossip.configuration_number = snapshot.number
+        content = snapshots.encode_snapshot(snapshot)
+        message.gossip.snapshot = json.dumps(content).encode()
+        return message
+
+    def _answer(self, message: messages_pb2.Message) -> messages_pb2.Message:
+        """Return the answer to a peer's message."""
+        assert self._router is not None
+        self._take_in(message)
+        if message.WhichOneof('content') == 'claim_question':
+            return self._answer_claim(message.claim_question)
+        own = self._router.acceptor.snapshot
+        if message.gossip.configuration_number < own.number:
+            answer = self._create_snapshot_message(own)
+        else:
+            answer = self._create_gossip(placer.Digest((), ()))
+        answer.gossip.members.extend(
+            _encode_peer(peer) for peer in self.members.list_alive()
+        )
+        return answer
+
+    def _answer_claim(
+        self, question: messages_pb2.ClaimQuestion
+    ) -> messages_pb2.Message:
+        assert self._router is not None
+        keeper = self._router.claims
+        report = claims.HolderReport.DEAD
+        if question.holder == keeper.holder:
+            report = keeper.report(question.token)
+        answer = self._create_message()
+        answer.claim_report.state = report.value
+        return answer
+
+    def _take_in(self, message: messages_pb2.Message) -> None:
+        """Learn all that a message tells."""
+        assert self._router is not None
+        sender = _decode_peer(message.sender)
+        self.members.note_heard(sender)
+        if message.WhichOneof('content') != 'gossip':
+            return
+        gossip = message.gossip
+        self.members.note_named(_decode_peer(p) for p in gossip.members)
+        for suspect in gossip.suspects:
+            self._router.quarantine.merge(
+                quarantine.Suspect(
+                    suspect.digest, suspect.crashes, suspect.seconds_left
+                )
+            )
+        if gossip.snapshot:
+            self._take_snapshot(gossip.snapshot)
+            return
+        now = self._runtime.now()
+        digest = placer.Digest(
+            tuple(
+                placer.Sighting(sighting.target, tuple(sighting.chain))
+                for sighting in gossip.sightings
+            ),
+            tuple(
+                loads.Share(share.target, share.seconds)
+                for share in gossip.shares
+            ),
+        )
+        self._router.placer.note_digest(sender.name, digest, now)
+
+    def _take_snapshot(self, content: bytes) -> None:
+        assert self._router is not None
+        decoded = snapshots.decode_snapshot(json.loads(content))
+        if pipeline.is_successful(decoded):
+            self._router.acceptor.install(decoded.unwrap())
+
+    def _reject(self, rejection: envelopes.Rejection) -> None:
+        self.rejected += 1
+        self._sink.emit(events.Event.PEER_REJECTED, reason=rejection.value)
+
+    async def spread(self, snapshot: snapshots.Snapshot) -> None:
+        """Tell the live peers of a snapshot, within a bounded wait."""
+        message = self._create_snapshot_message(snapshot)
+        sends = [
+            self._client.exchange(peer.address, message, SPREAD_SECONDS)
+            for peer in self.members.list_alive()
+        ]
+        await asyncio.gather(*sends)
+
+    async def ask(
+        self, holder: str, key: interfaces.RowKey, token: str
+    ) -> claims.HolderReport:
+        """Return what the holder of a claim says of an attempt."""
+        name = holder.partition(':')[0]
+        peer = self.members.find(name)
+        if peer is None:
+            return claims.HolderReport.UNREACHABLE
+        message = self._create_message()
+        message.claim_question.holder = holder
+        message.claim_question.token = token
+        answer = await self._send(peer.address, message, MESSAGE_SECONDS)
+        if answer is None:
+            return claims.HolderReport.UNREACHABLE
+        return claims.HolderReport(answer.claim_report.state)
+
+    def describe(self) -> dict[str, typing.Any]:
+        """Return the peers for the dump."""
+        return {
+            'alive': sorted(peer.name for peer in self.members.list_alive()),
+            'known': sorted(peer.name for peer in self.members.list_known()),
+            'rejected_messages': self.rejected,
+            'is_poller': self.members.is_poller(),
+        }
+
+
+async def _ignore(
+    work: typing.Coroutine[typing.Any, typing.Any, object],
+) -> None:
+    await work
+
+
+def _encode_peer(peer: membership.Peer) -> messages_pb2.Host:
+    return messages_pb2.Host(
+        name=peer.name,
+        incarnation=peer.incarnation,
+        domain=peer.domain,
+        address=peer.address,
+        is_leaving=peer.is_leaving,
+    )
+
+
+def _decode_peer(host: messages_pb2.Host) -> membership.Peer:
+    return membership.Peer(
+        name=host.name,
+        incarnation=host.incarnation,
+        domain=host.domain,
+        address=host.address,
+        is_leaving=host.is_leaving,
+    )
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/process.py
@@ -15,15 +15,18 @@
 from pistachioseam import leaving
 from pistachioseam import limits
 from pistachioseam import links
+from pistachioseam import membership
 from pistachioseam.placement import placer
 from pistachioseam import quarantine
 from pistachioseam import retries
 from pistachioseam import router as routers
+from pistachioseam import snapshots
 from pistachioseam_entry import admin
 from pistachioseam_entry import lifecycle
 from pistachioseam_entry import listener
 from pistachioseam_entry import logs
 from pistachioseam_entry import metrics
+from pistachioseam_entry import peers
 from pistachioseam_entry import platform
 from pistachioseam_entry import reactors
 from pistachioseam_entry import runtime
@@ -32,6 +35,7 @@
 
 FIRST_POLL_SECONDS = 0.1
 DRAIN_CHECK_SECONDS = 0.05
+IDLE_POLL_FACTOR = 10
 
 
 class LoneHolders:
@@ -54,16 +58,30 @@
         self.runtime = runtime.AsyncioRuntime(self.sink)
         self.lifecycle = lifecycle.create_lifecycle(self.sink)
         self.platform = platform.PlatformClient(options.platform)
-        self.router = self._create_router()
+        random = runtime.SystemRandom()
+        self._incarnation = f'{options.host.name}:{random.token()}'
+        self.peers = self._create_peers()
+        self.router = self._create_router(random)
         self.listener = listener.Listener(
             self.router, self.metrics, options.requests
         )
         self._admin = admin.Admin(self)
         self._ports: list[typing.Any] = []
 
-    def _create_router(self) -> routers.Router:
+    def _create_peers(self) -> peers.PeerNetwork | None:
+        options = self.settings
+        if options.peers is None:
+            return None
+        own = membership.Peer(
+            name=options.host.name,
+            incarnation=self._incarnation,
+            domain=options.host.domain,
+            address=options.peers.listen_address,
+        )
+        return peers.PeerNetwork(own, options.peers, self.runtime, self.sink)
+
+    def _create_router(self, random: runtime.SystemRandom) -> routers.Router:
         options = self.settings
-        random = runtime.SystemRandom()
         topology = links.Topology(
             domain=options.host.domain, regions=options.regions
         )
@@ -72,8 +90,8 @@
             runtime=self.runtime,
             random=random,
             sink=self.sink,
-            holders=LoneHolders(),
-            holder=f'{options.host.name}:{random.token()}',
+            holders=self.peers or LoneHolders(),
+            holder=self._incarnation,
         )
         return routers.Router(
             runtime=self.runtime,
@@ -82,7 +100,7 @@
             client=targets.HttpTargetClient(options.requests),
             callers=options.callers,
             topology=topology,
-            acceptor=acceptance.Acceptor(self.platform, self.sink),
+            acceptor=acceptance.Acceptor(self.platform, self.sink, self.peers),
             claims=keeper,
             placer=placer.Placer(options.placement, random),
             limits=limits.AccountLimits(options.limits),
@@ -104,12 +122,15 @@
         self.runtime.__enter__()
         self._listen(self._admin.create_site(), host.admin_address)
         self._listen(self.listener.create_site(), host.listen_address)
+        self.router.acceptor.add_listener(self._become_ready)
         self.runtime.start(self._poll_configuration())
         self.runtime.start(self._poll_hosts())
         return self
 
     def __exit__(self, *_: object) -> None:
         """Close what is still open."""
+        if self.peers is not None:
+            self.peers.__exit__()
         self.runtime.__exit__()
 
     def _listen(self, site: typing.Any, address: str) -> None:
@@ -120,14 +141,24 @@
         self._ports.append(listening)
 
     async def _poll_configuration(self) -> None:
-        """Accept and follow the operators' tables."""
-        delay = FIRST_POLL_SECONDS
+        """Warm up from peers, then accept and follow the tables."""
+        if self.peers is not None:
+            await self.peers.start(self.router)
         while True:
             await self.router.acceptor.refresh()
-            if self.router.acceptor.snapshot.number > 0:
-                self.lifecycle.become_ready()
-                delay = self.settings.platform.poll_seconds
-            await asyncio.sleep(delay)
+            await asyncio.sleep(self._get_poll_delay())
+
+    def _get_poll_delay(self) -> float:
+        """Return the seconds to the next poll; few hosts poll often."""
+        if self.router.acceptor.snapshot.number == 0:
+            return FIRST_POLL_SECONDS
+        seconds = self.settings.platform.poll_seconds
+        if self.peers is not None and not self.peers.members.is_poller():
+            return seconds * IDLE_POLL_FACTOR
+        return seconds
+
+    def _become_ready(self, _: snapshots.Snapshot) -> None:
+        self.lifecycle.become_ready()
 
     async def _poll_hosts(self) -> None:
         """Follow the platform's list of leaving hosts."""
@@ -157,7 +188,9 @@
 
     def describe_peers(self) -> dict[str, typing.Any]:
         """Return what is known of the other entry hosts."""
-        return {}
+        if self.peers is None:
+            return {}
+        return self.peers.describe()
 
     def shut_down(self) -> defer.Deferred[None]:
         """Return a Deferred that fires when a graceful shutdown has ended."""
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/settings.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/settings.py
@@ -96,6 +96,31 @@
     )
 
 
+def _check_addresses(
+    owner: object, field: typing.Any, value: tuple[str, ...]
+) -> None:
+    for address in value:
+        check_address(owner, field, address)
+
+
+@attrs.frozen(kw_only=True)
+class Peers:
+    """Links to the other entry hosts.
+
+    `secret_file` holds the key that authenticates messages; `seeds` are peer
+    addresses to greet at a start, this host's own among them or not.
+    """
+
+    listen_address: str = attrs.field(validator=check_address)
+    secret_file: str
+    seeds: tuple[str, ...] = attrs.field(
+        default=(), validator=_check_addresses
+    )
+    gossip_seconds: float = attrs.field(
+        default=0.25, validator=_check_positive
+    )
+
+
 @attrs.frozen(kw_only=True)
 class Shutdown:
     """Graceful shutdown: notice to the balancer, and its longest wait."""
@@ -128,6 +153,7 @@
     limits: AccountLimits = attrs.field(factory=AccountLimits)
     placement: placer.Settings = attrs.field(factory=placer.Settings)
     link: Link = attrs.field(factory=Link)
+    peers: Peers | None = None
     shutdown: Shutdown = attrs.field(factory=Shutdown)
     logs: Logs = attrs.field(factory=Logs)
 
--- /dev/null
+++ b/packages/pistachioseam-peer/src/pistachioseam_peer/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between entry hosts, over grpclib."""
--- /dev/null
+++ b/packages/pistachioseam-peer/src/pistachioseam_peer/envelopes.py
@@ -0,0 +1,63 @@
+"""Authentication of messages between entry hosts by a keyed tag."""
+
+import enum
+import hashlib
+import hmac
+
+from google.protobuf import message as protobuf
+from returns import result
+
+from pistachioseam_peer.generated import messages_pb2
+
+PROTOCOL_VERSION = 1
+TAG_BYTES = 16
+MAX_PAYLOAD_BYTES = 1_000_000
+MAX_SKEW_MS = 30_000
+
+
+class Rejection(enum.Enum):
+    """Reason why a message was refused."""
+
+    BAD_TAG = 'bad-tag'
+    STALE = 'stale'
+    TOO_LARGE = 'too-large'
+    MALFORMED = 'malformed'
+    VERSION = 'version'
+
+
+def _compute_tag(secret: bytes, sent_at_ms: int, payload: bytes) -> bytes:
+    digest = hashlib.blake2b(key=secret, digest_size=TAG_BYTES)
+    digest.update(sent_at_ms.to_bytes(8, 'big', signed=True))
+    digest.update(payload)
+    return digest.digest()
+
+
+def seal(
+    secret: bytes, message: messages_pb2.Message, now_ms: int
+) -> messages_pb2.Envelope:
+    """Return the message in an envelope; `now_ms` is Unix milliseconds."""
+    message.version = PROTOCOL_VERSION
+    payload = message.SerializeToString()
+    tag = _compute_tag(secret, now_ms, payload)
+    return messages_pb2.Envelope(payload=payload, tag=tag, sent_at_ms=now_ms)
+
+
+def open_envelope(
+    secret: bytes, envelope: messages_pb2.Envelope, now_ms: int
+) -> result.Result[messages_pb2.Message, Rejection]:
+    """Return the message of an envelope, or why it is refused."""
+    if len(envelope.payload) > MAX_PAYLOAD_BYTES:
+        return result.Failure(Rejection.TOO_LARGE)
+    expected = _compute_tag(secret, envelope.sent_at_ms, envelope.payload)
+    if not hmac.compare_digest(expected, envelope.tag):
+        return result.Failure(Rejection.BAD_TAG)
+    if abs(now_ms - envelope.sent_at_ms) > MAX_SKEW_MS:
+        return result.Failure(Rejection.STALE)
+    message = messages_pb2.Message()
+    try:
+        message.ParseFromString(envelope.payload)
+    except protobuf.DecodeError:
+        return result.Failure(Rejection.MALFORMED)
+    if message.version < 1:
+        return result.Failure(Rejection.VERSION)
+    return result.Success(message)
--- /dev/null
+++ b/packages/pistachioseam-peer/src/pistachioseam_peer/servers.py
@@ -0,0 +1,57 @@
+"""Server of the protocol between entry hosts."""
+
+from collections import abc
+import time
+import typing
+
+import grpclib
+from grpclib import const
+from grpclib import server
+from returns import pipeline
+
+from pistachioseam_peer import envelopes
+from pistachioseam_peer.generated import messages_grpc
+from pistachioseam_peer.generated import messages_pb2
+
+Answerer: typing.TypeAlias = abc.Callable[
+    [messages_pb2.Message], messages_pb2.Message
+]
+Rejecter: typing.TypeAlias = abc.Callable[[envelopes.Rejection], None]
+
+
+def get_now_ms() -> int:
+    """Return Unix milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
+class PeerServer(messages_grpc.PeerBase):
+    """Answers authenticated messages; refuses and counts all others."""
+
+    def __init__(
+        self, secret: bytes, answer: Answerer, reject: Rejecter
+    ) -> None:
+        self._secret = secret
+        self._answer = answer
+        self._reject = reject
+        self._server = server.Server([self])
+
+    async def start(self, host: str, port: int) -> None:
+        """Listen on an IP number and port."""
+        await self._server.start(host, port)
+
+    def close(self) -> None:
+        """Stop listening."""
+        self._server.close()
+
+    async def Exchange(self, stream: typing.Any) -> None:  # noqa: N802
+        """Answer one message."""
+        envelope = await stream.recv_message()
+        now = get_now_ms()
+        opened = envelopes.open_envelope(self._secret, envelope, now)
+        if not pipeline.is_successful(opened):
+            self._reject(opened.failure())
+            raise grpclib.GRPCError(
+                const.Status.UNAUTHENTICATED, opened.failure().value
+            )
+        answer = self._answer(opened.unwrap())
+        await stream.send_message(envelopes.seal(self._secret, answer, now))
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/deployment.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/deployment.py
@@ -25,6 +25,7 @@
 CHECK_SECONDS = 0.05
 TEAM_KEYS = {'carvers': 'carvers-key', 'rentals': 'rentals-key'}
 MODEL = 'carver'
+PEER_SECRET = 'try-out peer key'
 WEIGHTS = '1'
 
 
@@ -100,6 +101,10 @@
         self.engines: list[Member] = []
         self.services: list[Member] = []
         self._members: list[Member] = []
+        self.secret_file = folder / 'peer.key'
+        self.peer_addresses = [
+            find_free_address() for _ in range(shape.entries)
+        ]
 
     def __enter__(self) -> 'Deployment':
         """Start everything and return once all entries are ready."""
@@ -129,6 +134,7 @@
         for member in (*self.engines, *self.services):
             self.wait_listening(member)
         self.write_tables()
+        self.secret_file.write_text(PEER_SECRET)
         for number in range(self.shape.entries):
             self.entries.append(self.start_entry(number))
         for member in self.entries:
@@ -202,6 +208,11 @@
             },
             'regions': [{'name': 'pohja', 'domains': list(domains)}],
             'callers': callers,
+            'peers': {
+                'listen_address': self.peer_addresses[number],
+                'secret_file': str(self.secret_file),
+                'seeds': self.peer_addresses,
+            },
             'shutdown': {'notice_seconds': 0.3, 'limit_seconds': 30},
             **self.shape.entry_settings,
         }
--- a/packages/pistachioseam/src/pistachioseam/acceptance.py
+++ b/packages/pistachioseam/src/pistachioseam/acceptance.py
@@ -53,6 +53,13 @@
     return None
 
 
+class Spreader(typing.Protocol):
+    """Way to tell the live peers of a snapshot before it is in force."""
+
+    async def spread(self, snapshot: snapshots.Snapshot) -> None:
+        """Return when the peers have it, or after a bounded wait."""
+
+
 class Acceptor:
     """Holder of the configuration in force on this host.
 
@@ -61,8 +68,12 @@
     """
 
     def __init__(
-        self, store: interfaces.TableStore, sink: interfaces.EventSink
+        self,
+        store: interfaces.TableStore,
+        sink: interfaces.EventSink,
+        spreader: Spreader | None = None,
     ) -> None:
+        self._spreader = spreader
         self.snapshot = snapshots.Snapshot()
         self._store = store
         self._sink = sink
@@ -89,6 +100,14 @@
             listener(snapshot)
         return True
 
+    async def adopt(self, snapshot: snapshots.Snapshot) -> bool:
+        """Spread a newer snapshot to the peers, then put it in force."""
+        if snapshot.number <= self.snapshot.number:
+            return False
+        if self._spreader is not None:
+            await self._spreader.spread(snapshot)
+        return self.install(snapshot)
+
     async def refresh(self) -> bool:
         """Read the tables once and accept what is new; return success."""
         scanned = await self._store.scan(SCANNED)
@@ -99,7 +118,7 @@
         view = scanned.unwrap()
         record = _find_record(view)
         last = self._read_accepted(record)
-        self.install(last)
+        await self.adopt(last)
         contents = _group_rows(view)
         is_covered = (
             record is not None
@@ -159,5 +178,5 @@
             self._sink.emit(
                 events.Event.CONFIGURATION_FINDINGS, findings=lines
             )
-        self.install(snapshot)
+        await self.adopt(snapshot)
         return True
--- a/packages/pistachioseam/src/pistachioseam/quarantine.py
+++ b/packages/pistachioseam/src/pistachioseam/quarantine.py
@@ -22,6 +22,15 @@
     expires_at: float
 
 
+@attrs.frozen
+class Suspect:
+    """Crashes that a request was in flight at, for peers."""
+
+    digest: str
+    crashes: int
+    seconds_left: float
+
+
 def digest_request(account: str, body: bytes) -> str:
     """Return the identity under which a request is suspected."""
     digest = hashlib.blake2b(account.encode(), digest_size=DIGEST_BYTES)
@@ -79,6 +88,27 @@
         self._records[digest] = _Record(crashes, now + seconds)
         return is_over
 
+    def merge(self, suspect: Suspect) -> None:
+        """Take in what a peer has seen of a request."""
+        now = self._runtime.now()
+        own = self._records.get(suspect.digest)
+        expires_at = now + min(suspect.seconds_left, QUARANTINE_SECONDS)
+        if own is None or own.expires_at <= now:
+            record = _Record(suspect.crashes, expires_at)
+            self._records[suspect.digest] = record
+        elif suspect.crashes > own.crashes:
+            own.crashes = suspect.crashes
+            own.expires_at = max(own.expires_at, expires_at)
+
+    def list_suspects(self) -> tuple[Suspect, ...]:
+        """Return what peers should know."""
+        now = self._runtime.now()
+        return tuple(
+            Suspect(digest, record.crashes, record.expires_at - now)
+            for digest, record in self._records.items()
+            if record.expires_at > now
+        )
+
     def note_completion(self, digest: str) -> None:
         """Clear a request that ran to its end."""
         self._records.pop(digest, None)
--- /dev/null
+++ b/tests/peer/__init__.py
@@ -0,0 +1,1 @@
+"""Tests, mirroring the source tree."""
