--- /dev/null
+++ b/benchmarks/slopes.py
@@ -0,0 +1,209 @@
+"""Slopes of the core's costs, for docs/CAPACITY.md.
+
+Run: `.venv/bin/python benchmarks/slopes.py`
+"""
+
+import collections
+from collections import abc
+import json
+import random
+import time
+import tracemalloc
+
+from pistachioseam.placement import loads
+from pistachioseam.placement import placer
+from pistachioseam import snapshots
+from pistachioseam import tables
+from pistachioseam_peer import envelopes
+from pistachioseam_peer.generated import messages_pb2
+
+TARGET_COUNTS = (6, 94, 1500)
+DECISIONS = 2000
+CHAIN_LEVELS = 12
+PREFIXES = 20_000
+MESSAGES = 500
+SECRET = b'benchmark'
+
+
+class FixedRandom:
+    """Seeded randomness."""
+
+    def __init__(self) -> None:
+        self._random = random.Random(1)
+
+    def random(self) -> float:
+        """Return a float in [0, 1)."""
+        return self._random.random()
+
+    def token(self) -> str:
+        """Return a token."""
+        return 'token'
+
+
+def time_each(work: abc.Callable[[], object], count: int) -> float:
+    """Return the median of five runs, in microseconds of CPU a call."""
+    runs = []
+    for _ in range(5):
+        started = time.process_time()
+        for _ in range(count):
+            work()
+        runs.append((time.process_time() - started) / count * 1e6)
+    return sorted(runs)[2]
+
+
+def create_chain(number: int) -> tuple[int, ...]:
+    """Return a chain of shared and own levels."""
+    return (
+        *(number % 40 * 1000 + level for level in range(CHAIN_LEVELS - 1)),
+        1_000_000 + number,
+    )
+
+
+def measure_decisions() -> None:
+    """Print the cost of a decision against the number of targets."""
+    for count in TARGET_COUNTS:
+        own = placer.Placer(placer.Settings(), FixedRandom())
+        options = [placer.Option(name=f't{n}') for n in range(count)]
+        numbers = iter(range(10**9))
+
+        def decide(
+            own: placer.Placer = own,
+            options: list[placer.Option] = options,
+            numbers: abc.Iterator[int] = numbers,
+        ) -> None:
+            number = next(numbers)
+            now = number / 100
+            query = placer.Query(
+                chain=create_chain(number), pieces=CHAIN_LEVELS + 0.5
+            )
+            decision = own.place(query, options, now)
+            assert decision is not None
+            own.note_sent(decision, now)
+            own.note_prefilled(decision, CHAIN_LEVELS - 1, now)
+
+        print(
+            f'decision, {count} targets: {time_each(decide, DECISIONS):.0f} us'
+        )
+
+
+def measure_evidence() -> None:
+    """Print memory a tracked prefix and time a cache event."""
+    tracemalloc.start()
+    own = placer.Placer(placer.Settings(), FixedRandom())
+    before, _ = tracemalloc.get_traced_memory()
+    for number in range(PREFIXES):
+        own.evidence.note_seen(f't{number % 94}', (number,), 1.0)
+    after, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    print(f'tracked prefix: {(after - before) / PREFIXES:.0f} bytes')
+    numbers = iter(range(10**9))
+
+    def ingest() -> None:
+        number = next(numbers)
+        own.evidence.note_seen('t1', (number % 50_000,), 1.0)
+
+    print(f'cache event: {time_each(ingest, 20_000):.2f} us')
+
+
+def measure_gossip() -> None:
+    """Print size and time of a gossip message against its entries."""
+    for entries in (0, 4, 16):
+        message = messages_pb2.Message()
+        message.sender.name = 'entry-100'
+        message.sender.incarnation = 'entry-100:0123456789abcdef01234567'
+        message.sender.domain = 'pohja-1'
+        message.sender.address = '10.0.0.1:9000'
+        message.gossip.configuration_number = 1000
+        for number in range(entries):
+            message.gossip.sightings.add(
+                target=f'engine-{number}', chain=create_chain(number)
+            )
+            message.gossip.shares.add(target=f'engine-{number}', seconds=1.0)
+        sealed = envelopes.seal(SECRET, message, 1)
+        size = len(sealed.SerializeToString())
+
+        def exchange(message: messages_pb2.Message = message) -> None:
+            envelope = envelopes.seal(SECRET, message, 1)
+            opened = envelopes.open_envelope(SECRET, envelope, 1).unwrap()
+            for sighting in opened.gossip.sightings:
+                tuple(sighting.chain)
+
+        micros = time_each(exchange, MESSAGES)
+        print(f'gossip, {entries} entries: {size} bytes, {micros:.0f} us')
+    board = loads.LoadBoard()
+    shares = [loads.Share(f't{n}', 1.0) for n in range(10)]
+    micros = time_each(lambda: board.note_peer('p', shares, 1.0), MESSAGES)
+    print(f'taking in 10 shares: {micros:.0f} us')
+
+
+def measure_configuration() -> None:
+    """Print size and time of configurations against accounts and targets."""
+    for accounts, targets in ((8, 12), (275, 375), (1100, 1500)):
+        rows = create_tables(accounts, targets)
+        started = time.process_time()
+        draft = snapshots.validate_tables(
+            rows[tables.ROUTES], rows[tables.POOLS], snapshots.Snapshot()
+        )
+        seconds = time.process_time() - started
+        snapshot = snapshots.Snapshot(
+            number=1, routes=draft.routes, pools=draft.pools
+        )
+        size = len(json.dumps(snapshots.encode_snapshot(snapshot)))
+        tracemalloc.start()
+        decoded = snapshots.decode_snapshot(
+            snapshots.encode_snapshot(snapshot)
+        )
+        held, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert decoded
+        print(
+            f'configuration, {accounts} teams, {targets} targets: '
+            f'{size} bytes, {seconds * 1e3:.0f} ms, {held / 1e6:.1f} MB'
+        )
+
+
+def create_tables(
+    accounts: int, targets: int
+) -> dict[str, dict[str, dict[str, object]]]:
+    """Return tables with four models and every team approved everywhere."""
+    rows: dict[str, dict[str, dict[str, object]]] = collections.defaultdict(
+        dict
+    )
+    teams = [f'team-{number}' for number in range(accounts)]
+    for model in range(4):
+        listed = [
+            {
+                'name': f'engine-{model}-{number}',
+                'address': f'10.{model}.{number // 250}.{number % 250}:8000',
+                'domain': f'domain-{number % 16}',
+                'teams': teams,
+            }
+            for number in range(targets // 4)
+        ]
+        rows[tables.POOLS][f'pool-{model}'] = {
+            'name': f'pool-{model}',
+            'kind': 'model',
+            'model': f'model-{model}',
+            'weights_version': '1',
+            'targets': listed,
+        }
+        for team in teams:
+            name = f'{team}-{model}'
+            rows[tables.ROUTES][name] = {
+                'name': name,
+                'team': team,
+                'pool': f'pool-{model}',
+            }
+    return rows
+
+
+def main() -> None:
+    """Print all slopes."""
+    measure_decisions()
+    measure_evidence()
+    measure_gossip()
+    measure_configuration()
+
+
+if __name__ == '__main__':
+    main()
