--- a/packages/pistachioseam-standins/src/pistachioseam_standins/service.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/service.py
@@ -28,7 +28,13 @@
         body = request.content.read().decode()
         fence = request.getHeader('fencing-number')
         number = len(self.executions) + 1
-        self.executions.append({'key': key, 'body': body, 'fence': fence})
+        execution = {
+            'key': key,
+            'body': body,
+            'fence': fence,
+            'request': request.getHeader('request-id') or '',
+        }
+        self.executions.append(execution)
         if self.stall_seconds:
             await serving.sleep(self.stall_seconds)
         if self.cut_answers:
--- a/packages/pistachioseam/src/pistachioseam/claims.py
+++ b/packages/pistachioseam/src/pistachioseam/claims.py
@@ -21,6 +21,7 @@
 from pistachioseam import refusals
 
 TABLE = 'claims'
+KEY_HEADER = 'idempotency-key'
 DIGEST_BYTES = 16
 INSERT_ATTEMPTS = 3
 RETRY_AFTER_SECONDS = 2.0
--- a/packages/pistachioseam/src/pistachioseam/filters/claim.py
+++ b/packages/pistachioseam/src/pistachioseam/filters/claim.py
@@ -9,8 +9,6 @@
 from pistachioseam import refusals
 from pistachioseam import router as routers
 
-KEY_HEADER = 'idempotency-key'
-
 
 @pipeline.register('claim')
 async def claim_call(
@@ -21,7 +19,7 @@
         exchange.add_note('claim', 'not needed')
         return pipeline.CONTINUE
     assert exchange.route is not None
-    idempotency_key = exchange.headers.get(KEY_HEADER, '')
+    idempotency_key = exchange.headers.get(claims.KEY_HEADER, '')
     if not idempotency_key:
         return _handle_keyless(exchange)
     key = claims.create_key(
--- a/packages/pistachioseam/src/pistachioseam/filters/match.py
+++ b/packages/pistachioseam/src/pistachioseam/filters/match.py
@@ -4,6 +4,7 @@
 from returns import result
 
 from pistachioseam import chats
+from pistachioseam import claims
 from pistachioseam import exchanges
 from pistachioseam import pipeline
 from pistachioseam.placement import prefixes
@@ -37,7 +38,10 @@
         _identify_prefix(exchange, router)
     exchange.deadline = exchange.received_at + exchange.route.deadline_seconds
     exchange.digest = quarantine.digest_request(
-        exchange.get_account(), exchange.body
+        exchange.get_account(),
+        exchange.path,
+        exchange.headers.get(claims.KEY_HEADER, ''),
+        exchange.body,
     )
     exchange.add_note('match', f'route {exchange.route.name}')
     return pipeline.CONTINUE
--- a/packages/pistachioseam/src/pistachioseam/filters/send.py
+++ b/packages/pistachioseam/src/pistachioseam/filters/send.py
@@ -149,4 +149,5 @@
     router.health.note_failure(attempt.target.name)
     if failure.kind is interfaces.FailureKind.BROKEN:
         router.placer.evidence.drop_target(attempt.target.name)
-        router.quarantine.note_crash(exchange.digest)
+        if exchange.is_repeatable():
+            router.quarantine.note_crash(exchange.digest)
--- a/packages/pistachioseam/src/pistachioseam/quarantine.py
+++ b/packages/pistachioseam/src/pistachioseam/quarantine.py
@@ -32,9 +32,14 @@
     seconds_left: float
 
 
-def digest_request(account: str, body: bytes) -> str:
+def digest_request(
+    account: str, path: str, idempotency_key: str, body: bytes
+) -> str:
     """Return the identity under which a request is suspected."""
-    digest = hashlib.blake2b(account.encode(), digest_size=DIGEST_BYTES)
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in (account.encode(), path.encode(), idempotency_key.encode()):
+        digest.update(len(part).to_bytes(4, 'big'))
+        digest.update(part)
     digest.update(body)
     return digest.hexdigest()
 
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -13,6 +13,7 @@
 from pistachioseam_standins import engine
 
 TIMEOUT = 30.0
+LOST = (OSError, client.HTTPException)
 KEY = deployment.TEAM_KEYS['carvers']
 
 
@@ -135,3 +136,8 @@
 def dump(entry: deployment.Member) -> typing.Any:
     """Return the state of an entry process."""
     return deployment.call('GET', entry.admin_address, '/dump')
+
+
+def encode_booking(content: dict[str, typing.Any]) -> bytes:
+    """Return a booking's answer as the service encodes it."""
+    return json.dumps(content).encode()
--- a/tests/failures/test_bookings.py
+++ b/tests/failures/test_bookings.py
@@ -25,6 +25,22 @@
     case.assertEqual(1, len(deployments.list_executions(local)))
 
 
+def test_lost_answers_do_not_quarantine_equal_bookings(
+    case: support.Case,
+) -> None:
+    """Bookings with equal bodies are different requests."""
+    local = _start(case)
+    address = local.entries[0].address
+    deployments.set_faults(local.services[0], cut_answers=3)
+
+    def is_booked() -> bool:
+        key = f'k{len(deployments.list_executions(local))}'
+        return deployments.book(address, key).status == 201
+
+    deployment.wait_until(is_booked, 'bookings stay refused')
+    case.assertEqual(4, len(deployments.list_executions(local)))
+
+
 def test_key_of_another_request_is_refused(case: support.Case) -> None:
     """The same key with another body is not run."""
     local = _start(case)
--- a/tests/failures/test_streams.py
+++ b/tests/failures/test_streams.py
@@ -3,12 +3,16 @@
 import json
 import socket
 import threading
+import time
 
 from pistachioseam_standins import deployment
 from tests import deployments
 from tests import support
 
 TOKENS = 60
+MANY_TOKENS = 10_000
+SMALL_BUFFER_BYTES = 8192
+STALL_SECONDS = 2.0
 TEXT = 'Long guide on carving. ' * 50
 
 
@@ -111,6 +115,34 @@
     )
 
 
+def test_slow_caller_gets_its_whole_stream(case: support.Case) -> None:
+    """A caller that stops reading is waited for, within bounded buffers."""
+    local = _start(case, token_seconds=0.0001)
+    entry = local.entries[0]
+    host, _, port = entry.address.rpartition(':')
+    body = deployments.encode_prompt(TEXT, MANY_TOKENS)
+    head = (
+        'POST /v1/chat/completions HTTP/1.0\r\nhost: x\r\n'
+        f'authorization: Bearer {deployments.KEY}\r\n'
+        f'content-length: {len(body)}\r\n\r\n'
+    )
+    with socket.socket() as connection:
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, SMALL_BUFFER_BYTES
+        )
+        connection.connect((host, int(port)))
+        connection.sendall(head.encode() + body)
+        deployment.wait_until(
+            lambda: any(_get_state(e)['executions'] for e in local.engines),
+            'no engine runs the prompt',
+        )
+        time.sleep(STALL_SECONDS)
+        received = b''.join(iter(lambda: connection.recv(65536), b''))
+    answer = deployments.Answer(200, {}, received.partition(b'\r\n\r\n')[2])
+    expected = deployments.expect_tokens(TEXT, MANY_TOKENS)
+    case.assertEqual(expected, deployments.read_tokens(answer))
+
+
 def test_poison_request_takes_down_at_most_two_engines(
     case: support.Case,
 ) -> None:
