Record a request whose caller left as such, not as done

A cancelled request has neither answer nor refusal, which counts as done, so metrics, log and explanation called every vanished caller a success.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/listener.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/listener.py
@@ -22,6 +22,7 @@
 from pistachioseam_entry import settings
 
 HEADER_ROOM_FACTOR = 4
+STATUS_CALLER_LEFT = 499
 
 
 class BoundedRequest(server.Request):
@@ -147,7 +148,7 @@
             await self._decide(request, exchange)
             await reply.end(exchange)
         except asyncio.CancelledError:
-            exchange.add_note('listener', 'caller left')
+            exchange.refusal = _record_left(exchange)
             raise
         finally:
             self.active -= 1
@@ -248,12 +249,28 @@
         )
 
 
-def _refuse_internal(exchange: exchanges.Exchange) -> refusals.Refusal:
-    outcome = refusals.Outcome.NOT_RUN
+def _record_left(exchange: exchanges.Exchange) -> refusals.Refusal:
+    """Return what is recorded of a request whose caller has left."""
+    return refusals.Refusal(
+        STATUS_CALLER_LEFT,
+        refusals.Reason.CALLER_LEFT,
+        'the caller left',
+        _get_broken_outcome(exchange),
+    )
+
+
+def _get_broken_outcome(exchange: exchanges.Exchange) -> refusals.Outcome:
     if exchange.attempts:
-        outcome = refusals.Outcome.UNKNOWN
+        return refusals.Outcome.UNKNOWN
+    return refusals.Outcome.NOT_RUN
+
+
+def _refuse_internal(exchange: exchanges.Exchange) -> refusals.Refusal:
     return refusals.Refusal(
-        500, refusals.Reason.INTERNAL, 'internal error', outcome
+        500,
+        refusals.Reason.INTERNAL,
+        'internal error',
+        _get_broken_outcome(exchange),
     )
 
 
--- a/packages/pistachioseam/src/pistachioseam/refusals.py
+++ b/packages/pistachioseam/src/pistachioseam/refusals.py
@@ -35,6 +35,8 @@
     TARGET_FAILED = 'target_failed'
     OUTCOME_UNKNOWN = 'outcome_unknown'
     INTERNAL = 'internal_error'
+    CALLER_LEFT = 'caller_left'
+    """Only recorded; nobody is there to be told."""
 
 
 @attrs.frozen
--- a/tests/failures/test_streams.py
+++ b/tests/failures/test_streams.py
@@ -149,6 +149,9 @@
         lambda: deployments.dump(entry)['active_requests'] == 0,
         'the request is still active',
     )
+    metrics = deployment.call('GET', entry.admin_address, '/metrics')
+    case.assertIn('reason="caller_left"', metrics)
+    case.assertNotIn('outcome="done"', metrics)
 
 
 def test_slow_caller_gets_its_whole_stream(case: support.Case) -> None:
