--- a/tests/operator/experiments/test_bounds.py
+++ b/tests/operator/experiments/test_bounds.py
@@ -3,6 +3,8 @@
 import functools
 import pathlib
 
+import attrs
+
 from pistachioseam_operator.experiments import runs
 from pistachioseam_operator.experiments import scenarios
 from pistachioseam_operator.experiments import summaries
@@ -52,6 +54,18 @@
             case.assertLessEqual(own.p99, other.p99)
 
 
+def test_shrestha_p99_is_below_the_baselines_on_seed_one(
+    case: support.Case,
+) -> None:
+    """The p99 bound holds for seed 1 alone, not only over all seeds."""
+    scenario = attrs.evolve(_load('shrestha'), seeds=(1,))
+    capacity = _get_capacity('shrestha')
+    own = runs.run_policy(scenario, 'cost', BUSY, capacity)
+    for policy in ('least_loaded', 'rendezvous_bounded'):
+        other = runs.run_policy(scenario, policy, BUSY, capacity)
+        case.assertLessEqual(own.p99, other.p99)
+
+
 def test_waste_is_half_of_least_loaded(case: support.Case) -> None:
     """Recomputation at 80% is at most half of least-loaded's."""
     for name in NAMES:
