--- /dev/null
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
@@ -0,0 +1,196 @@
+"""Listener for forwarded calls.
+
+A plain leaf resource takes the place of klein here: klein's routing decodes
+and may redirect paths, and these must reach the targets unchanged.
+"""
+
+import asyncio
+import typing
+
+from twisted.web import resource
+from twisted.web import server
+
+from pistachioseam import events
+from pistachioseam.forwarding import calls
+from pistachioseam.forwarding import delivery
+from pistachioseam.forwarding import desired
+from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import router as routers
+from pistachioseam.forwarding import steps  # noqa: F401
+from pistachioseam import refusals
+from pistachioseam_entry import call_replies
+from pistachioseam_entry import listener
+from pistachioseam_entry import metrics
+
+
+class CallDecoder(typing.Protocol):
+    """Format of callers' requests on the wire."""
+
+    def decode_call(self, headers: ports.HeaderPairs) -> ports.CallHead:
+        """Return what the head of a request says."""
+
+
+class CallRequest(listener.BoundedRequest):
+    """Request of a caller; its answer gets no default content type."""
+
+    defaultContentType = None  # noqa: N815
+
+
+class CallListener(resource.Resource):
+    """Application for callers; counts what is in progress."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(
+        self,
+        router: routers.CallRouter,
+        decoder: CallDecoder,
+        measures: metrics.Metrics,
+    ) -> None:
+        super().__init__()
+        self.active = 0
+        self.is_draining = False
+        self._router = router
+        self._decoder = decoder
+        self._metrics = measures
+        self._site: listener.BoundedSite | None = None
+        router.desired.add_listener(self._apply_limits)
+
+    def create_site(self) -> server.Site:
+        """Return the protocol factory of the listening port."""
+        site = listener.BoundedSite(self, requestFactory=CallRequest)
+        site.displayTracebacks = False
+        self._site = site
+        self._apply_limits()
+        return site
+
+    def _get_limits(self) -> desired.RequestLimits:
+        state = self._router.desired.state
+        return state.limits if state else desired.RequestLimits()
+
+    def _apply_limits(self) -> None:
+        """Bound new connections by the limits in force."""
+        if self._site is None:
+            return
+        limits = self._get_limits()
+        self._site.timeOut = limits.idle_seconds
+        self._site.header_room = (
+            listener.HEADER_ROOM_FACTOR * limits.header_bytes
+        )
+        CallRequest.max_body_bytes = limits.body_bytes
+
+    def render(self, request: typing.Any) -> int:
+        """Answer any request of a caller."""
+        work = asyncio.ensure_future(self._handle(request))
+        _WORK.add(work)
+        work.add_done_callback(_WORK.discard)
+        return server.NOT_DONE_YET
+
+    async def _handle(self, request: typing.Any) -> None:
+        with call_replies.ForwardedReply(request) as reply:
+            call = self._create_call(request, reply)
+            work = asyncio.ensure_future(self._serve(request, call, reply))
+            leaving = request.notifyFinish()
+            leaving.addBoth(lambda _: self._leave(call, work))
+            await asyncio.wait((work,))
+        if not request._disconnected and not reply.is_aborted():
+            request.finish()
+
+    def _leave(self, call: calls.Call, work: asyncio.Future[None]) -> None:
+        """Cancel the work of a vanished caller unless it must go on."""
+        if not work.done() and call.follows_caller():
+            work.cancel()
+
+    def _create_call(
+        self, request: typing.Any, reply: call_replies.ForwardedReply
+    ) -> calls.Call:
+        pairs = tuple(
+            (name, value)
+            for name, values in request.requestHeaders.getAllRawHeaders()
+            for value in values
+        )
+        return calls.Call(
+            head=self._decoder.decode_call(pairs),
+            method=request.method,
+            uri=request.uri,
+            body=request.content.read(),
+            received_at=self._router.runtime.now(),
+            reply=reply,
+        )
+
+    async def _serve(
+        self,
+        request: typing.Any,
+        call: calls.Call,
+        reply: call_replies.ForwardedReply,
+    ) -> None:
+        self.active += 1
+        has_left = False
+        if self.is_draining:
+            request.setHeader('connection', 'close')
+        try:
+            await self._decide(request, call)
+            if call.refusal is not None:
+                await reply.refuse(call.request_id, call.refusal)
+        except asyncio.CancelledError:
+            has_left = True
+        finally:
+            self.active -= 1
+            self._record(call, has_left)
+
+    async def _decide(self, request: typing.Any, call: calls.Call) -> None:
+        call.refusal = self._check_bounds(request, call)
+        if call.refusal is not None:
+            return
+        try:
+            await routers.run_filters(call, self._router)
+        except Exception as error:
+            self._router.sink.emit(
+                events.Event.INTERNAL_ERROR,
+                request_id=call.request_id,
+                error=repr(error),
+            )
+            call.refusal = refusals.Refusal(
+                500, refusals.Reason.INTERNAL, 'internal error'
+            )
+
+    def _check_bounds(
+        self, request: typing.Any, call: calls.Call
+    ) -> refusals.Refusal | None:
+        limits = self._get_limits()
+        if request.is_too_large:
+            request.setHeader('connection', 'close')
+            return refusals.Refusal(
+                413, refusals.Reason.BODY_TOO_LARGE, 'the body is too large'
+            )
+        if listener.measure_headers(request) > limits.header_bytes:
+            return refusals.Refusal(
+                431,
+                refusals.Reason.HEADERS_TOO_LARGE,
+                'the headers are too large',
+            )
+        if not call.request_id:
+            return refusals.Refusal(
+                400, refusals.Reason.BAD_REQUEST, 'the request has no id'
+            )
+        return None
+
+    def _record(self, call: calls.Call, has_left: bool) -> None:
+        delivery.emit_end(call, self._router, has_left)
+        now = self._router.runtime.now()
+        first = call.first_byte_at
+        outcome = 'left' if has_left else 'done'
+        reason = ''
+        if call.refusal is not None:
+            outcome = call.refusal.outcome.value
+            reason = call.refusal.reason.value
+        self._metrics.observe_request(
+            outcome,
+            reason,
+            now - call.received_at,
+            None if first is None else first - call.received_at,
+            0,
+        )
+
+
+_WORK: set[asyncio.Future[None]] = set()
--- /dev/null
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -0,0 +1,209 @@
+"""The process of a host that forwards calls: wiring, timers, shutdown."""
+
+import asyncio
+import time
+import typing
+
+import attrs
+from twisted.internet import defer
+from twisted.web import resource
+from twisted.web import server
+
+from pistachioseam import events
+from pistachioseam.forwarding import beliefs
+from pistachioseam.forwarding import budgets
+from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import freshness
+from pistachioseam.forwarding import leases
+from pistachioseam.forwarding import loads
+from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import rollouts
+from pistachioseam.forwarding import router as routers
+from pistachioseam.forwarding import watches
+from pistachioseam import health
+from pistachioseam import links
+from pistachioseam_entry import call_admin
+from pistachioseam_entry import call_listener
+from pistachioseam_entry import call_settings
+from pistachioseam_entry import lifecycle
+from pistachioseam_entry import logs
+from pistachioseam_entry import metrics
+from pistachioseam_entry import reactors
+from pistachioseam_entry import runtime
+from pistachioseam_entry import target_channels
+
+NOTICE_SECONDS = 2.5
+"""The balancer asks once a second and reacts to the second miss."""
+LAST_SECONDS = 1.0
+"""Part of the shutdown time that is left for the end of the process."""
+DRAIN_CHECK_SECONDS = 0.05
+MS = 1000.0
+
+
+@attrs.frozen(kw_only=True)
+class Adapter:
+    """Access to one kind of platform: its formats, store and engines."""
+
+    codec: call_listener.CallDecoder
+    channels: target_channels.ChannelPool
+    store: ports.Platform
+    engines: ports.EngineControl
+
+
+def read_boot_clock() -> float:
+    """Return seconds that go on while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class ReadinessResource(resource.Resource):
+    """Answer to the balancer's question."""
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, owner: 'CallProcess') -> None:
+        super().__init__()
+        self._owner = owner
+
+    def render(self, request: typing.Any) -> bytes:
+        """Answer 200 only while new callers are welcome."""
+        if not self._owner.is_ready():
+            request.setResponseCode(503)
+        return b'\n'
+
+
+class CallProcess:
+    """One host; a context manager that owns its ports and tasks."""
+
+    def __init__(
+        self, options: call_settings.CallSettings, adapter: Adapter
+    ) -> None:
+        self.settings = options
+        self.metrics = metrics.Metrics()
+        self.sink = logs.LogSink(options.host.name, self.metrics)
+        self.runtime = runtime.AsyncioRuntime(self.sink)
+        self.lifecycle = lifecycle.create_lifecycle(self.sink)
+        self.channels = adapter.channels
+        self.router = self._create_router()
+        self.listener = call_listener.CallListener(
+            self.router, adapter.codec, self.metrics
+        )
+        self.desired_watch = watches.DesiredWatch(self.router, adapter.store)
+        self.targets_watch = watches.TargetsWatch(self.router, adapter.store)
+        self.rollout = rollouts.Rollout(
+            self.router,
+            adapter.store,
+            adapter.engines,
+            self._create_lease(),
+            self._get_standby_rank,
+        )
+        self._ports: list[typing.Any] = []
+
+    def _create_router(self) -> routers.CallRouter:
+        options = self.settings
+        return routers.CallRouter(
+            runtime=self.runtime,
+            read_boot_clock=read_boot_clock,
+            random=runtime.SystemRandom(),
+            sink=self.sink,
+            link=self.channels,
+            topology=links.Topology(
+                domain=options.host.domain, regions=options.regions
+            ),
+            desired=beliefs.DesiredKeeper(self.sink),
+            weights=beliefs.WeightsBoard(),
+            freshness=freshness.Freshness(options.bounds.revocation_ms / MS),
+            catalog=catalog.TargetCatalog(self.sink),
+            loads=loads.LoadBoard(),
+            budget=budgets.FleetBudget(options.retries, self._count_hosts),
+            health=health.HealthBoard(self.runtime, self.sink),
+        )
+
+    def _create_lease(self) -> leases.Lease:
+        return leases.Lease(
+            holder=self.settings.host.name,
+            lease_seconds=self.settings.bounds.lease_ms / MS,
+            read_boot_clock=read_boot_clock,
+        )
+
+    def _count_hosts(self) -> int:
+        return 9
+
+    def _get_standby_rank(self) -> int:
+        return 0
+
+    def __enter__(self) -> 'CallProcess':
+        """Open the ports and start the timers."""
+        host = self.settings.host
+        self.sink.emit(
+            events.Event.PROCESS_STARTED,
+            domain=host.domain,
+            address=host.listen_address,
+        )
+        self.runtime.__enter__()
+        self.router.catalog.add_listener(self._forget_target)
+        ready = server.Site(ReadinessResource(self))
+        self._listen(self.listener.create_site(), host.listen_address)
+        self._listen(ready, host.ready_address)
+        self._listen(
+            call_admin.CallAdmin(self).create_site(), host.admin_address
+        )
+        self.runtime.start(self.desired_watch.run())
+        self.runtime.start(self.targets_watch.run())
+        self.runtime.start(self.rollout.run())
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Close what is still open."""
+        self.runtime.__exit__()
+        self.channels.__exit__()
+
+    def _listen(self, site: typing.Any, address: str) -> None:
+        host, _, port = address.rpartition(':')
+        site.displayTracebacks = False
+        listening = reactors.get_reactor().listenTCP(
+            int(port), site, interface=host.strip('[]')
+        )
+        self._ports.append(listening)
+
+    def _forget_target(self, target: catalog.LiveTarget) -> None:
+        """Drop what was kept for an incarnation that has ended."""
+        self.router.weights.forget(target)
+        self.channels.forget(target.address)
+
+    def is_ready(self) -> bool:
+        """Tell whether new callers should come here."""
+        now = read_boot_clock()
+        is_informed = (
+            self.router.catalog.is_known()
+            and self.router.freshness.is_fit_to_be_ready(now)
+        )
+        if is_informed and self.lifecycle.get_state() == 'starting':
+            self.lifecycle.become_ready()
+        return is_informed and self.lifecycle.get_state() == 'ready'
+
+    def reload(self) -> None:
+        """Note that the settings may have changed."""
+        self.sink.emit(events.Event.PROCESS_RELOADED)
+
+    def shut_down(self) -> defer.Deferred[None]:
+        """Return a Deferred that fires when a graceful shutdown has ended."""
+        work = asyncio.ensure_future(self._drain())
+        return defer.Deferred.fromFuture(work)
+
+    async def _drain(self) -> None:
+        """Serve on until the balancer has noticed and all calls have ended."""
+        self.lifecycle.drain()
+        self.listener.is_draining = True
+        seconds = self.settings.bounds.shutdown_seconds - LAST_SECONDS
+        try:
+            async with asyncio.timeout(seconds):
+                await asyncio.sleep(NOTICE_SECONDS)
+                while self.listener.active:
+                    await asyncio.sleep(DRAIN_CHECK_SECONDS)
+        except TimeoutError:
+            self.sink.emit(
+                events.Event.INTERNAL_ERROR,
+                error='the shutdown limit passed with calls in progress',
+                active=self.listener.active,
+            )
+        self.lifecycle.stop()
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/listener.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/listener.py
@@ -48,7 +48,7 @@
             super().handleContentChunk(data)
 
 
-class _Site(server.Site):
+class BoundedSite(server.Site):
     """Site whose connections read headers somewhat beyond the bound."""
 
     header_room = 0
@@ -61,6 +61,14 @@
         return channel
 
 
+def measure_headers(request: typing.Any) -> int:
+    """Return the size of a request's headers in bytes."""
+    return sum(
+        len(name) + sum(len(value) for value in values)
+        for name, values in request.requestHeaders.getAllRawHeaders()
+    )
+
+
 class Listener:
     """HTTP application for callers; counts what is in progress."""
 
@@ -84,7 +92,7 @@
         class _Request(BoundedRequest):
             max_body_bytes = self._options.max_body_bytes
 
-        site = _Site(
+        site = BoundedSite(
             self.app.resource(),
             timeout=self._options.idle_timeout_seconds,
             requestFactory=_Request,
@@ -179,11 +187,7 @@
             return refusals.Refusal(
                 413, refusals.Reason.BODY_TOO_LARGE, 'the body is too large'
             )
-        size = sum(
-            len(name) + sum(len(value) for value in values)
-            for name, values in request.requestHeaders.getAllRawHeaders()
-        )
-        if size > self._options.max_header_bytes:
+        if measure_headers(request) > self._options.max_header_bytes:
             return refusals.Refusal(
                 431,
                 refusals.Reason.HEADERS_TOO_LARGE,
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/logs.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/logs.py
@@ -7,6 +7,7 @@
 import loguru
 
 from pistachioseam import events
+from pistachioseam_entry import log_writer
 from pistachioseam_entry import metrics
 from pistachioseam_entry import settings
 
@@ -22,14 +23,35 @@
         loguru.logger.add(sys.stderr, level=logs.level, format=TEXT_FORMAT)
 
 
+def configure_output(
+    logs: settings.Logs, writer: log_writer.LogWriter
+) -> None:
+    """Send the log as JSON lines to a writer that never blocks."""
+    loguru.logger.remove()
+    loguru.logger.add(
+        lambda message: writer.write(_format_json(message)),
+        level=logs.level,
+        format=_keep_message,
+        catch=False,
+    )
+
+
+def _keep_message(_: typing.Any) -> str:
+    return '{message}'
+
+
 def _write_json(message: typing.Any) -> None:
+    sys.stderr.write(_format_json(message))
+
+
+def _format_json(message: typing.Any) -> str:
     record = message.record
     line = {
         'time': record['time'].isoformat(),
         'level': record['level'].name,
         **record['extra'],
     }
-    sys.stderr.write(json.dumps(line, default=str) + '\n')
+    return json.dumps(line, default=str) + '\n'
 
 
 class LogSink:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/reply.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/reply.py
@@ -28,7 +28,7 @@
         self._has_room = asyncio.Event()
         self._has_room.set()
 
-    def __enter__(self) -> 'HttpReply':
+    def __enter__(self) -> typing.Self:
         """Register for back pressure."""
         self._request.registerProducer(self, True)
         return self
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/settings.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/settings.py
@@ -19,6 +19,7 @@
 from pistachioseam import validators
 
 AccountLimits: typing.TypeAlias = limits.Settings
+T = typing.TypeVar('T')
 LOG_FORMATS = ('json', 'text')
 LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
 
@@ -143,10 +144,17 @@
     path: pathlib.Path,
 ) -> result.Result[Settings, tuple[findings.Finding, ...]]:
     """Return the settings of a file, or every defect in it."""
+    return load_file(path, Settings)
+
+
+def load_file(
+    path: pathlib.Path, kind: type[T]
+) -> result.Result[T, tuple[findings.Finding, ...]]:
+    """Return the content of a YAML file as `kind`, or every defect in it."""
     place = findings.Place(str(path))
     try:
         content = yaml.safe_load(path.read_text())
     except (OSError, yaml.YAMLError) as error:
         reason = ' '.join(str(error).split())
         return result.Failure((findings.Finding(place, reason),))
-    return conversion.structure(content, Settings, place)
+    return conversion.structure(content, kind, place)
--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -29,13 +29,14 @@
 class Event(enum.Enum):
     """All events; 1xx process, 2xx configuration, 3xx requests, 4xx claims.
 
-    5xx are targets and 6xx peers.
+    5xx are targets, 6xx peers and 7xx duties.
     """
 
     PROCESS_STARTED = EventKind(101, Level.INFO, 'process started')
     PROCESS_READY = EventKind(102, Level.INFO, 'process ready to serve')
     PROCESS_DRAINING = EventKind(103, Level.INFO, 'graceful shutdown began')
     PROCESS_STOPPED = EventKind(104, Level.INFO, 'graceful shutdown ended')
+    PROCESS_RELOADED = EventKind(105, Level.INFO, 'settings read again')
     CONFIGURATION_IN_FORCE = EventKind(
         201, Level.INFO, 'configuration in force'
     )
@@ -43,6 +44,15 @@
         202, Level.WARNING, 'rows with findings keep their last accepted form'
     )
     STORE_UNAVAILABLE = EventKind(203, Level.WARNING, 'table service failed')
+    STORE_LOST = EventKind(204, Level.WARNING, 'store out of reach')
+    STORE_REGAINED = EventKind(205, Level.INFO, 'store within reach again')
+    HISTORY_LOST = EventKind(
+        206, Level.WARNING, 'history of the store lost; reading all again'
+    )
+    DOCUMENT_MALFORMED = EventKind(
+        207, Level.WARNING, 'document of the store left out'
+    )
+    WEIGHTS_NAMED = EventKind(208, Level.INFO, 'newer weights named')
     REQUEST_ENDED = EventKind(301, Level.INFO, 'request ended')
     REQUEST_REFUSED = EventKind(302, Level.INFO, 'request refused')
     REQUEST_RETRIED = EventKind(303, Level.WARNING, 'request sent again')
@@ -55,6 +65,8 @@
     REQUEST_QUARANTINED = EventKind(
         308, Level.ERROR, 'request quarantined after crashing targets'
     )
+    CALL_PLACED = EventKind(309, Level.INFO, 'call placed on a target')
+    ATTEMPT_FAILED = EventKind(310, Level.WARNING, 'attempt failed')
     INTERNAL_ERROR = EventKind(399, Level.ERROR, 'internal error')
     CLAIM_UNRESOLVED = EventKind(
         401, Level.WARNING, 'claim dropped because the store did not confirm'
@@ -70,6 +82,13 @@
     TARGET_INCARNATION = EventKind(
         503, Level.INFO, 'target has a new incarnation; evidence dropped'
     )
+    TARGET_LISTED = EventKind(504, Level.INFO, 'target listed')
+    TARGET_LEAVING = EventKind(505, Level.INFO, 'target leaving')
+    TARGET_GONE = EventKind(506, Level.INFO, 'target gone')
     PEER_ALIVE = EventKind(601, Level.INFO, 'peer alive')
     PEER_LOST = EventKind(602, Level.WARNING, 'peer lost')
     PEER_REJECTED = EventKind(603, Level.WARNING, 'peer message rejected')
+    DUTY_TAKEN = EventKind(701, Level.INFO, 'lease of a duty taken')
+    DUTY_LOST = EventKind(702, Level.WARNING, 'lease of a duty lost')
+    WEIGHTS_ORDERED = EventKind(703, Level.INFO, 'engine ordered to load')
+    ORDER_FAILED = EventKind(704, Level.WARNING, 'order not accepted')
--- a/packages/pistachioseam/src/pistachioseam/exchanges.py
+++ b/packages/pistachioseam/src/pistachioseam/exchanges.py
@@ -90,6 +90,10 @@
         """Keep what a filter found."""
         self.notes.append(Note(name, text))
 
+    def is_answered(self) -> bool:
+        """Tell whether a whole answer is there."""
+        return self.answer is not None
+
     def get_account(self) -> str:
         """Return the account key, unique over teams."""
         if self.caller is None:
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Calls that are forwarded unchanged to targets that list themselves."""
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -0,0 +1,302 @@
+"""Delivery of targets' answers to the caller, whole and in order."""
+
+import attrs
+from returns import pipeline as railway
+from returns import result
+
+from pistachioseam import events
+from pistachioseam.forwarding import calls
+from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import event_streams
+from pistachioseam.forwarding import loads
+from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import prompts
+from pistachioseam.forwarding import router as routers
+from pistachioseam import interfaces
+
+MAX_ANSWER_BYTES = 8_388_608
+"""Whole answers are held in memory until they are complete."""
+MAX_URGENCY = 9
+"""Least urgent class that engines know."""
+
+Kind = interfaces.FailureKind
+
+
+@attrs.frozen
+class WholeAnswer:
+    """Answer of a target that has been read to its end."""
+
+    head: ports.AnswerHead
+    body: bytes = attrs.field(repr=False)
+
+
+class Delivery:
+    """Answer to one call, possibly joined from several targets."""
+
+    def __init__(self, call: calls.Call, router: routers.CallRouter) -> None:
+        self._call = call
+        self._router = router
+        self._failed: WholeAnswer | None = None
+        last = call.head.after_event
+        self._order = event_streams.EventOrder(
+            int(last) if last.isdigit() else None
+        )
+        self._ticket: loads.Ticket | None = None
+
+    async def receive_from(
+        self, target: catalog.LiveTarget
+    ) -> interfaces.CallFailure | None:
+        """Send to a target and deliver what it answers."""
+        self._ticket = self._begin_load(target)
+        ran_before = self._call.may_have_run
+        self._call.may_have_run = True
+        try:
+            failure = await self._exchange(target)
+        finally:
+            self._router.loads.end(self._ticket)
+        if failure is not None and failure.kind in (
+            Kind.NOT_SENT,
+            Kind.BUSY,
+            Kind.WRONG_TARGET,
+        ):
+            self._call.may_have_run = ran_before
+        return failure
+
+    def _begin_load(self, target: catalog.LiveTarget) -> loads.Ticket:
+        prompt = self._call.prompt
+        if prompt is None:
+            return self._router.loads.begin(target.name, 0, 0)
+        own = prompt.parts[-1].tokens if prompt.parts else 0
+        return self._router.loads.begin(
+            target.name, prompt.count_tokens(), own or prompt.prompt_tokens
+        )
+
+    async def _exchange(
+        self, target: catalog.LiveTarget
+    ) -> interfaces.CallFailure | None:
+        outgoing = create_outgoing(
+            self._call, self._router, target, self._order.last_id
+        )
+        sent = await self._router.link.send(target.address, outgoing)
+        if not railway.is_successful(sent):
+            return sent.failure()
+        answer = sent.unwrap()
+        try:
+            return await self._take(target, answer)
+        finally:
+            answer.abort()
+
+    async def _take(
+        self, target: catalog.LiveTarget, answer: ports.OpenAnswer
+    ) -> interfaces.CallFailure | None:
+        """Deliver an answer if it is the target's own and final."""
+        head = answer.head
+        self._learn_weights(target, head)
+        failure = check_head(self._call, head)
+        if failure is not None:
+            return failure
+        assert self._call.route is not None
+        is_stream = self._call.route.repetition.is_stream()
+        if is_stream and head.status == 200:
+            return await self._relay(answer)
+        read = await read_whole(answer)
+        if not railway.is_successful(read):
+            return read.failure()
+        whole = WholeAnswer(head, read.unwrap())
+        if head.status >= 500 and self._call.is_repeatable():
+            self._failed = whole
+            return interfaces.CallFailure(Kind.FAILED, f'status {head.status}')
+        if self._call.reply.is_begun():
+            return interfaces.CallFailure(Kind.BROKEN, f'status {head.status}')
+        await self._deliver(whole)
+        return None
+
+    def _learn_weights(
+        self, target: catalog.LiveTarget, head: ports.AnswerHead
+    ) -> None:
+        prompt = self._call.prompt
+        if prompt is None:
+            return
+        if head.weights_version is not None:
+            self._router.weights.note(
+                target, prompt.model, head.weights_version
+            )
+        elif head.status == 421 and not head.other_incarnation:
+            named = self._router.desired.get_named(prompt.model)
+            self._router.weights.note(target, prompt.model, named)
+
+    async def _deliver(self, whole: WholeAnswer) -> None:
+        self._call.status = whole.head.status
+        self._note_first_byte()
+        length = (b'Content-Length', b'%d' % len(whole.body))
+        headers = (*whole.head.headers, length)
+        await self._call.reply.begin(whole.head.status, headers)
+        await self._call.reply.write(whole.body)
+
+    async def deliver_failed(self) -> bool:
+        """Deliver a target's own failure if nothing better came."""
+        if self._failed is None or self._call.reply.is_begun():
+            return False
+        await self._deliver(self._failed)
+        return True
+
+    def _note_first_byte(self) -> None:
+        if self._call.first_byte_at is None:
+            self._call.first_byte_at = self._router.runtime.now()
+        if self._ticket is not None:
+            self._router.loads.note_prefilled(self._ticket)
+
+    async def _relay(
+        self, answer: ports.OpenAnswer
+    ) -> interfaces.CallFailure | None:
+        """Deliver whole events as they come, until the proven end."""
+        splitter = event_streams.EventSplitter()
+        while True:
+            read = await answer.read()
+            if not railway.is_successful(read):
+                return read.failure()
+            data = read.unwrap()
+            if not data:
+                break
+            for event in splitter.feed(data):
+                verdict = self._order.judge(event)
+                if verdict is event_streams.Verdict.GAP:
+                    return interfaces.CallFailure(Kind.BROKEN, 'events lost')
+                if verdict is event_streams.Verdict.DELIVER:
+                    await self._deliver_event(answer.head, event)
+        if not splitter.is_between_events():
+            return interfaces.CallFailure(Kind.BROKEN, 'event cut off')
+        await self._begin_stream(answer.head)
+        return None
+
+    async def _deliver_event(
+        self, head: ports.AnswerHead, event: event_streams.StreamEvent
+    ) -> None:
+        await self._begin_stream(head)
+        await self._call.reply.write(event.data)
+
+    async def _begin_stream(self, head: ports.AnswerHead) -> None:
+        if self._call.reply.is_begun():
+            return
+        self._call.status = head.status
+        self._note_first_byte()
+        await self._call.reply.begin(head.status, head.headers)
+
+
+def check_head(
+    call: calls.Call, head: ports.AnswerHead
+) -> interfaces.CallFailure | None:
+    """Return why an answer cannot be the target's answer to this call."""
+    if head.status == 421:
+        return interfaces.CallFailure(
+            Kind.WRONG_TARGET,
+            f'answered by {head.other_incarnation or "other weights"}',
+        )
+    if head.is_not_run:
+        return interfaces.CallFailure(Kind.BUSY, f'status {head.status}')
+    if head.request_id != call.request_id:
+        return interfaces.CallFailure(Kind.BROKEN, 'answer to another call')
+    if not head.stamp and head.status < 400:
+        return interfaces.CallFailure(Kind.BROKEN, 'answer without stamp')
+    if head.is_encoded:
+        return interfaces.CallFailure(Kind.BROKEN, 'encoded answer')
+    return None
+
+
+async def read_whole(
+    answer: ports.OpenAnswer,
+) -> result.Result[bytes, interfaces.CallFailure]:
+    """Return the whole body of an answer, within a bound."""
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        read = await answer.read()
+        if not railway.is_successful(read):
+            return read
+        data = read.unwrap()
+        if not data:
+            return result.Success(b''.join(parts))
+        parts.append(data)
+        size += len(data)
+        if size > MAX_ANSWER_BYTES:
+            failure = interfaces.CallFailure(Kind.BROKEN, 'answer too large')
+            return result.Failure(failure)
+
+
+def create_outgoing(
+    call: calls.Call,
+    router: routers.CallRouter,
+    target: catalog.LiveTarget,
+    last_event: int | None,
+) -> ports.OutgoingCall:
+    """Return the call as it is sent to a target."""
+    outgoing = ports.OutgoingCall(
+        request_id=call.request_id,
+        method=call.method,
+        uri=call.uri,
+        headers=call.head.headers,
+        body=call.body,
+        seconds_left=call.deadline - router.runtime.now(),
+        incarnation=target.name,
+        account=call.get_account_name(),
+        after_event=call.head.after_event
+        if last_event is None
+        else (str(last_event)),
+    )
+    if call.prompt is None:
+        return outgoing
+    return _add_engine_fields(call, router, target, outgoing)
+
+
+def _add_engine_fields(
+    call: calls.Call,
+    router: routers.CallRouter,
+    target: catalog.LiveTarget,
+    outgoing: ports.OutgoingCall,
+) -> ports.OutgoingCall:
+    assert call.prompt is not None and router.desired.state is not None
+    model = call.prompt.model
+    version = router.weights.get(target, model)
+    account = call.account
+    isolated = account.name if account and account.is_isolated else ''
+    stores = router.desired.state.list_cache_stores()
+    store = stores[0].address if stores else ''
+    return attrs.evolve(
+        outgoing,
+        cache_salt=prompts.compute_salt(model, version, isolated),
+        weights_version=version or None,
+        urgency=min(MAX_URGENCY, max(0, call.get_rank())),
+        fetch_from=store,
+        save_to=store,
+    )
+
+
+def emit_end(
+    call: calls.Call, router: routers.CallRouter, caller_left: bool
+) -> None:
+    """Log the end of a call with what decided it."""
+    refusal = call.refusal
+    event = events.Event.REQUEST_ENDED
+    if caller_left:
+        event = events.Event.CALLER_LEFT
+    elif refusal is not None:
+        event = events.Event.REQUEST_REFUSED
+    now = router.runtime.now()
+    first = call.first_byte_at
+    router.sink.emit(
+        event,
+        request_id=call.request_id,
+        route=call.route.name if call.route else '',
+        account=call.get_account_name(),
+        status=refusal.status if refusal else call.status,
+        reason=refusal.reason.value if refusal else '',
+        detail=refusal.message if refusal else '',
+        attempts=[
+            f'{attempt.target.name}:{attempt.failure or "ok"}'
+            for attempt in call.attempts
+        ],
+        first_byte=None
+        if first is None
+        else round(first - call.received_at, 3),
+        seconds=round(now - call.received_at, 3),
+    )
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/desired.py
@@ -0,0 +1,190 @@
+"""Desired state of a deployment: routes, services, accounts and limits.
+
+Source: one numbered document that the operators replace as a whole.
+"""
+
+from collections import abc
+import enum
+import functools
+import hashlib
+
+import attrs
+
+
+class Repetition(enum.Enum):
+    """How often a call of a route may run."""
+
+    SAFE = 'safe'
+    """Any number of times."""
+    ONCE = 'once'
+    """At most once."""
+    STREAM = 'stream'
+    """At most once; the answer is a stream of events."""
+    RESUMABLE = 'resumable-stream'
+    """A stream that another target may continue behind an event."""
+
+    def is_stream(self) -> bool:
+        """Tell whether the answer is a stream of events."""
+        return self in (Repetition.STREAM, Repetition.RESUMABLE)
+
+    def is_repeatable(self) -> bool:
+        """Tell whether a call that may have run may be sent again."""
+        return self in (Repetition.SAFE, Repetition.RESUMABLE)
+
+
+@attrs.frozen
+class WeightedService:
+    """Service with its share of a route's calls."""
+
+    name: str
+    weight: float
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """Calls of a host and path prefix, and how they are served.
+
+    `max_targets` bounds the targets that one call may be sent to;
+    `objective_seconds` is the time to the answer or first event that callers
+    expect, `max_gap_seconds` the longest pause between events. A lower
+    `priority` goes first.
+    """
+
+    name: str
+    host: str
+    path_prefix: str
+    repetition: Repetition
+    timeout_seconds: float
+    objective_seconds: float
+    priority: int
+    services: tuple[WeightedService, ...]
+    max_targets: int
+    is_public: bool
+    has_prompt: bool
+    max_gap_seconds: float
+
+    def select_service(self, request_id: str) -> str:
+        """Return the service of a call, by the weights of the route."""
+        total = sum(service.weight for service in self.services)
+        if len(self.services) == 1 or total <= 0:
+            return self.services[0].name
+        digest = hashlib.blake2b(request_id.encode(), digest_size=8)
+        point = int.from_bytes(digest.digest(), 'big') / (1 << 64) * total
+        for service in self.services:
+            point -= service.weight
+            if point < 0:
+                return service.name
+        return self.services[-1].name
+
+
+@attrs.frozen(kw_only=True)
+class Engine:
+    """Model engines of a service.
+
+    `slots` is the number of requests that run at once, `cache_tokens` the
+    memory they share with cached prompt parts, `token_bytes` the size of a
+    token's cache entry and `bytes_per_second` the speed of an engine's link.
+    """
+
+    slots: int
+    cache_tokens: int
+    token_bytes: int
+    bytes_per_second: float
+    models: tuple[str, ...]
+
+
+@attrs.frozen(kw_only=True)
+class CacheStore:
+    """Store of cached prompt parts that engines fetch from and save to."""
+
+    address: str
+    domain: str
+    capacity_tokens: int
+    bytes_per_second: float
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """Targets of one kind; `engine` is None for plain services."""
+
+    name: str
+    health_path: str = '/'
+    max_connections: int = 0
+    engine: Engine | None = None
+    cache_store: CacheStore | None = None
+
+
+@attrs.frozen(kw_only=True)
+class Account:
+    """Client account; an isolated one shares no cache with any other."""
+
+    name: str
+    keys: tuple[str, ...] = attrs.field(repr=False)
+    priority: int | None
+    is_isolated: bool
+
+
+@attrs.frozen(kw_only=True)
+class RequestLimits:
+    """Bounds of what callers may send, and how slowly."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 4_194_304
+    header_seconds: float = 3.0
+    idle_seconds: float = 15.0
+
+
+@attrs.frozen(kw_only=True)
+class DesiredState:
+    """One version of the desired state; `accounts` is None without keys."""
+
+    version: int
+    routes: tuple[Route, ...]
+    services: tuple[Service, ...]
+    accounts: tuple[Account, ...] | None
+    limits: RequestLimits
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix that begins the path."""
+        best: Route | None = None
+        for route in self._routes_by_host.get(host, ()):
+            if not path.startswith(route.path_prefix):
+                continue
+            if best is None or len(route.path_prefix) > len(best.path_prefix):
+                best = route
+        return best
+
+    def find_account(self, key: str) -> Account | None:
+        """Return the account that holds a key."""
+        return self._accounts_by_key.get(key)
+
+    def find_service(self, name: str) -> Service | None:
+        """Return a service by its name."""
+        return self._services_by_name.get(name)
+
+    def list_cache_stores(self) -> tuple[CacheStore, ...]:
+        """Return the stores of cached prompt parts."""
+        return tuple(
+            service.cache_store
+            for service in self.services
+            if service.cache_store is not None
+        )
+
+    @functools.cached_property
+    def _routes_by_host(self) -> abc.Mapping[str, list[Route]]:
+        by_host: dict[str, list[Route]] = {}
+        for route in self.routes:
+            by_host.setdefault(route.host, []).append(route)
+        return by_host
+
+    @functools.cached_property
+    def _accounts_by_key(self) -> abc.Mapping[str, Account]:
+        return {
+            key: account
+            for account in self.accounts or ()
+            for key in account.keys
+        }
+
+    @functools.cached_property
+    def _services_by_name(self) -> abc.Mapping[str, Service]:
+        return {service.name: service for service in self.services}
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/loads.py
@@ -0,0 +1,95 @@
+"""Load of targets as the sum of what this host and its peers have sent."""
+
+from collections import abc
+
+import attrs
+
+PEER_SECONDS = 2.0
+"""A peer's word is dropped after some missed messages."""
+
+
+@attrs.frozen
+class Load:
+    """Work at a target: runs, their memory and what is still to prefill."""
+
+    runs: int = 0
+    tokens: int = 0
+    prefill_tokens: int = 0
+
+    def add(self, other: 'Load') -> 'Load':
+        """Return the sum of two loads."""
+        return Load(
+            self.runs + other.runs,
+            self.tokens + other.tokens,
+            self.prefill_tokens + other.prefill_tokens,
+        )
+
+
+NO_LOAD = Load()
+
+
+@attrs.define(eq=False)
+class Ticket:
+    """Work that this host has at a target until it ends."""
+
+    target: str
+    tokens: int
+    prefill_tokens: int
+
+
+@attrs.define
+class _PeerLoads:
+    heard_at: float
+    loads: abc.Mapping[str, Load]
+
+
+class LoadBoard:
+    """Loads by target name."""
+
+    def __init__(self) -> None:
+        self._tickets: dict[str, set[Ticket]] = {}
+        self._peers: dict[str, _PeerLoads] = {}
+
+    def begin(self, target: str, tokens: int, prefill_tokens: int) -> Ticket:
+        """Count a call that is about to be sent."""
+        ticket = Ticket(target, tokens, prefill_tokens)
+        self._tickets.setdefault(target, set()).add(ticket)
+        return ticket
+
+    def note_prefilled(self, ticket: Ticket) -> None:
+        """Note that the target has begun to answer."""
+        ticket.prefill_tokens = 0
+
+    def end(self, ticket: Ticket) -> None:
+        """Take a call off its target."""
+        tickets = self._tickets.get(ticket.target, set())
+        tickets.discard(ticket)
+        if not tickets:
+            self._tickets.pop(ticket.target, None)
+
+    def note_peer(
+        self, peer: str, loads: abc.Mapping[str, Load], now: float
+    ) -> None:
+        """Replace what a peer has said."""
+        self._peers[peer] = _PeerLoads(now, loads)
+
+    def get_own(self) -> dict[str, Load]:
+        """Return this host's part of the loads."""
+        return {
+            target: self._sum(tickets)
+            for target, tickets in self._tickets.items()
+        }
+
+    def get(self, target: str, now: float) -> Load:
+        """Return the load of a target."""
+        load = self._sum(self._tickets.get(target, ()))
+        for peer in self._peers.values():
+            if now - peer.heard_at < PEER_SECONDS:
+                load = load.add(peer.loads.get(target, NO_LOAD))
+        return load
+
+    def _sum(self, tickets: abc.Iterable[Ticket]) -> Load:
+        load = NO_LOAD
+        for ticket in tickets:
+            load = load.add(Load(1, ticket.tokens, ticket.prefill_tokens))
+        return load
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -0,0 +1,98 @@
+"""Placing of a call on one of the live targets of its service."""
+
+import hashlib
+
+import attrs
+
+from pistachioseam.forwarding import calls
+from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import prompts
+from pistachioseam.forwarding import router as routers
+from pistachioseam.forwarding import selection
+
+HOMES = 3
+"""Targets of a shared part that are weighed with their home rank."""
+STALE_WEIGHTS_SECONDS = 0.4
+"""Cost of running on weights for which newer ones are named."""
+
+
+def place_call(
+    call: calls.Call, router: routers.CallRouter
+) -> selection.Choice | None:
+    """Return the choice among the usable targets, None if there are none."""
+    usable = list_usable(call, router)
+    now = router.runtime.now()
+    if call.prompt is None or call.service is None:
+        return selection.choose(
+            usable,
+            lambda target: selection.weigh_service(
+                target, router.loads.get(target.name, now), router.topology
+            ),
+            router.random.random(),
+        )
+    ranks = _rank_homes(call.prompt, usable, router)
+    return selection.choose(
+        usable,
+        lambda target: _weigh_engine(call, router, target, ranks),
+        router.random.random(),
+    )
+
+
+def list_usable(
+    call: calls.Call, router: routers.CallRouter
+) -> list[catalog.LiveTarget]:
+    """Return ready targets: untried and healthy ones if there are any."""
+    assert call.service is not None
+    now = router.runtime.now()
+    ready = [
+        target
+        for target in router.catalog.list_service(call.service.name)
+        if target.is_ready
+    ]
+    tried = {attempt.target.name for attempt in call.attempts}
+    usable = [target for target in ready if target.name not in tried] or ready
+    usable = [
+        target for target in usable if router.health.is_usable(target.name)
+    ] or usable
+    return [
+        target
+        for target in usable
+        if router.busy_until.get(target.name, 0.0) <= now
+    ] or usable
+
+
+def _rank_homes(
+    prompt: prompts.Prompt,
+    usable: list[catalog.LiveTarget],
+    router: routers.CallRouter,
+) -> dict[str, int]:
+    """Return the home rank of the first few targets."""
+    digest = hashlib.blake2b(prompt.get_home_part().encode(), digest_size=8)
+    prefix = int.from_bytes(digest.digest(), 'big')
+    names = sorted(target.name for target in usable)
+    order = router.home_order.rank(prefix, names, HOMES)
+    return {name: rank for rank, name in enumerate(order)}
+
+
+def _weigh_engine(
+    call: calls.Call,
+    router: routers.CallRouter,
+    target: catalog.LiveTarget,
+    ranks: dict[str, int],
+) -> selection.Candidate:
+    assert call.service is not None and call.prompt is not None
+    engine = call.service.engine
+    prompt = call.prompt
+    load = router.loads.get(target.name, router.runtime.now())
+    if engine is None:
+        return selection.weigh_service(target, load, router.topology)
+    shared = sum(part.tokens for part in prompt.parts[:-1])
+    missing = 0 if ranks.get(target.name) == 0 else shared
+    weighed = selection.weigh_engine(
+        target, engine, load, prompt.count_tokens(), missing, router.topology
+    )
+    named = router.desired.get_named(prompt.model)
+    if router.weights.get(target, prompt.model) >= named:
+        return weighed
+    other = weighed.other + STALE_WEIGHTS_SECONDS
+    return attrs.evolve(weighed, other=other)
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -0,0 +1,271 @@
+"""Rollout of newer weights over the engines, by one host at a time."""
+
+import asyncio
+from collections import abc
+
+import attrs
+from returns import pipeline as railway
+
+from pistachioseam import events
+from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import leases
+from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import router as routers
+from pistachioseam import interfaces
+
+DUTY = 'weights'
+CHECK_SECONDS = 0.1
+"""Pause between looks at what is to be done."""
+STANDBY_SECONDS = 0.8
+"""Delay after which another host than the last holder steps in."""
+STANDBY_STEP_SECONDS = 0.5
+"""Further delay of each later host in the order of succession."""
+OBSERVE_SECONDS = 2.0
+"""Pause between the successors' reads of an idle lease."""
+OBSERVERS = 2
+"""Successors that watch an idle lease."""
+LOADING_SHARE = 1 / 3
+"""Part of the engines that load at once; loading slows down with more."""
+LOAD_SECONDS = 0.4
+"""Time that loading takes an engine; users' sheets."""
+RECHECK_SECONDS = 0.3
+"""Pause between two looks at an engine that was ordered to load."""
+
+
+@attrs.frozen
+class OutdatedEngine:
+    """Engine that runs older weights than the newest named."""
+
+    target: catalog.LiveTarget
+    model: str
+    version: int
+
+
+def list_outdated(router: routers.CallRouter) -> list[OutdatedEngine]:
+    """Return the engines to be brought to newer weights.
+
+    Versions of one incarnation only grow, so a version that is already
+    replaced by a newer name is skipped.
+    """
+    state = router.desired.state
+    if state is None:
+        return []
+    outdated = []
+    for model, version in router.desired.list_named().items():
+        for target in router.catalog.list_all():
+            service = state.find_service(target.service)
+            if service is None or service.engine is None:
+                continue
+            if model not in service.engine.models or not target.is_ready:
+                continue
+            if router.weights.get(target, model) < version:
+                outdated.append(OutdatedEngine(target, model, version))
+    return outdated
+
+
+def order_by_load(
+    outdated: abc.Sequence[OutdatedEngine], router: routers.CallRouter
+) -> list[OutdatedEngine]:
+    """Return the engines with the fewest runs first; these drain soonest."""
+    now = router.runtime.now()
+    return sorted(
+        outdated, key=lambda e: router.loads.get(e.target.name, now).runs
+    )
+
+
+class Rollout:
+    """Brings engines to the newest weights while this host holds the lease."""
+
+    def __init__(
+        self,
+        router: routers.CallRouter,
+        platform: ports.Platform,
+        control: ports.EngineControl,
+        lease: leases.Lease,
+        get_standby_rank: abc.Callable[[], int],
+    ) -> None:
+        self._router = router
+        self._platform = platform
+        self._control = control
+        self._get_standby_rank = get_standby_rank
+        self.lease = lease
+        self.loading: dict[tuple[str, int], float] = {}
+        self._outdated_since: float | None = None
+        self._observed_at = 0.0
+
+    async def run(self) -> None:
+        """Work for ever."""
+        await self._observe()
+        while True:
+            await self._router.runtime.sleep(CHECK_SECONDS)
+            await self.step()
+
+    async def step(self) -> None:
+        """Look once at what is to be done, and do it if this host may."""
+        outdated = list_outdated(self._router)
+        self._forget_ended()
+        now = self._router.read_boot_clock()
+        if not outdated:
+            self._outdated_since = None
+            await self._observe_idle(now)
+            return
+        if self._outdated_since is None:
+            self._outdated_since = now
+        if not self.lease.is_own() and not await self._is_due(now):
+            return
+        if self.lease.needs_renewal() and not await self._renew():
+            return
+        await self._order_some(outdated)
+
+    def _forget_ended(self) -> None:
+        live = {
+            target.get_incarnation()
+            for target in self._router.catalog.list_all()
+        }
+        for incarnation in [i for i in self.loading if i not in live]:
+            del self.loading[incarnation]
+
+    async def _observe_idle(self, now: float) -> None:
+        """Let a few successors watch the lease, so that they can step in."""
+        is_observer = self._get_standby_rank() < OBSERVERS
+        is_due = now - self._observed_at > OBSERVE_SECONDS
+        if is_observer and is_due and not self.lease.is_own():
+            await self._observe()
+
+    async def _is_due(self, now: float) -> bool:
+        """Tell whether the last holder has been silent for too long."""
+        assert self._outdated_since is not None
+        rank = self._get_standby_rank()
+        delay = STANDBY_SECONDS + rank * STANDBY_STEP_SECONDS
+        row = self.lease.row
+        if row is not None and row.version == 0:
+            delay = rank * CHECK_SECONDS
+        if now - self._outdated_since < delay:
+            return False
+        if now - self._observed_at > STANDBY_STEP_SECONDS:
+            await self._observe()
+        return self.lease.may_write()
+
+    async def _observe(self) -> None:
+        self._observed_at = self._router.read_boot_clock()
+        read = await self._platform.read_lease(DUTY)
+        if railway.is_successful(read):
+            self.lease.note_row(read.unwrap(), self._observed_at)
+
+    async def _renew(self) -> bool:
+        """Write the lease; tell whether this host holds it now."""
+        if not self.lease.may_write():
+            await self._observe()
+            return False
+        assert self.lease.row is not None
+        was_own = self.lease.is_own()
+        sent_at = self._router.read_boot_clock()
+        written = await self._platform.write_lease(
+            DUTY, self.lease.holder, self.lease.row.version
+        )
+        if railway.is_successful(written):
+            row = written.unwrap()
+            self.lease.note_written(row, sent_at)
+            if not was_own:
+                self._router.sink.emit(
+                    events.Event.DUTY_TAKEN, duty=DUTY, version=row.version
+                )
+            return True
+        trouble = written.failure()
+        self._router.sink.emit(
+            events.Event.DUTY_LOST, duty=DUTY, detail=trouble.detail
+        )
+        if trouble.is_conflict or trouble.is_unknown:
+            self.lease.note_conflict()
+            await self._observe()
+        return False
+
+    async def _order_some(self, outdated: list[OutdatedEngine]) -> None:
+        """Order as many engines as may load at once."""
+        count = len(
+            self._router.catalog.list_service(outdated[0].target.service)
+        )
+        allowed = max(1, int(count * LOADING_SHARE))
+        now = self._router.read_boot_clock()
+        waiting = [
+            engine
+            for engine in order_by_load(outdated, self._router)
+            if engine.target.get_incarnation() not in self.loading
+        ]
+        due = [
+            engine
+            for engine in outdated
+            if self.loading.get(engine.target.get_incarnation(), now) < now
+        ]
+        room = max(0, allowed - len(self.loading))
+        work = [self._drive(engine) for engine in (*due, *waiting[:room])]
+        if work:
+            await asyncio.gather(*work)
+
+    async def _drive(self, engine: OutdatedEngine) -> None:
+        """Read one engine's state and correct it."""
+        incarnation = engine.target.get_incarnation()
+        recheck_at = self._router.read_boot_clock() + RECHECK_SECONDS
+        self.loading[incarnation] = recheck_at
+        read = await self._control.read_report(engine.target)
+        if not railway.is_successful(read):
+            self._note_unordered(engine, read.failure())
+            return
+        report = read.unwrap()
+        loaded = report.weights.get(engine.model, 0)
+        if loaded:
+            self._router.weights.note(engine.target, engine.model, loaded)
+        if loaded >= engine.version:
+            self.loading.pop(incarnation, None)
+            return
+        if not report.is_busy:
+            await self._order(engine, report.orders)
+
+    async def _order(self, engine: OutdatedEngine, orders: int) -> None:
+        """Give the order if the lease still allows it."""
+        newest = self._router.desired.get_named(engine.model)
+        if not self.lease.may_act() or newest > engine.version:
+            self.loading.pop(engine.target.get_incarnation(), None)
+            return
+        assert self.lease.row is not None
+        order = ports.WeightsOrder(
+            model=engine.model,
+            version=engine.version,
+            holder=self.lease.holder,
+            fencing_token=self.lease.row.version,
+            expected_orders=orders,
+        )
+        ordered = await self._control.order_weights(engine.target, order)
+        incarnation = engine.target.get_incarnation()
+        if not railway.is_successful(ordered):
+            self._note_unordered(engine, ordered.failure())
+            return
+        status = ordered.unwrap()
+        self._router.sink.emit(
+            events.Event.WEIGHTS_ORDERED,
+            target=engine.target.name,
+            model=engine.model,
+            version=engine.version,
+            status=status,
+            fencing_token=order.fencing_token,
+        )
+        if status == 200:
+            self._router.weights.note(
+                engine.target, engine.model, engine.version
+            )
+            self.loading.pop(incarnation, None)
+        elif status == 202:
+            now = self._router.read_boot_clock()
+            self.loading[incarnation] = now + LOAD_SECONDS
+
+    def _note_unordered(
+        self, engine: OutdatedEngine, failure: interfaces.CallFailure
+    ) -> None:
+        """Leave room for other engines, and look again later."""
+        self._router.sink.emit(
+            events.Event.ORDER_FAILED,
+            target=engine.target.name,
+            model=engine.model,
+            version=engine.version,
+            detail=f'{failure.kind.value}: {failure.detail}',
+        )
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/selection.py
@@ -0,0 +1,108 @@
+"""Choice of the target of a call; pure functions over what is known.
+
+Load patterns answered here: nested shared prompts that exceed one engine's
+cache, hot prompts that exceed one engine's room, and uneven hosts that see
+only a part of the traffic each.
+"""
+
+from collections import abc
+
+import attrs
+
+from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import desired
+from pistachioseam.forwarding import loads
+from pistachioseam import links
+
+PREFILL_TOKENS_PER_SECOND = 40_000.0
+"""Speed at which engines read prompts; users' sheets."""
+RUN_SECONDS = 0.1
+"""Work of a call to a plain service; users' sheets."""
+COLD_FACTOR = 0.5
+"""Part of a cold target's remaining warm-up that counts as waiting."""
+OVERFULL_SECONDS = 1.0
+"""Wait for each memory's worth of tokens beyond an engine's own."""
+
+
+@attrs.frozen(kw_only=True)
+class Candidate:
+    """A target with the terms of its cost, in seconds."""
+
+    target: str
+    wait: float
+    missing: float
+    latency: float
+    other: float = 0.0
+
+    def get_cost(self) -> float:
+        """Return the sum of the terms."""
+        return self.wait + self.missing + self.latency + self.other
+
+
+@attrs.frozen(kw_only=True)
+class Choice:
+    """Chosen target and the candidates that were weighed, best first."""
+
+    target: catalog.LiveTarget
+    candidates: tuple[Candidate, ...]
+
+
+def choose(
+    targets: abc.Sequence[catalog.LiveTarget],
+    weigh: abc.Callable[[catalog.LiveTarget], Candidate],
+    pick: float,
+) -> Choice | None:
+    """Return the cheapest target; `pick` in [0, 1) breaks ties."""
+    if not targets:
+        return None
+    offset = int(pick * len(targets))
+    rotated = [*targets[offset:], *targets[:offset]]
+    weighed = [(weigh(target), target) for target in rotated]
+    weighed.sort(key=lambda pair: pair[0].get_cost())
+    return Choice(
+        target=weighed[0][1],
+        candidates=tuple(candidate for candidate, _ in weighed),
+    )
+
+
+def weigh_service(
+    target: catalog.LiveTarget,
+    load: loads.Load,
+    topology: links.Topology,
+) -> Candidate:
+    """Return the cost of a target of a plain service."""
+    slots = max(1, target.slots)
+    wait = RUN_SECONDS * load.runs / slots
+    if load.runs >= slots:
+        wait += RUN_SECONDS * (load.runs - slots + 1) / slots
+    return Candidate(
+        target=target.name,
+        wait=wait,
+        missing=0.0,
+        latency=2 * topology.get_latency(target.domain),
+        other=target.cold_seconds * COLD_FACTOR,
+    )
+
+
+def weigh_engine(
+    target: catalog.LiveTarget,
+    engine: desired.Engine,
+    load: loads.Load,
+    tokens: int,
+    missing_tokens: int,
+    topology: links.Topology,
+) -> Candidate:
+    """Return the cost of an engine for a call of `tokens` in memory."""
+    wait = load.prefill_tokens / PREFILL_TOKENS_PER_SECOND
+    fill = (load.tokens + tokens) / max(1, engine.cache_tokens)
+    if fill > 1.0:
+        wait += OVERFULL_SECONDS * (fill - 1.0)
+    if load.runs >= engine.slots:
+        wait += OVERFULL_SECONDS * (load.runs + 1 - engine.slots)
+    return Candidate(
+        target=target.name,
+        wait=wait,
+        missing=missing_tokens / PREFILL_TOKENS_PER_SECOND,
+        latency=2 * topology.get_latency(target.domain),
+        other=target.cold_seconds * COLD_FACTOR,
+    )
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/__init__.py
@@ -0,0 +1,8 @@
+"""Filters of forwarded calls; importing this package registers them."""
+
+from pistachioseam.forwarding.steps import authenticate
+from pistachioseam.forwarding.steps import forward
+from pistachioseam.forwarding.steps import inform
+from pistachioseam.forwarding.steps import match
+
+__all__ = ('authenticate', 'forward', 'inform', 'match')
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/authenticate.py
@@ -0,0 +1,44 @@
+"""Find the account that holds the caller's key."""
+
+from returns import result
+
+from pistachioseam.forwarding import calls
+from pistachioseam.forwarding import router as routers
+from pistachioseam.forwarding.steps import inform
+from pistachioseam.forwarding.steps import match
+from pistachioseam import pipeline
+from pistachioseam import refusals
+
+
+@routers.register('authenticate')
+async def authenticate_call(
+    call: calls.Call, router: routers.CallRouter
+) -> pipeline.FilterResult:
+    """Set the account; refuse unknown keys and keys that may be revoked."""
+    state = router.desired.state
+    assert state is not None and call.route is not None
+    if state.accounts is None or call.route.is_public:
+        return pipeline.CONTINUE
+    account = state.find_account(call.head.key)
+    if account is None:
+        refusal = refusals.Refusal(
+            401, refusals.Reason.UNKNOWN_CALLER, 'unknown key'
+        )
+        return result.Failure(match.deny(router, refusal))
+    call.account = account
+    return check_key(call, router)
+
+
+def check_key(
+    call: calls.Call, router: routers.CallRouter
+) -> pipeline.FilterResult:
+    """Refuse a key that may have been revoked since the last read."""
+    if call.account is None:
+        return pipeline.CONTINUE
+    now = router.read_boot_clock()
+    if router.freshness.is_fit_for_keys(now):
+        return pipeline.CONTINUE
+    age = router.freshness.get_age(now)
+    return result.Failure(
+        inform.refuse_uninformed(f'the key was last confirmed {age:.1f} s ago')
+    )
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -0,0 +1,207 @@
+"""Send a call to targets until it is served or sending again is unsafe."""
+
+import asyncio
+
+from returns import pipeline as railway
+from returns import result
+
+from pistachioseam import events
+from pistachioseam.forwarding import calls
+from pistachioseam.forwarding import delivery
+from pistachioseam.forwarding import placement
+from pistachioseam.forwarding import router as routers
+from pistachioseam.forwarding import selection
+from pistachioseam.forwarding.steps import authenticate
+from pistachioseam import interfaces
+from pistachioseam import pipeline
+from pistachioseam import refusals
+
+MAX_UNSENT = 4
+"""Targets that may fail to take the channel before the call is refused."""
+MIN_SECONDS_LEFT = 0.05
+"""Less time than this is not worth another send."""
+BUSY_SECONDS = 0.25
+"""Time for which a target that refused a call is passed over."""
+RETRY_AFTER_SECONDS = 0.4
+"""Return of callers whose call no target took."""
+
+Kind = interfaces.FailureKind
+UNSENT = (Kind.NOT_SENT, Kind.BUSY, Kind.WRONG_TARGET)
+"""Failures after which the call has certainly not run."""
+
+
+@routers.register('forward')
+async def forward_call(
+    call: calls.Call, router: routers.CallRouter
+) -> pipeline.FilterResult:
+    """Serve the call within its deadline."""
+    assert call.service is not None
+    router.budget.note_call(call.service.name, router.runtime.now())
+    answer = delivery.Delivery(call, router)
+    try:
+        async with asyncio.timeout(call.deadline - router.runtime.now()):
+            return await _send_until_served(call, router, answer)
+    except TimeoutError:
+        return result.Failure(refuse_late(call))
+
+
+async def _send_until_served(
+    call: calls.Call,
+    router: routers.CallRouter,
+    answer: delivery.Delivery,
+) -> pipeline.FilterResult:
+    while True:
+        fit = authenticate.check_key(call, router)
+        choice = placement.place_call(call, router)
+        if not railway.is_successful(fit) and not call.may_have_run:
+            return fit
+        if choice is None:
+            return result.Failure(refuse_without_target(call))
+        failure = await _attempt(call, router, choice, answer)
+        if failure is None:
+            call.is_served = True
+            return pipeline.CONTINUE
+        refusal = judge_failure(call, router, failure)
+        if refusal is None:
+            router.sink.emit(
+                events.Event.REQUEST_RETRIED,
+                request_id=call.request_id,
+                target=choice.target.name,
+                failure=failure.kind.value,
+                detail=failure.detail,
+            )
+            continue
+        if await answer.deliver_failed():
+            call.is_served = True
+            return pipeline.CONTINUE
+        return result.Failure(refusal)
+
+
+async def _attempt(
+    call: calls.Call,
+    router: routers.CallRouter,
+    choice: selection.Choice,
+    answer: delivery.Delivery,
+) -> interfaces.CallFailure | None:
+    target = choice.target
+    now = router.runtime.now()
+    attempt = calls.CallAttempt(target=target, started_at=now)
+    call.attempts.append(attempt)
+    router.sink.emit(
+        events.Event.CALL_PLACED,
+        request_id=call.request_id,
+        target=target.name,
+        costs=[
+            f'{c.target}={c.wait:.3f}+{c.missing:.3f}+{c.latency:.3f}'
+            f'+{c.other:.3f}'
+            for c in choice.candidates[:3]
+        ],
+        configuration=call.desired_version,
+        age=round(router.freshness.get_age(router.read_boot_clock()), 3),
+    )
+    router.health.note_sent(target.name)
+    failure = await answer.receive_from(target)
+    attempt.failure = failure.kind.value if failure else ''
+    note_result(call, router, attempt, failure)
+    return failure
+
+
+def note_result(
+    call: calls.Call,
+    router: routers.CallRouter,
+    attempt: calls.CallAttempt,
+    failure: interfaces.CallFailure | None,
+) -> None:
+    """Learn from the end of an attempt."""
+    name = attempt.target.name
+    if failure is None or failure.kind is Kind.FAILED:
+        router.health.note_success(name)
+        return
+    router.sink.emit(
+        events.Event.ATTEMPT_FAILED,
+        request_id=call.request_id,
+        target=name,
+        failure=failure.kind.value,
+        detail=failure.detail,
+        seconds=round(router.runtime.now() - attempt.started_at, 3),
+    )
+    if failure.kind is Kind.BUSY:
+        router.busy_until[name] = router.runtime.now() + BUSY_SECONDS
+    elif failure.kind is not Kind.WRONG_TARGET:
+        router.health.note_failure(name)
+
+
+def judge_failure(
+    call: calls.Call,
+    router: routers.CallRouter,
+    failure: interfaces.CallFailure,
+) -> refusals.Refusal | None:
+    """Return the refusal, or None when another send is safe."""
+    assert call.route is not None and call.service is not None
+    now = router.runtime.now()
+    if call.may_have_run and not call.is_repeatable():
+        return refuse_failed(call, failure)
+    if call.deadline - now < MIN_SECONDS_LEFT:
+        return refuse_failed(call, failure)
+    failures = [attempt.failure for attempt in call.attempts]
+    if failures.count(Kind.NOT_SENT.value) >= MAX_UNSENT:
+        return refuse_failed(call, failure)
+    if failure.kind is Kind.NOT_SENT:
+        return None
+    unsent = {kind.value for kind in UNSENT}
+    ran = {a.target.name for a in call.attempts if a.failure not in unsent}
+    if len(ran) >= call.route.max_targets:
+        return refuse_failed(call, failure)
+    if not router.budget.take(call.service.name, now):
+        return refuse_failed(call, failure)
+    return None
+
+
+def refuse_failed(
+    call: calls.Call, failure: interfaces.CallFailure
+) -> refusals.Refusal:
+    """Return the refusal of a call whose targets failed."""
+    if call.may_have_run:
+        return refusals.Refusal(
+            502,
+            refusals.Reason.TARGET_FAILED,
+            f'the target failed: {failure.kind.value}, {failure.detail}',
+            refusals.Outcome.UNKNOWN,
+        )
+    return refusals.Refusal(
+        503,
+        refusals.Reason.OVERLOADED,
+        f'no target took the call: {failure.kind.value}, {failure.detail}',
+        retry_after_seconds=RETRY_AFTER_SECONDS,
+    )
+
+
+def refuse_without_target(call: calls.Call) -> refusals.Refusal:
+    """Return the refusal of a call whose service has no ready target."""
+    outcome = refusals.Outcome.NOT_RUN
+    if call.may_have_run:
+        outcome = refusals.Outcome.UNKNOWN
+    return refusals.Refusal(
+        502 if call.may_have_run else 503,
+        refusals.Reason.NO_TARGET,
+        'the service has no ready target',
+        outcome,
+        None if call.may_have_run else RETRY_AFTER_SECONDS,
+    )
+
+
+def refuse_late(call: calls.Call) -> refusals.Refusal:
+    """Return the refusal of a call whose deadline has passed."""
+    if call.may_have_run:
+        return refusals.Refusal(
+            504,
+            refusals.Reason.TARGET_FAILED,
+            'the deadline passed',
+            refusals.Outcome.UNKNOWN,
+        )
+    return refusals.Refusal(
+        503,
+        refusals.Reason.OVERLOADED,
+        'the deadline passed before any target took the call',
+        retry_after_seconds=RETRY_AFTER_SECONDS,
+    )
--- a/packages/pistachioseam/src/pistachioseam/interfaces.py
+++ b/packages/pistachioseam/src/pistachioseam/interfaces.py
@@ -133,6 +133,10 @@
     """No answer came in time; it may have run."""
     BUSY = 'busy'
     """An engine refused to queue a model request; it has not run."""
+    WRONG_TARGET = 'wrong-target'
+    """Another incarnation or other weights answered; it has not run."""
+    FAILED = 'failed'
+    """The target ran the call and answered with a failure of its own."""
     GONE = 'gone'
     """The engine no longer knows the stream that was to be resumed."""
 
--- a/packages/pistachioseam/src/pistachioseam/pipeline.py
+++ b/packages/pistachioseam/src/pistachioseam/pipeline.py
@@ -1,4 +1,4 @@
-"""Order of the filters that every request passes."""
+"""Ordered filters that every request passes, one registry an interface."""
 
 from collections import abc
 import typing
@@ -21,40 +21,65 @@
 """`serve` repeats `place`, `send` and `relay` while a retry is safe."""
 
 FilterResult: typing.TypeAlias = result.Result[None, refusals.Refusal]
+CONTINUE: FilterResult = result.Success(None)
 
 
-class Filter(typing.Protocol):
-    """One step of the request path; a failure ends the request."""
+class Passage(typing.Protocol):
+    """What a request on its way through the filters must tell."""
 
-    async def __call__(
-        self, exchange: exchanges.Exchange, router: routers.Router
-    ) -> FilterResult:
-        """Pass the request on, or refuse it."""
+    refusal: refusals.Refusal | None
 
+    def add_note(self, name: str, text: str) -> None:
+        """Keep what a filter found."""
 
-REGISTRY: dict[str, Filter] = {}
-CONTINUE: FilterResult = result.Success(None)
+    def is_answered(self) -> bool:
+        """Tell whether the filters that are left may be skipped."""
+
+
+PassageT = typing.TypeVar('PassageT', bound=Passage)
+RouterT = typing.TypeVar('RouterT')
+
+
+class Filters(typing.Generic[PassageT, RouterT]):
+    """Registry of the filters of one interface, run in a fixed order."""
+
+    def __init__(self, order: abc.Sequence[str]) -> None:
+        self._order = order
+        self._steps: dict[
+            str,
+            abc.Callable[[PassageT, RouterT], abc.Awaitable[FilterResult]],
+        ] = {}
 
+    def register(
+        self, name: str
+    ) -> abc.Callable[
+        [abc.Callable[[PassageT, RouterT], abc.Awaitable[FilterResult]]],
+        abc.Callable[[PassageT, RouterT], abc.Awaitable[FilterResult]],
+    ]:
+        """Return a decorator that registers a filter under a name."""
 
-def register(name: str) -> abc.Callable[[Filter], Filter]:
-    """Return a decorator that registers a filter under a name."""
+        def add(
+            step: abc.Callable[
+                [PassageT, RouterT], abc.Awaitable[FilterResult]
+            ],
+        ) -> abc.Callable[[PassageT, RouterT], abc.Awaitable[FilterResult]]:
+            self._steps[name] = step
+            return step
 
-    def add(step: Filter) -> Filter:
-        REGISTRY[name] = step
-        return step
+        return add
 
-    return add
+    async def run(self, exchange: PassageT, router: RouterT) -> None:
+        """Pass a request through all filters; set answer or refusal."""
+        for name in self._order:
+            passed = await self._steps[name](exchange, router)
+            if not pipeline.is_successful(passed):
+                exchange.refusal = passed.failure()
+                exchange.add_note(name, exchange.refusal.message)
+                return
+            if exchange.is_answered():
+                return
 
 
-async def run_filters(
-    exchange: exchanges.Exchange, router: routers.Router
-) -> None:
-    """Pass a request through all filters; set answer or refusal."""
-    for name in REQUEST_ORDER:
-        passed = await REGISTRY[name](exchange, router)
-        if not pipeline.is_successful(passed):
-            exchange.refusal = passed.failure()
-            exchange.add_note(name, exchange.refusal.message)
-            return
-        if exchange.answer is not None:
-            return
+_requests: Filters[exchanges.Exchange, routers.Router] = Filters(REQUEST_ORDER)
+register = _requests.register
+run_filters = _requests.run
