Bring engines to new weights one task each, around unreachable ones

The rollout waited for all its reports together, kept engines that had finished in its count of loading ones, and let a crashed engine hold a place. Ruled out: late knowledge (all hosts knew 60 ms after the naming) and the lease (taken 40 ms after it).

--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -30,6 +30,8 @@
 """Time that loading takes an engine; users' sheets."""
 RECHECK_SECONDS = 0.3
 """Pause between two looks at an engine that was ordered to load."""
+UNREACHABLE_SECONDS = 0.5
+"""Pause before another try at an engine that did not answer."""
 
 
 @attrs.frozen
@@ -89,7 +91,9 @@
         self._control = control
         self._get_standby_rank = get_standby_rank
         self.lease = lease
-        self.loading: dict[tuple[str, int], float] = {}
+        self.loading: set[tuple[str, int]] = set()
+        self._retry_at: dict[tuple[str, int], float] = {}
+        self._renewing = asyncio.Lock()
         self._outdated_since: float | None = None
         self._observed_at = 0.0
 
@@ -115,15 +119,15 @@
             return
         if self.lease.needs_renewal() and not await self._renew():
             return
-        await self._order_some(outdated)
+        self._start_some(outdated)
 
     def _forget_ended(self) -> None:
         live = {
             target.get_incarnation()
             for target in self._router.catalog.list_all()
         }
-        for incarnation in [i for i in self.loading if i not in live]:
-            del self.loading[incarnation]
+        for incarnation in [i for i in self._retry_at if i not in live]:
+            del self._retry_at[incarnation]
 
     async def _observe_idle(self, now: float) -> None:
         """Let a few successors watch the lease, so that they can step in."""
@@ -153,7 +157,13 @@
             self.lease.note_row(read.unwrap(), self._observed_at)
 
     async def _renew(self) -> bool:
-        """Write the lease; tell whether this host holds it now."""
+        """Write the lease, one write at a time; tell whether it is held."""
+        async with self._renewing:
+            if not self.lease.needs_renewal():
+                return True
+            return await self._write_lease()
+
+    async def _write_lease(self) -> bool:
         if not self.lease.may_write():
             await self._observe()
             return False
@@ -180,53 +190,75 @@
             await self._observe()
         return False
 
-    async def _order_some(self, outdated: list[OutdatedEngine]) -> None:
-        """Order as many engines as may load at once."""
-        count = len(
-            self._router.catalog.list_service(outdated[0].target.service)
-        )
-        allowed = max(1, int(count * LOADING_SHARE))
+    def _start_some(self, outdated: list[OutdatedEngine]) -> None:
+        """Start on as many engines as may load at once."""
+        service = outdated[0].target.service
+        count = len(self._router.catalog.list_service(service))
+        room = max(1, int(count * LOADING_SHARE)) - len(self.loading)
         now = self._router.read_boot_clock()
-        waiting = [
-            engine
-            for engine in order_by_load(outdated, self._router)
-            if engine.target.get_incarnation() not in self.loading
-        ]
-        due = [
-            engine
-            for engine in outdated
-            if self.loading.get(engine.target.get_incarnation(), now) < now
-        ]
-        room = max(0, allowed - len(self.loading))
-        work = [self._drive(engine) for engine in (*due, *waiting[:room])]
-        if work:
-            await asyncio.gather(*work)
+        for engine in order_by_load(outdated, self._router):
+            incarnation = engine.target.get_incarnation()
+            if room <= 0:
+                return
+            if incarnation in self.loading:
+                continue
+            if self._retry_at.get(incarnation, now) > now:
+                continue
+            room -= 1
+            self.loading.add(incarnation)
+            self._router.runtime.start(self._bring_up(engine))
 
-    async def _drive(self, engine: OutdatedEngine) -> None:
-        """Read one engine's state and correct it."""
+    async def _bring_up(self, engine: OutdatedEngine) -> None:
+        """Order one engine to load, and look until it has."""
         incarnation = engine.target.get_incarnation()
-        recheck_at = self._router.read_boot_clock() + RECHECK_SECONDS
-        self.loading[incarnation] = recheck_at
+        try:
+            while self._is_wanted(engine):
+                pause = await self._correct(engine)
+                if pause is None:
+                    break
+                await self._router.runtime.sleep(pause)
+        finally:
+            self.loading.discard(incarnation)
+
+    def _is_wanted(self, engine: OutdatedEngine) -> bool:
+        """Tell whether the engine is there, still behind, and ours."""
+        target = self._router.catalog.get(engine.target.name)
+        if target is None or not target.is_ready or not self.lease.is_own():
+            return False
+        if target.get_incarnation() != engine.target.get_incarnation():
+            return False
+        loaded = self._router.weights.get(target, engine.model)
+        return loaded < self._router.desired.get_named(engine.model)
+
+    async def _correct(self, engine: OutdatedEngine) -> float | None:
+        """Read an engine's state and order if need be.
+
+        Return the seconds to the next look, None if it is to be left alone.
+        """
         read = await self._control.read_report(engine.target)
         if not railway.is_successful(read):
             self._note_unordered(engine, read.failure())
-            return
+            return None
         report = read.unwrap()
+        newest = self._router.desired.get_named(engine.model)
         loaded = report.weights.get(engine.model, 0)
         if loaded:
             self._router.weights.note(engine.target, engine.model, loaded)
-        if loaded >= engine.version:
-            self.loading.pop(incarnation, None)
-            return
-        if not report.is_busy:
-            await self._order(engine, report.orders)
+        if loaded >= newest:
+            return None
+        if report.is_busy:
+            return RECHECK_SECONDS
+        order = attrs.evolve(engine, version=newest)
+        return await self._order(order, report.orders)
 
-    async def _order(self, engine: OutdatedEngine, orders: int) -> None:
-        """Give the order if the lease still allows it."""
-        newest = self._router.desired.get_named(engine.model)
-        if not self.lease.may_act() or newest > engine.version:
-            self.loading.pop(engine.target.get_incarnation(), None)
-            return
+    async def _order(
+        self, engine: OutdatedEngine, orders: int
+    ) -> float | None:
+        """Give the order if the lease allows it."""
+        if self.lease.needs_renewal() and not await self._renew():
+            return None
+        if not self.lease.may_act():
+            return None
         assert self.lease.row is not None
         order = ports.WeightsOrder(
             model=engine.model,
@@ -236,10 +268,9 @@
             expected_orders=orders,
         )
         ordered = await self._control.order_weights(engine.target, order)
-        incarnation = engine.target.get_incarnation()
         if not railway.is_successful(ordered):
             self._note_unordered(engine, ordered.failure())
-            return
+            return None
         status = ordered.unwrap()
         self._router.sink.emit(
             events.Event.WEIGHTS_ORDERED,
@@ -253,15 +284,15 @@
             self._router.weights.note(
                 engine.target, engine.model, engine.version
             )
-            self.loading.pop(incarnation, None)
-        elif status == 202:
-            now = self._router.read_boot_clock()
-            self.loading[incarnation] = now + LOAD_SECONDS
+        return LOAD_SECONDS if status == 202 else RECHECK_SECONDS
 
     def _note_unordered(
         self, engine: OutdatedEngine, failure: interfaces.CallFailure
     ) -> None:
         """Leave room for other engines, and look again later."""
+        now = self._router.read_boot_clock()
+        incarnation = engine.target.get_incarnation()
+        self._retry_at[incarnation] = now + UNREACHABLE_SECONDS
         self._router.sink.emit(
             events.Event.ORDER_FAILED,
             target=engine.target.name,
