Order the engines that are furthest behind first; gossip loads

The rollout always took the engines with the fewest runs, so at a new version every three seconds the same ones loaded each and a busy one none. Ruled out: the lease, and reports that fail.

--- /dev/null
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -0,0 +1,236 @@
+"""Gossip between hosts that forward calls: loads, weights, suspects."""
+
+import secrets
+
+from returns import pipeline
+
+from pistachioseam import events
+from pistachioseam.forwarding import beliefs
+from pistachioseam.forwarding import loads
+from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import rollouts
+from pistachioseam.forwarding import router as routers
+from pistachioseam import membership
+from pistachioseam_entry import peer_messages
+from pistachioseam_peer import clients
+from pistachioseam_peer import envelopes
+from pistachioseam_peer.generated import messages_pb2
+from pistachioseam_peer import servers
+
+GOSSIP_SECONDS = 0.35
+"""Pause between two messages to each peer; bytes between zones are dear."""
+HOSTS_SECONDS = 5.0
+"""Pause between reads of the list of hosts."""
+RETRY_SECONDS = 0.5
+"""Pause before another try at the store."""
+RETRY_SILENT_SECONDS = 1.0
+"""Pause between tries at a silent peer."""
+MESSAGE_SECONDS = 1.0
+"""Longest wait for a peer's answer."""
+SECRET_BYTES = 16
+UNKNOWN_HOSTS = 16
+"""Hosts assumed before any list was read; budgets are shared by as many."""
+DUTY_PREFIX = 2
+"""Seed of the order in which hosts stand by for duties."""
+
+
+class CallPeers:
+    """This host among its peers."""
+
+    def __init__(
+        self,
+        own: membership.Peer,
+        router: routers.CallRouter,
+        rollout: rollouts.Rollout,
+        store: ports.Platform,
+    ) -> None:
+        self.members = membership.Members(own, router.runtime, router.sink)
+        self.rejected = 0
+        self._router = router
+        self._rollout = rollout
+        self._store = store
+        self._is_listed = False
+        self._client: clients.PeerClient | None = None
+        self._server: servers.PeerServer | None = None
+        self._tried_at: dict[str, float] = {}
+
+    def __enter__(self) -> 'CallPeers':
+        """Start to look for peers."""
+        self._router.runtime.start(self._run())
+        self._rollout.add_listener(self.tell)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Close the port and all connections."""
+        if self._server is not None:
+            self._server.close()
+        if self._client is not None:
+            self._client.__exit__()
+
+    def count_hosts(self) -> int:
+        """Return the number of hosts, lost ones included."""
+        if not self._is_listed:
+            return UNKNOWN_HOSTS
+        return 1 + len(self.members.list_known())
+
+    def get_standby_rank(self) -> int:
+        """Return this host's place in the succession of duties."""
+        own = self.members.own.name
+        names = sorted(
+            [peer.name for peer in self.members.list_alive()] + [own]
+        )
+        order = self._router.home_order.rank(DUTY_PREFIX, names, len(names))
+        return order.index(own)
+
+    async def _run(self) -> None:
+        """Join the fleet, then talk for ever."""
+        secret = await self._agree_on_secret()
+        self._client = clients.PeerClient(secret)
+        self._server = servers.PeerServer(
+            secret, self._answer, self._hear, self._reject
+        )
+        host, _, port = self.members.own.address.rpartition(':')
+        await self._server.start(host, int(port))
+        self._router.runtime.start(self._follow_hosts())
+        while True:
+            await self._router.runtime.sleep(GOSSIP_SECONDS)
+            self.tell()
+            self._greet_silent()
+            self.members.note_silence()
+
+    async def _agree_on_secret(self) -> bytes:
+        proposal = secrets.token_hex(SECRET_BYTES).encode()
+        while True:
+            agreed = await self._store.share_secret(proposal)
+            if pipeline.is_successful(agreed):
+                return agreed.unwrap()
+            await self._router.runtime.sleep(RETRY_SECONDS)
+
+    async def _follow_hosts(self) -> None:
+        """Announce this host, then read the list for ever."""
+        own = self.members.own
+        entry = ports.HostEntry(
+            name=own.name,
+            incarnation=own.incarnation,
+            domain=own.domain,
+            peer_address=own.address,
+        )
+        while not pipeline.is_successful(await self._store.write_host(entry)):
+            await self._router.runtime.sleep(RETRY_SECONDS)
+        while True:
+            listed = await self._store.list_hosts()
+            if pipeline.is_successful(listed):
+                self._note_hosts(listed.unwrap())
+            await self._router.runtime.sleep(HOSTS_SECONDS)
+
+    def _note_hosts(self, hosts: tuple[ports.HostEntry, ...]) -> None:
+        self._is_listed = True
+        self.members.note_named(
+            membership.Peer(
+                name=host.name,
+                incarnation=host.incarnation,
+                domain=host.domain,
+                address=host.peer_address,
+            )
+            for host in hosts
+        )
+
+    async def leave(self) -> None:
+        """Take this host off the list."""
+        await self._store.remove_host(self.members.own.name)
+
+    def tell(self) -> None:
+        """Tell the live peers what this host knows."""
+        if self._client is not None:
+            alive = [peer.address for peer in self.members.list_alive()]
+            self._client.tell(alive, self._create_message())
+
+    def _greet_silent(self) -> None:
+        """Try the peers that are silent, each once in a while."""
+        now = self._router.runtime.now()
+        alive = {peer.address for peer in self.members.list_alive()}
+        for peer in self.members.list_known():
+            if peer.address in alive:
+                continue
+            if now - self._tried_at.get(peer.address, 0.0) > (
+                RETRY_SILENT_SECONDS
+            ):
+                self._tried_at[peer.address] = now
+                self._router.runtime.start(self._greet(peer.address))
+
+    async def _greet(self, address: str) -> None:
+        assert self._client is not None
+        answered = await self._client.exchange(
+            address, self._create_message(), MESSAGE_SECONDS
+        )
+        if pipeline.is_successful(answered):
+            self._hear(answered.unwrap())
+        else:
+            self._client.forget(address)
+
+    def _answer(self, message: messages_pb2.Message) -> messages_pb2.Message:
+        """Return the answer to a peer's greeting."""
+        self._hear(message)
+        return self._create_message()
+
+    def _create_message(self) -> messages_pb2.Message:
+        message = messages_pb2.Message(
+            sender=peer_messages.encode_peer(self.members.own)
+        )
+        status = message.host_status
+        status.SetInParent()
+        for name, load in self._router.loads.get_own().items():
+            status.loads.add(
+                target=name,
+                runs=load.runs,
+                tokens=load.tokens,
+                prefill_tokens=load.prefill_tokens,
+            )
+        for seen in self._router.weights.list_recent():
+            status.engines.add(
+                target=seen.target,
+                born_ms=seen.born_ms,
+                model=seen.model,
+                weights_version=seen.version,
+            )
+        for name, born_ms in self._rollout.loading:
+            status.engines.add(target=name, born_ms=born_ms, is_loading=True)
+        return message
+
+    def _hear(self, message: messages_pb2.Message) -> None:
+        """Learn all that a message tells."""
+        sender = peer_messages.decode_peer(message.sender)
+        self.members.note_heard(sender)
+        status = message.host_status
+        self._router.loads.note_peer(
+            sender.name,
+            {
+                load.target: loads.Load(
+                    load.runs, load.tokens, load.prefill_tokens
+                )
+                for load in status.loads
+            },
+            self._router.runtime.now(),
+        )
+        for engine in status.engines:
+            self._hear_engine(engine)
+
+    def _hear_engine(self, engine: messages_pb2.EngineState) -> None:
+        if engine.is_loading:
+            incarnation = (engine.target, engine.born_ms)
+            self._router.weights.note_loading(incarnation)
+            return
+        self._router.weights.merge(
+            beliefs.SeenWeights(
+                engine.target,
+                engine.born_ms,
+                engine.model,
+                engine.weights_version,
+            )
+        )
+
+    def _reject(self, rejection: envelopes.Rejection) -> None:
+        self.rejected += 1
+        self._router.sink.emit(
+            events.Event.PEER_REJECTED, reason=rejection.value
+        )
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -22,8 +22,10 @@
 from pistachioseam.forwarding import watches
 from pistachioseam import health
 from pistachioseam import links
+from pistachioseam import membership
 from pistachioseam_entry import call_admin
 from pistachioseam_entry import call_listener
+from pistachioseam_entry import call_peers
 from pistachioseam_entry import call_settings
 from pistachioseam_entry import lifecycle
 from pistachioseam_entry import logs
@@ -38,6 +40,8 @@
 """Part of the shutdown time that is left for the end of the process."""
 DRAIN_CHECK_SECONDS = 0.05
 MS = 1000.0
+WEIGHTS_MARGIN_SECONDS = 1.5
+"""Time that a call may wait at its engine before it begins to run."""
 
 
 @attrs.frozen(kw_only=True)
@@ -94,7 +98,10 @@
             adapter.store,
             adapter.engines,
             self._create_lease(),
-            self._get_standby_rank,
+            lambda: self.peers.get_standby_rank(),
+        )
+        self.peers = call_peers.CallPeers(
+            self._create_own_peer(), self.router, self.rollout, adapter.store
         )
         self._ports: list[typing.Any] = []
 
@@ -110,12 +117,17 @@
                 domain=options.host.domain, regions=options.regions
             ),
             desired=beliefs.DesiredKeeper(self.sink),
-            weights=beliefs.WeightsBoard(),
+            weights=beliefs.WeightsBoard(self.runtime),
             freshness=freshness.Freshness(options.bounds.revocation_ms / MS),
             catalog=catalog.TargetCatalog(self.sink),
             loads=loads.LoadBoard(),
-            budget=budgets.FleetBudget(options.retries, self._count_hosts),
+            budget=budgets.FleetBudget(
+                options.retries, lambda: self.peers.count_hosts()
+            ),
             health=health.HealthBoard(self.runtime, self.sink),
+            max_behind_seconds=(
+                options.bounds.weights_ms / MS - WEIGHTS_MARGIN_SECONDS
+            ),
         )
 
     def _create_lease(self) -> leases.Lease:
@@ -125,11 +137,15 @@
             read_boot_clock=read_boot_clock,
         )
 
-    def _count_hosts(self) -> int:
-        return 9
-
-    def _get_standby_rank(self) -> int:
-        return 0
+    def _create_own_peer(self) -> membership.Peer:
+        host = self.settings.host
+        token = self.router.random.token()
+        return membership.Peer(
+            name=host.name,
+            incarnation=f'{host.name}:{token}',
+            domain=host.domain,
+            address=host.peer_address,
+        )
 
     def __enter__(self) -> 'CallProcess':
         """Open the ports and start the timers."""
@@ -150,10 +166,12 @@
         self.runtime.start(self.desired_watch.run())
         self.runtime.start(self.targets_watch.run())
         self.runtime.start(self.rollout.run())
+        self.peers.__enter__()
         return self
 
     def __exit__(self, *_: object) -> None:
         """Close what is still open."""
+        self.peers.__exit__()
         self.runtime.__exit__()
         self.channels.__exit__()
 
@@ -200,6 +218,7 @@
                 await asyncio.sleep(NOTICE_SECONDS)
                 while self.listener.active:
                     await asyncio.sleep(DRAIN_CHECK_SECONDS)
+                await self.peers.leave()
         except TimeoutError:
             self.sink.emit(
                 events.Event.INTERNAL_ERROR,
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_replies.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_replies.py
@@ -29,7 +29,12 @@
         if self._aborted or self._request.channel is None:
             return
         self._aborted = True
-        self._request.channel.forceAbortClient()
+        channel = self._request.channel
+        if self._request.clientproto == b'HTTP/1.1':
+            # The missing end of the body tells; what is written arrives.
+            channel.loseConnection()
+        else:
+            channel.forceAbortClient()
 
     def is_aborted(self) -> bool:
         """Tell whether the answer was broken off."""
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_settings.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_settings.py
@@ -31,12 +31,14 @@
 class Bounds:
     """What the deployment promises.
 
-    `revocation_ms` bounds the use of a revoked key, `lease_ms` is the least
-    distance between orders of two hosts, `shutdown_seconds` the time from a
-    planned stop to its forced end.
+    `revocation_ms` bounds the use of a revoked key, `weights_ms` that of
+    weights for which newer ones are named. `lease_ms` is the least distance
+    between orders of two hosts, `shutdown_seconds` the time from a planned
+    stop to its forced end.
     """
 
     revocation_ms: float = attrs.field(validator=validators.check_positive)
+    weights_ms: float = attrs.field(validator=validators.check_positive)
     lease_ms: float = attrs.field(validator=validators.check_positive)
     shutdown_seconds: float = attrs.field(validator=validators.check_positive)
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/beliefs.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/beliefs.py
@@ -2,6 +2,8 @@
 
 from collections import abc
 
+import attrs
+
 from pistachioseam import events
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import desired
@@ -15,8 +17,7 @@
     def __init__(self, sink: interfaces.EventSink) -> None:
         self._sink = sink
         self.state: desired.DesiredState | None = None
-        self._named: dict[str, int] = {}
-        self._named_at: dict[str, float] = {}
+        self._named: dict[str, dict[int, float]] = {}
         self._listeners: list[abc.Callable[[], None]] = []
 
     def add_listener(self, listener: abc.Callable[[], None]) -> None:
@@ -27,9 +28,8 @@
         """Move forward to what was read; never back."""
         is_changed = self._apply_state(change.state)
         for model, version in change.weights.items():
-            if version > self._named.get(model, 0):
-                self._named[model] = version
-                self._named_at[model] = now
+            if version > self.get_named(model):
+                self._named.setdefault(model, {})[version] = now
                 is_changed = True
                 self._sink.emit(
                     events.Event.WEIGHTS_NAMED, model=model, version=version
@@ -56,35 +56,94 @@
 
     def get_named(self, model: str) -> int:
         """Return the newest version named for a model, 0 if none is."""
-        return self._named.get(model, 0)
-
-    def get_named_age(self, model: str, now: float) -> float:
-        """Return the seconds since the newest version became known."""
-        return now - self._named_at.get(model, now)
+        return max(self._named.get(model, {0: 0.0}))
+
+    def get_behind_seconds(
+        self, model: str, version: int, now: float
+    ) -> float:
+        """Return how long a version has been replaced; 0 if it is not."""
+        since = [
+            named_at
+            for named, named_at in self._named.get(model, {}).items()
+            if named > version
+        ]
+        return now - min(since) if since else 0.0
 
     def list_named(self) -> dict[str, int]:
         """Return the newest version of each model."""
-        return dict(self._named)
+        return {model: self.get_named(model) for model in self._named}
+
+
+RECENT_SECONDS = 3.0
+"""Time for which peers are told of a change; entries in the store follow."""
+LOADING_SECONDS = 0.8
+"""A word that an engine is loading is repeated before this has passed."""
+
+
+@attrs.frozen
+class SeenWeights:
+    """Version that an incarnation of an engine was seen to run."""
+
+    target: str
+    born_ms: int
+    model: str
+    version: int
 
 
 class WeightsBoard:
-    """Weights version that each incarnation of an engine was seen to run."""
+    """Versions that engines were seen to run, and engines that load."""
 
-    def __init__(self) -> None:
+    def __init__(self, runtime: interfaces.Runtime) -> None:
+        self._runtime = runtime
         self._seen: dict[tuple[str, int], dict[str, int]] = {}
+        self._changed: dict[SeenWeights, float] = {}
+        self._loading: dict[tuple[str, int], float] = {}
 
     def note(
         self, target: catalog.LiveTarget, model: str, version: int
     ) -> None:
         """Note a version; versions of an incarnation only grow."""
-        versions = self._seen.setdefault(target.get_incarnation(), {})
-        versions[model] = max(version, versions.get(model, 0))
+        if version <= self.get(target, model):
+            return
+        name, born_ms = target.get_incarnation()
+        self.merge(SeenWeights(name, born_ms, model, version))
+
+    def merge(self, seen: SeenWeights) -> None:
+        """Take in what this host or a peer has seen."""
+        incarnation = (seen.target, seen.born_ms)
+        versions = self._seen.setdefault(incarnation, {})
+        if seen.version <= versions.get(seen.model, 0):
+            return
+        versions[seen.model] = seen.version
+        self._changed[seen] = self._runtime.now()
+        self._loading.pop(incarnation, None)
 
     def get(self, target: catalog.LiveTarget, model: str) -> int:
         """Return the newest version seen or listed; 0 if unknown."""
         seen = self._seen.get(target.get_incarnation(), {})
         return max(seen.get(model, 0), target.weights.get(model, 0))
 
+    def list_recent(self) -> tuple[SeenWeights, ...]:
+        """Return what was seen lately, for peers."""
+        now = self._runtime.now()
+        for seen in [
+            seen
+            for seen, at in self._changed.items()
+            if now - at > RECENT_SECONDS
+        ]:
+            del self._changed[seen]
+        return tuple(self._changed)
+
+    def note_loading(self, incarnation: tuple[str, int]) -> None:
+        """Note that an engine takes no new runs while it loads."""
+        self._loading[incarnation] = self._runtime.now() + LOADING_SECONDS
+
+    def is_loading(self, target: catalog.LiveTarget) -> bool:
+        """Tell whether an engine was lately said to load."""
+        until = self._loading.get(target.get_incarnation(), 0.0)
+        return self._runtime.now() < until
+
     def forget(self, target: catalog.LiveTarget) -> None:
         """Drop an incarnation that has ended."""
         self._seen.pop(target.get_incarnation(), None)
+        self._loading.pop(target.get_incarnation(), None)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -49,6 +49,9 @@
         for target in router.catalog.list_service(call.service.name)
         if target.is_ready
     ]
+    ready = [
+        target for target in ready if _has_fit_weights(call, router, target)
+    ]
     tried = {attempt.target.name for attempt in call.attempts}
     usable = [target for target in ready if target.name not in tried] or ready
     usable = [
@@ -58,9 +61,25 @@
         target
         for target in usable
         if router.busy_until.get(target.name, 0.0) <= now
+        and not router.weights.is_loading(target)
     ] or usable
 
 
+def _has_fit_weights(
+    call: calls.Call,
+    router: routers.CallRouter,
+    target: catalog.LiveTarget,
+) -> bool:
+    """Tell whether a call that begins soon is still within the bound."""
+    if call.prompt is None:
+        return True
+    model = call.prompt.model
+    behind = router.desired.get_behind_seconds(
+        model, router.weights.get(target, model), router.runtime.now()
+    )
+    return behind < router.max_behind_seconds
+
+
 def _rank_homes(
     prompt: prompts.Prompt,
     usable: list[catalog.LiveTarget],
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -223,6 +223,11 @@
     ) -> result.Result[None, StoreTrouble]:
         """Announce this host to its peers."""
 
+    async def remove_host(
+        self, name: str
+    ) -> result.Result[None, StoreTrouble]:
+        """Take this host off the list."""
+
     async def list_hosts(
         self,
     ) -> result.Result[tuple[HostEntry, ...], StoreTrouble]:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -65,14 +65,23 @@
     return outdated
 
 
-def order_by_load(
+def order_by_need(
     outdated: abc.Sequence[OutdatedEngine], router: routers.CallRouter
 ) -> list[OutdatedEngine]:
-    """Return the engines with the fewest runs first; these drain soonest."""
+    """Return the engines that have been behind for longest first.
+
+    Load pattern: versions named faster than all engines can load them. By
+    load alone the same idle engines would load each version, and a busy one
+    none. Among equals the one with the fewest runs drains soonest.
+    """
     now = router.runtime.now()
-    return sorted(
-        outdated, key=lambda e: router.loads.get(e.target.name, now).runs
-    )
+
+    def rate(engine: OutdatedEngine) -> tuple[float, int]:
+        loaded = router.weights.get(engine.target, engine.model)
+        behind = router.desired.get_behind_seconds(engine.model, loaded, now)
+        return (-behind, router.loads.get(engine.target.name, now).runs)
+
+    return sorted(outdated, key=rate)
 
 
 class Rollout:
@@ -91,12 +100,17 @@
         self._control = control
         self._get_standby_rank = get_standby_rank
         self.lease = lease
+        self._listeners: list[abc.Callable[[], None]] = []
         self.loading: set[tuple[str, int]] = set()
         self._retry_at: dict[tuple[str, int], float] = {}
         self._renewing = asyncio.Lock()
         self._outdated_since: float | None = None
         self._observed_at = 0.0
 
+    def add_listener(self, listener: abc.Callable[[], None]) -> None:
+        """Call `listener` when engines begin to load."""
+        self._listeners.append(listener)
+
     async def run(self) -> None:
         """Work for ever."""
         await self._observe()
@@ -195,24 +209,30 @@
         service = outdated[0].target.service
         count = len(self._router.catalog.list_service(service))
         room = max(1, int(count * LOADING_SHARE)) - len(self.loading)
+        before = len(self.loading)
         now = self._router.read_boot_clock()
-        for engine in order_by_load(outdated, self._router):
+        for engine in order_by_need(outdated, self._router):
             incarnation = engine.target.get_incarnation()
             if room <= 0:
-                return
+                break
             if incarnation in self.loading:
                 continue
             if self._retry_at.get(incarnation, now) > now:
                 continue
             room -= 1
             self.loading.add(incarnation)
+            self._router.weights.note_loading(incarnation)
             self._router.runtime.start(self._bring_up(engine))
+        if len(self.loading) > before:
+            for listener in self._listeners:
+                listener()
 
     async def _bring_up(self, engine: OutdatedEngine) -> None:
         """Order one engine to load, and look until it has."""
         incarnation = engine.target.get_incarnation()
         try:
             while self._is_wanted(engine):
+                self._router.weights.note_loading(incarnation)
                 pause = await self._correct(engine)
                 if pause is None:
                     break
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -22,7 +22,8 @@
 class CallRouter:
     """Decisions of one host about forwarded calls.
 
-    `read_boot_clock` returns seconds that go on while the host is suspended.
+    `read_boot_clock` returns seconds that go on while the host is suspended,
+    `max_behind_seconds` bounds the use of weights that have been replaced.
     """
 
     runtime: interfaces.Runtime
@@ -38,6 +39,7 @@
     loads: loads.LoadBoard
     budget: budgets.FleetBudget
     health: health.HealthBoard
+    max_behind_seconds: float = float('inf')
     home_order: homes.HomeOrder = attrs.field(factory=homes.HomeOrder)
     busy_until: dict[str, float] = attrs.field(factory=dict)
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -18,6 +18,8 @@
 
 MAX_UNSENT = 4
 """Targets that may fail to take the channel before the call is refused."""
+MAX_REFUSED = 4
+"""Targets that may refuse a call before its caller is told to come back."""
 MIN_SECONDS_LEFT = 0.05
 """Less time than this is not worth another send."""
 BUSY_SECONDS = 0.25
@@ -148,6 +150,9 @@
         return refuse_failed(call, failure)
     if failure.kind is Kind.NOT_SENT:
         return None
+    refused = failures.count(Kind.BUSY.value)
+    if refused + failures.count(Kind.WRONG_TARGET.value) >= MAX_REFUSED:
+        return refuse_failed(call, failure)
     unsent = {kind.value for kind in UNSENT}
     ran = {a.target.name for a in call.attempts if a.failure not in unsent}
     if len(ran) >= call.route.max_targets:
--- /dev/null
+++ b/tests/call_fakes.py
@@ -0,0 +1,329 @@
+"""Fakes around the decisions on forwarded calls."""
+
+import asyncio
+from collections import abc
+import random
+import typing
+
+import attrs
+from returns import result
+
+from pistachioseam import events
+from pistachioseam.forwarding import beliefs
+from pistachioseam.forwarding import budgets
+from pistachioseam.forwarding import calls
+from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import desired
+from pistachioseam.forwarding import freshness
+from pistachioseam.forwarding import loads
+from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import prompts
+from pistachioseam.forwarding import router as routers
+from pistachioseam.forwarding import steps  # noqa: F401
+from pistachioseam import health
+from pistachioseam import interfaces
+from pistachioseam import links
+from pistachioseam_entry import runtime
+
+Kind = interfaces.FailureKind
+REQUEST_ID = 'request-1'
+MODEL = 'model-1'
+PLAIN = 'plain'
+ENGINES = 'engines'
+KEY = 'key-1'
+ROUTES = {
+    '/safe/': desired.Repetition.SAFE,
+    '/once/': desired.Repetition.ONCE,
+    '/stream/': desired.Repetition.STREAM,
+    '/resumable/': desired.Repetition.RESUMABLE,
+}
+TIMEOUT_SECONDS = 5.0
+
+
+class Sink:
+    """Keeps the events."""
+
+    def __init__(self) -> None:
+        self.events: list[tuple[events.Event, dict[str, object]]] = []
+
+    def emit(self, event: typing.Any, **fields: object) -> None:
+        """Record one event with its fields."""
+        self.events.append((event, fields))
+
+    def list_kinds(self) -> list[events.Event]:
+        """Return the kinds of the events in order."""
+        return [event for event, _ in self.events]
+
+
+class SeededRandom:
+    """Randomness that repeats."""
+
+    def __init__(self, seed: int = 1) -> None:
+        self._random = random.Random(seed)
+
+    def random(self) -> float:
+        """Return a float in [0, 1)."""
+        return self._random.random()
+
+    def token(self) -> str:
+        """Return a new unique token."""
+        return f'{self._random.getrandbits(64):x}'
+
+
+@attrs.define
+class Reply:
+    """Answer as its caller sees it."""
+
+    status: int = 0
+    headers: ports.HeaderPairs = ()
+    body: bytes = b''
+    is_broken: bool = False
+
+    async def begin(self, status: int, headers: ports.HeaderPairs) -> None:
+        """Send status and headers."""
+        assert not self.status
+        self.status = status
+        self.headers = headers
+
+    async def write(self, data: bytes) -> None:
+        """Send a part of the body."""
+        self.body += data
+
+    def is_begun(self) -> bool:
+        """Tell whether a status has been sent."""
+        return bool(self.status)
+
+    def abort(self) -> None:
+        """Break off."""
+        self.is_broken = True
+
+
+Chunk: typing.TypeAlias = bytes | interfaces.CallFailure | float
+
+
+class Answer:
+    """Answer of a target: chunks, pauses in seconds, then end or failure."""
+
+    def __init__(
+        self, head: ports.AnswerHead, chunks: abc.Sequence[Chunk]
+    ) -> None:
+        self.head = head
+        self.is_aborted = False
+        self.is_ended = False
+        self._chunks = list(chunks)
+
+    async def read(self) -> result.Result[bytes, interfaces.CallFailure]:
+        """Return the next chunk."""
+        while self._chunks:
+            chunk = self._chunks.pop(0)
+            if isinstance(chunk, float):
+                await asyncio.sleep(chunk)
+            elif isinstance(chunk, interfaces.CallFailure):
+                return result.Failure(chunk)
+            else:
+                return result.Success(chunk)
+        self.is_ended = True
+        return result.Success(b'')
+
+    def abort(self) -> None:
+        """Note that the rest is not wanted."""
+        self.is_aborted = not self.is_ended
+
+
+Step: typing.TypeAlias = Answer | interfaces.CallFailure | float
+
+
+class Link:
+    """Targets that answer by a script, in the order of the sends."""
+
+    def __init__(self) -> None:
+        self.script: list[abc.Sequence[Step]] = []
+        self.sent: list[tuple[str, ports.OutgoingCall]] = []
+
+    async def send(
+        self, address: str, call: ports.OutgoingCall
+    ) -> ports.SendResult:
+        """Answer with the next part of the script."""
+        self.sent.append((address, call))
+        steps_ = self.script.pop(0)
+        for step in steps_:
+            if isinstance(step, float):
+                await asyncio.sleep(step)
+            elif isinstance(step, interfaces.CallFailure):
+                return result.Failure(step)
+            else:
+                return result.Success(step)
+        raise AssertionError('script without an end')
+
+    def forget(self, address: str) -> None:
+        """Do nothing."""
+
+
+def answer(
+    status: int = 200,
+    chunks: abc.Sequence[Chunk] = (b'whole',),
+    **fields: typing.Any,
+) -> Answer:
+    """Return a target's own answer to the request."""
+    head = ports.AnswerHead(
+        status=status,
+        headers=((b'X-Own', b'%d' % status),),
+        request_id=fields.pop('request_id', REQUEST_ID),
+        stamp=fields.pop('stamp', 'stamp'),
+        **fields,
+    )
+    return Answer(head, chunks)
+
+
+def fail(kind: Kind) -> interfaces.CallFailure:
+    """Return a failed call."""
+    return interfaces.CallFailure(kind, 'fault')
+
+
+def event(number: int) -> bytes:
+    """Return one event of a stream."""
+    return b'id: %d\ndata: piece %d\n\n' % (number, number)
+
+
+def create_state(
+    version: int = 1, accounts: tuple[desired.Account, ...] | None = None
+) -> desired.DesiredState:
+    """Return a desired state with a route of each kind."""
+    routes = tuple(
+        desired.Route(
+            name=prefix.strip('/'),
+            host='host.example',
+            path_prefix=prefix,
+            repetition=repetition,
+            timeout_seconds=TIMEOUT_SECONDS,
+            objective_seconds=1.0,
+            priority=1,
+            services=(
+                desired.WeightedService(
+                    ENGINES if repetition.is_stream() else PLAIN, 1.0
+                ),
+            ),
+            max_targets=2,
+            is_public=accounts is None,
+            has_prompt=repetition.is_stream(),
+            max_gap_seconds=0.4,
+        )
+        for prefix, repetition in ROUTES.items()
+    )
+    engine = desired.Engine(
+        slots=8,
+        cache_tokens=50_000,
+        token_bytes=262_144,
+        bytes_per_second=1e11,
+        models=(MODEL,),
+    )
+    return desired.DesiredState(
+        version=version,
+        routes=routes,
+        services=(
+            desired.Service(name=PLAIN),
+            desired.Service(name=ENGINES, engine=engine),
+        ),
+        accounts=accounts,
+        limits=desired.RequestLimits(),
+    )
+
+
+def create_target(
+    number: int, service: str = PLAIN, **fields: typing.Any
+) -> catalog.LiveTarget:
+    """Return a ready target."""
+    values: dict[str, typing.Any] = {
+        'name': f'{service}-{number}',
+        'service': service,
+        'address': f'10.0.0.{number}:80',
+        'domain': 'd1',
+        'is_ready': True,
+        'slots': 6,
+        'born_ms': 1,
+        'weights': {MODEL: 1} if service == ENGINES else {},
+    }
+    return catalog.LiveTarget(**{**values, **fields})
+
+
+class Fleet:
+    """A router with known targets; times are of the running loop."""
+
+    def __init__(self, targets: abc.Sequence[catalog.LiveTarget] = ()) -> None:
+        self.sink = Sink()
+        self.link = Link()
+        self.runtime = runtime.AsyncioRuntime(self.sink)
+        self.router = self._create_router()
+        now = self.runtime.now()
+        change = catalog.TargetChange(
+            entries=tuple(targets), removed=(), is_whole=True
+        )
+        self.router.catalog.apply(change, now)
+        self.set_state(create_state())
+        self.router.freshness.note_confirmed(now)
+
+    def _create_router(self) -> routers.CallRouter:
+        region = links.Region(name='r1', domains=('d1', 'd2'))
+        return routers.CallRouter(
+            runtime=self.runtime,
+            read_boot_clock=self.runtime.now,
+            random=SeededRandom(),
+            sink=self.sink,
+            link=self.link,
+            topology=links.Topology(domain='d1', regions=(region,)),
+            desired=beliefs.DesiredKeeper(self.sink),
+            weights=beliefs.WeightsBoard(self.runtime),
+            freshness=freshness.Freshness(5.0),
+            catalog=catalog.TargetCatalog(self.sink),
+            loads=loads.LoadBoard(),
+            budget=budgets.FleetBudget(budgets.BudgetTerms(), lambda: 1),
+            health=health.HealthBoard(self.runtime, self.sink),
+        )
+
+    def set_state(
+        self,
+        state: desired.DesiredState | None,
+        weights: dict[str, int] | None = None,
+    ) -> None:
+        """Put a desired state and named weights in force."""
+        change = ports.DesiredChange(
+            state=state, weights=weights or {}, cursor=1
+        )
+        self.router.desired.apply(change, self.runtime.now())
+
+    def create_call(
+        self,
+        prefix: str,
+        prompt: prompts.Prompt | None = None,
+        key: str = '',
+        seconds_allowed: float | None = None,
+        after_event: str = '',
+    ) -> calls.Call:
+        """Return a call that has just been received."""
+        head = ports.CallHead(
+            request_id=REQUEST_ID,
+            host='host.example',
+            headers=((b'Host', b'host.example'),),
+            key=key,
+            seconds_allowed=seconds_allowed,
+            prompt=prompt,
+            after_event=after_event,
+        )
+        return calls.Call(
+            head=head,
+            method=b'POST',
+            uri=prefix.encode() + b'x',
+            body=b'body',
+            received_at=self.runtime.now(),
+            reply=Reply(),
+        )
+
+    async def serve(
+        self, prefix: str, *script: abc.Sequence[Step], **fields: typing.Any
+    ) -> tuple[calls.Call, Reply]:
+        """Pass a call through the filters while targets follow a script."""
+        self.link.script = list(script)
+        call = self.create_call(prefix, **fields)
+        await routers.run_filters(call, self.router)
+        assert isinstance(call.reply, Reply)
+        return call, call.reply
--- /dev/null
+++ b/tests/core/forwarding/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of forwarded calls."""
--- /dev/null
+++ b/tests/core/forwarding/test_catalog.py
@@ -0,0 +1,110 @@
+"""Entries of targets come, change, lapse and go."""
+
+from pistachioseam import events
+from pistachioseam.forwarding import catalog
+from tests import call_fakes
+from tests import support
+
+GRACE = catalog.RETURN_GRACE_SECONDS
+
+
+def create_catalog() -> tuple[catalog.TargetCatalog, call_fakes.Sink]:
+    """Return a catalog that knows two targets since second 0."""
+    sink = call_fakes.Sink()
+    targets = catalog.TargetCatalog(sink)
+    change(targets, 0.0, [1, 2], is_whole=True)
+    return targets, sink
+
+
+def change(
+    targets: catalog.TargetCatalog,
+    now: float,
+    numbers: list[int],
+    removed: tuple[str, ...] = (),
+    is_whole: bool = False,
+    **fields: object,
+) -> None:
+    """Apply a read."""
+    entries = tuple(
+        call_fakes.create_target(number, **fields) for number in numbers
+    )
+    targets.apply(
+        catalog.TargetChange(
+            entries=entries, removed=removed, is_whole=is_whole
+        ),
+        now,
+    )
+
+
+def list_names(targets: catalog.TargetCatalog) -> list[str]:
+    """Return the names of all targets."""
+    return sorted(target.name for target in targets.list_all())
+
+
+def test_removed_entry_is_gone_at_once(case: support.Case) -> None:
+    """A target without an entry gets nothing more."""
+    targets, sink = create_catalog()
+    change(targets, 1.0, [], removed=('plain-1',))
+    case.assertEqual(['plain-2'], list_names(targets))
+    case.assertIn(events.Event.TARGET_GONE, sink.list_kinds())
+
+
+def test_whole_read_removes_what_it_lacks(case: support.Case) -> None:
+    """After lost history the list is taken as it is."""
+    targets, _ = create_catalog()
+    change(targets, 1.0, [2], is_whole=True)
+    case.assertEqual(['plain-2'], list_names(targets))
+
+
+def test_lapsed_entries_have_time_to_return(case: support.Case) -> None:
+    """After an outage removed entries stay for the time they need."""
+    targets, _ = create_catalog()
+    change(targets, 5.0, [], removed=('plain-1', 'plain-2'))
+    case.assertEqual(['plain-1', 'plain-2'], list_names(targets))
+    change(targets, 6.0, [1])
+    change(targets, 5.0 + GRACE, [])
+    case.assertEqual(['plain-1'], list_names(targets))
+
+
+def test_removal_after_the_grace_is_final(case: support.Case) -> None:
+    """The grace ends a while after the outage."""
+    targets, _ = create_catalog()
+    change(targets, 5.0, [])
+    for second in (6.0, 7.0, 8.0):
+        change(targets, second, [])
+    change(targets, 9.0, [], removed=('plain-1',))
+    case.assertEqual(['plain-2'], list_names(targets))
+
+
+def test_leaving_state_is_taken_over(case: support.Case) -> None:
+    """A leaving target is still listed, but not ready."""
+    targets, sink = create_catalog()
+    change(targets, 1.0, [1], is_ready=False)
+    found = targets.get('plain-1')
+    case.assertFalse(found is None or found.is_ready)
+    case.assertIn(events.Event.TARGET_LEAVING, sink.list_kinds())
+
+
+def test_new_start_under_an_old_name_ends_the_old_one(
+    case: support.Case,
+) -> None:
+    """What was known of the former incarnation is void."""
+    targets, _ = create_catalog()
+    ended: list[catalog.LiveTarget] = []
+    targets.add_listener(ended.append)
+    change(targets, 1.0, [1], born_ms=2)
+    case.assertEqual([1], [target.born_ms for target in ended])
+
+
+def test_word_of_a_former_incarnation_is_ignored(case: support.Case) -> None:
+    """A late entry of an earlier start changes nothing."""
+    targets, _ = create_catalog()
+    change(targets, 1.0, [1], born_ms=5)
+    change(targets, 2.0, [1], born_ms=2, is_ready=False)
+    found = targets.get('plain-1')
+    case.assertTrue(found is not None and found.is_ready)
+
+
+def load_tests(*_: object) -> object:
+    """Load the functions of this module."""
+    return support.load_functions(globals())
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,131 @@
+"""Headers are decoded once, and what only the router says is its own."""
+
+from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import prompts
+from pistachioseam_platform import headers
+from tests import support
+
+REQUEST = (
+    (b'Host', b'Jepu9.example:80'),
+    (b'X-Pistachioseam-Request-Id', b'9c41'),
+    (b'Last-Event-Id', b'12'),
+    (b'X-Pistachioseam-Model', b'model-1'),
+    (b'X-Pistachioseam-Token-Count', b'1460,80'),
+    (b'X-Pistachioseam-Prompt-Prefix', b'5c1e:800,91bd:410,e440:250'),
+    (b'X-Pistachioseam-Deadline-Ms', b'5000'),
+    (b'Authorization', b'Bearer secret'),
+    (b'Connection', b'keep-alive, X-Hop'),
+    (b'X-Hop', b'1'),
+    (b'X-Other', b'kept'),
+)
+FORGED = (
+    b'X-Pistachioseam-Tenant',
+    b'X-Pistachioseam-Cache-Salt',
+    b'X-Pistachioseam-Kv-Fetch',
+    b'X-Pistachioseam-Kv-Save',
+    b'X-Pistachioseam-Kv-Backup',
+    b'X-Pistachioseam-Hold',
+    b'X-Pistachioseam-Pin-Ms',
+    b'X-Pistachioseam-Expect-Instance',
+    b'X-Pistachioseam-Expect-Version',
+    b'X-Pistachioseam-Request-Priority',
+    b'Kv-From',
+)
+
+
+def test_request_is_decoded(case: support.Case) -> None:
+    """Each header becomes a field that says what it holds."""
+    head = headers.HeaderCodec().decode_call(REQUEST)
+    case.assertEqual('9c41', head.request_id)
+    case.assertEqual('jepu9.example', head.host)
+    case.assertEqual('secret', head.key)
+    case.assertEqual(5.0, head.seconds_allowed)
+    case.assertEqual('12', head.after_event)
+    assert head.prompt is not None
+    case.assertEqual(1460, head.prompt.prompt_tokens)
+    case.assertEqual(80, head.prompt.output_tokens)
+    case.assertEqual(prompts.Part('5c1e', 800), head.prompt.parts[0])
+    case.assertEqual('91bd', head.prompt.get_home_part())
+
+
+def test_keys_and_hop_headers_are_not_passed_on(case: support.Case) -> None:
+    """Neither credentials nor headers of one channel reach a target."""
+    head = headers.HeaderCodec().decode_call(REQUEST)
+    names = {name for name, _ in head.headers}
+    case.assertNotIn(b'Authorization', names)
+    case.assertNotIn(b'X-Hop', names)
+    case.assertIn(b'X-Other', names)
+    case.assertIn(b'X-Pistachioseam-Prompt-Prefix', names)
+
+
+def test_forged_headers_are_dropped(case: support.Case) -> None:
+    """What only the router may say is taken from no caller."""
+    for name in FORGED:
+        for variant in (name, name.lower(), name.upper()):
+            pairs = (*REQUEST, (variant, b'forged'))
+            head = headers.HeaderCodec().decode_call(pairs)
+            case.assertNotIn(b'forged', [value for _, value in head.headers])
+
+
+def test_call_carries_what_the_router_says(case: support.Case) -> None:
+    """Each field that says something becomes one header."""
+    call = ports.OutgoingCall(
+        request_id='9c41',
+        method=b'POST',
+        uri=b'/x',
+        headers=((b'Host', b'h'),),
+        body=b'',
+        seconds_left=1.2345,
+        incarnation='i-1',
+        account='a',
+        cache_salt='s',
+        weights_version=3,
+        urgency=0,
+        fetch_from='10.0.0.1:1',
+        save_to='10.0.0.2:1',
+        after_event='7',
+    )
+    encoded = dict(headers.HeaderCodec().encode_call(call))
+    case.assertEqual(b'1234', encoded[headers.DEADLINE_MS])
+    case.assertEqual(b'i-1', encoded[headers.EXPECT_INSTANCE])
+    case.assertEqual(b'3', encoded[headers.EXPECT_VERSION])
+    case.assertEqual(b'0', encoded[headers.REQUEST_PRIORITY])
+    case.assertEqual(b'7', encoded[headers.LAST_EVENT_ID])
+
+
+def test_answer_is_decoded(case: support.Case) -> None:
+    """A declared refusal and a wrong instance are no runs."""
+    decode = headers.HeaderCodec().decode_answer
+    shed = decode(503, ((b'x-pistachioseam-not-executed', b'1'),))
+    case.assertTrue(shed.is_not_run)
+    other = decode(421, ((b'X-Pistachioseam-Instance-Id', b'i-2'),))
+    case.assertTrue(other.is_not_run)
+    case.assertEqual('i-2', other.other_incarnation)
+    plain = decode(503, ())
+    case.assertFalse(plain.is_not_run)
+    whole = decode(
+        200,
+        (
+            (b'X-Pistachioseam-Server-Stamp', b'mac'),
+            (b'X-Pistachioseam-Weight-Versions', b'4'),
+            (b'Content-Encoding', b'gzip'),
+        ),
+    )
+    case.assertEqual(('mac', 4), (whole.stamp, whole.weights_version))
+    case.assertTrue(whole.is_encoded)
+
+
+def test_malformed_prompts_are_none(case: support.Case) -> None:
+    """A request without sound token counts is forwarded without a prompt."""
+    for counts in (b'', b'a,b', b'1', b'1,2,3', b'-1,2'):
+        pairs = (
+            (b'X-Pistachioseam-Model', b'm'),
+            (b'X-Pistachioseam-Token-Count', counts),
+        )
+        head = headers.HeaderCodec().decode_call(pairs)
+        case.assertIsNone(head.prompt)
+
+
+def load_tests(*_: object) -> object:
+    """Load the functions of this module."""
+    return support.load_functions(globals())
