--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -7,7 +7,10 @@
 from pistachioseam import events
 from pistachioseam.forwarding import beliefs
 from pistachioseam.forwarding import loads
+from pistachioseam.forwarding import plans
 from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import prompts
+from pistachioseam.forwarding import residency
 from pistachioseam.forwarding import rollouts
 from pistachioseam.forwarding import router as routers
 from pistachioseam import membership
@@ -143,7 +146,15 @@
         """Tell the live peers what this host knows."""
         if self._client is not None:
             alive = [peer.address for peer in self.members.list_alive()]
-            self._client.tell(alive, self._create_message())
+            message = self._create_message()
+            for sighting in self._router.caches.take_sightings():
+                message.host_status.sightings.add(
+                    holder=sighting.holder,
+                    salt=sighting.salt,
+                    names=[part.name for part in sighting.parts],
+                    tokens=[part.tokens for part in sighting.parts],
+                )
+            self._client.tell(alive, message)
 
     def _greet_silent(self) -> None:
         """Try the peers that are silent, each once in a while."""
@@ -185,6 +196,7 @@
                 runs=load.runs,
                 tokens=load.tokens,
                 prefill_tokens=load.prefill_tokens,
+                transfer_ms=load.transfer_ms,
             )
         for seen in self._router.weights.list_recent():
             status.engines.add(
@@ -206,7 +218,10 @@
             sender.name,
             {
                 load.target: loads.Load(
-                    load.runs, load.tokens, load.prefill_tokens
+                    load.runs,
+                    load.tokens,
+                    load.prefill_tokens,
+                    load.transfer_ms,
                 )
                 for load in status.loads
             },
@@ -214,6 +229,21 @@
         )
         for engine in status.engines:
             self._hear_engine(engine)
+        for sighting in status.sightings:
+            self._hear_sighting(sighting)
+
+    def _hear_sighting(self, sighting: messages_pb2.CacheSighting) -> None:
+        parts = tuple(
+            prompts.Part(name, tokens)
+            for name, tokens in zip(
+                sighting.names, sighting.tokens, strict=True
+            )
+        )
+        plans.note_sighting(
+            self._router,
+            residency.Sighting(sighting.holder, sighting.salt, parts),
+            is_own=False,
+        )
 
     def _hear_engine(self, engine: messages_pb2.EngineState) -> None:
         if engine.is_loading:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -157,6 +157,7 @@
         )
         self.runtime.__enter__()
         self.router.catalog.add_listener(self._forget_target)
+        self.router.weights.add_listener(self.router.caches.forget)
         ready = server.Site(ReadinessResource(self))
         self._listen(self.listener.create_site(), host.listen_address)
         self._listen(ready, host.ready_address)
@@ -186,6 +187,7 @@
     def _forget_target(self, target: catalog.LiveTarget) -> None:
         """Drop what was kept for an incarnation that has ended."""
         self.router.weights.forget(target)
+        self.router.caches.forget(target.name)
         self.channels.forget(target.address)
 
     def is_ready(self) -> bool:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/beliefs.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/beliefs.py
@@ -98,6 +98,11 @@
         self._seen: dict[tuple[str, int], dict[str, int]] = {}
         self._changed: dict[SeenWeights, float] = {}
         self._loading: dict[tuple[str, int], float] = {}
+        self._listeners: list[abc.Callable[[str], None]] = []
+
+    def add_listener(self, listener: abc.Callable[[str], None]) -> None:
+        """Call `listener` with the name of an engine that has reloaded."""
+        self._listeners.append(listener)
 
     def note(
         self, target: catalog.LiveTarget, model: str, version: int
@@ -114,7 +119,10 @@
         versions = self._seen.setdefault(incarnation, {})
         if seen.version <= versions.get(seen.model, 0):
             return
+        is_reload = seen.model in versions
         versions[seen.model] = seen.version
+        for listener in self._listeners if is_reload else ():
+            listener(seen.target)
         self._changed[seen] = self._runtime.now()
         self._loading.pop(incarnation, None)
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -9,8 +9,8 @@
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import event_streams
 from pistachioseam.forwarding import loads
+from pistachioseam.forwarding import plans
 from pistachioseam.forwarding import ports
-from pistachioseam.forwarding import prompts
 from pistachioseam.forwarding import router as routers
 from pistachioseam import interfaces
 
@@ -42,6 +42,7 @@
             int(last) if last.isdigit() else None
         )
         self._ticket: loads.Ticket | None = None
+        self._plan: plans.RunPlan | None = None
 
     async def receive_from(
         self, target: catalog.LiveTarget
@@ -66,9 +67,15 @@
         prompt = self._call.prompt
         if prompt is None:
             return self._router.loads.begin(target.name, 0, 0)
-        own = prompt.parts[-1].tokens if prompt.parts else 0
+        self._plan = plans.plan_run(self._call, self._router, target)
+        plan = self._plan
+        plans.note_sent(self._router, target, plan)
+        read = plan.own_tokens + plan.read_tokens
         return self._router.loads.begin(
-            target.name, prompt.count_tokens(), own or prompt.prompt_tokens
+            target.name,
+            read + plan.source.tokens + prompt.output_tokens,
+            read,
+            int(plan.source.seconds * 1000),
         )
 
     async def _exchange(
@@ -77,6 +84,8 @@
         outgoing = create_outgoing(
             self._call, self._router, target, self._order.last_id
         )
+        if self._plan is not None:
+            outgoing = add_plan(outgoing, self._call, self._plan)
         sent = await self._router.link.send(target.address, outgoing)
         if not railway.is_successful(sent):
             return sent.failure()
@@ -230,7 +239,7 @@
     last_event: int | None,
 ) -> ports.OutgoingCall:
     """Return the call as it is sent to a target."""
-    outgoing = ports.OutgoingCall(
+    return ports.OutgoingCall(
         request_id=call.request_id,
         method=call.method,
         uri=call.uri,
@@ -243,31 +252,19 @@
         if last_event is None
         else (str(last_event)),
     )
-    if call.prompt is None:
-        return outgoing
-    return _add_engine_fields(call, router, target, outgoing)
 
 
-def _add_engine_fields(
-    call: calls.Call,
-    router: routers.CallRouter,
-    target: catalog.LiveTarget,
-    outgoing: ports.OutgoingCall,
+def add_plan(
+    outgoing: ports.OutgoingCall, call: calls.Call, plan: plans.RunPlan
 ) -> ports.OutgoingCall:
-    assert call.prompt is not None and router.desired.state is not None
-    model = call.prompt.model
-    version = router.weights.get(target, model)
-    account = call.account
-    isolated = account.name if account and account.is_isolated else ''
-    stores = router.desired.state.list_cache_stores()
-    store = stores[0].address if stores else ''
+    """Add what a planned run says to its engine."""
     return attrs.evolve(
         outgoing,
-        cache_salt=prompts.compute_salt(model, version, isolated),
-        weights_version=version or None,
+        cache_salt=plan.salt,
+        weights_version=plan.version or None,
         urgency=min(MAX_URGENCY, max(0, call.get_rank())),
-        fetch_from=store,
-        save_to=store,
+        fetch_from=plan.source.address,
+        save_to=plan.save_to,
     )
 
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/loads.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/loads.py
@@ -10,11 +10,15 @@
 
 @attrs.frozen
 class Load:
-    """Work at a target: runs, their memory and what is still to prefill."""
+    """Work at a target: runs, their memory and what is still to prefill.
+
+    `transfer_ms` is the time of the transfers that are still under way.
+    """
 
     runs: int = 0
     tokens: int = 0
     prefill_tokens: int = 0
+    transfer_ms: int = 0
 
     def add(self, other: 'Load') -> 'Load':
         """Return the sum of two loads."""
@@ -22,6 +26,7 @@
             self.runs + other.runs,
             self.tokens + other.tokens,
             self.prefill_tokens + other.prefill_tokens,
+            self.transfer_ms + other.transfer_ms,
         )
 
 
@@ -35,6 +40,7 @@
     target: str
     tokens: int
     prefill_tokens: int
+    transfer_ms: int = 0
 
 
 @attrs.define
@@ -50,15 +56,22 @@
         self._tickets: dict[str, set[Ticket]] = {}
         self._peers: dict[str, _PeerLoads] = {}
 
-    def begin(self, target: str, tokens: int, prefill_tokens: int) -> Ticket:
+    def begin(
+        self,
+        target: str,
+        tokens: int,
+        prefill_tokens: int,
+        transfer_ms: int = 0,
+    ) -> Ticket:
         """Count a call that is about to be sent."""
-        ticket = Ticket(target, tokens, prefill_tokens)
+        ticket = Ticket(target, tokens, prefill_tokens, transfer_ms)
         self._tickets.setdefault(target, set()).add(ticket)
         return ticket
 
     def note_prefilled(self, ticket: Ticket) -> None:
         """Note that the target has begun to answer."""
         ticket.prefill_tokens = 0
+        ticket.transfer_ms = 0
 
     def end(self, ticket: Ticket) -> None:
         """Take a call off its target."""
@@ -91,5 +104,12 @@
     def _sum(self, tickets: abc.Iterable[Ticket]) -> Load:
         load = NO_LOAD
         for ticket in tickets:
-            load = load.add(Load(1, ticket.tokens, ticket.prefill_tokens))
+            load = load.add(
+                Load(
+                    1,
+                    ticket.tokens,
+                    ticket.prefill_tokens,
+                    ticket.transfer_ms,
+                )
+            )
         return load
--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -6,12 +6,15 @@
 
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import plans
 from pistachioseam.forwarding import prompts
 from pistachioseam.forwarding import router as routers
 from pistachioseam.forwarding import selection
 
 HOMES = 3
 """Targets of a shared part that are weighed with their home rank."""
+HOME_STEP_SECONDS = 0.01
+"""Cost of each further rank, so that hosts read a new part in one place."""
 STALE_WEIGHTS_SECONDS = 0.4
 """Cost of running on weights for which newer ones are named."""
 
@@ -101,17 +104,14 @@
 ) -> selection.Candidate:
     assert call.service is not None and call.prompt is not None
     engine = call.service.engine
-    prompt = call.prompt
     load = router.loads.get(target.name, router.runtime.now())
     if engine is None:
         return selection.weigh_service(target, load, router.topology)
-    shared = sum(part.tokens for part in prompt.parts[:-1])
-    missing = 0 if ranks.get(target.name) == 0 else shared
+    plan = plans.plan_run(call, router, target)
     weighed = selection.weigh_engine(
-        target, engine, load, prompt.count_tokens(), missing, router.topology
+        target, engine, load, plan, call.prompt.output_tokens, router.topology
     )
-    named = router.desired.get_named(prompt.model)
-    if router.weights.get(target, prompt.model) >= named:
-        return weighed
-    other = weighed.other + STALE_WEIGHTS_SECONDS
+    other = weighed.other + HOME_STEP_SECONDS * ranks.get(target.name, HOMES)
+    if plan.version < router.desired.get_named(call.prompt.model):
+        other += STALE_WEIGHTS_SECONDS
     return attrs.evolve(weighed, other=other)
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/plans.py
@@ -0,0 +1,160 @@
+"""Plan of a model call at one engine: what it reads, fetches and saves."""
+
+import attrs
+
+from pistachioseam.forwarding import calls
+from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import desired
+from pistachioseam.forwarding import prompts
+from pistachioseam.forwarding import residency
+from pistachioseam.forwarding import router as routers
+from pistachioseam.forwarding import transfers
+
+CACHE_SHARE = 0.8
+"""Part of an engine's memory that its cached parts have on average."""
+
+
+@attrs.frozen(kw_only=True)
+class RunPlan:
+    """How a call would run at an engine.
+
+    `version` is what the engine is believed to run. `shared` are the parts
+    that other calls may have, `read_tokens` those of them to be read again,
+    `own_tokens` what must be read in any case.
+    """
+
+    version: int
+    salt: str
+    shared: tuple[prompts.Part, ...]
+    own_tokens: int
+    read_tokens: int
+    source: transfers.Source
+    save_to: str
+
+
+def plan_run(
+    call: calls.Call,
+    router: routers.CallRouter,
+    target: catalog.LiveTarget,
+) -> RunPlan:
+    """Return the plan of a model call at a target."""
+    prompt = call.prompt
+    service = call.service
+    assert prompt is not None and service is not None
+    version = router.weights.get(target, prompt.model)
+    account = call.account
+    isolated = account.name if account and account.is_isolated else ''
+    salt = prompts.compute_salt(prompt.model, version, isolated)
+    shared = prompt.parts[:-1]
+    shared_tokens = sum(part.tokens for part in shared)
+    cached = router.caches.count_leading(target.name, salt, shared)
+    store = find_store(router, target.domain)
+    source = transfers.NO_SOURCE
+    if cached < shared_tokens and service.engine is not None:
+        source = _choose_source(router, target, service, salt, shared, cached)
+    save_to = ''
+    if store is not None:
+        known = router.caches.count_leading(store.address, salt, shared)
+        save_to = store.address if known < shared_tokens else ''
+    return RunPlan(
+        version=version,
+        salt=salt,
+        shared=shared,
+        own_tokens=prompt.prompt_tokens - shared_tokens,
+        read_tokens=max(0, shared_tokens - cached - source.tokens),
+        source=source,
+        save_to=save_to,
+    )
+
+
+def _choose_source(
+    router: routers.CallRouter,
+    target: catalog.LiveTarget,
+    service: desired.Service,
+    salt: str,
+    shared: tuple[prompts.Part, ...],
+    cached: int,
+) -> transfers.Source:
+    assert service.engine is not None and router.desired.state is not None
+    holders = [
+        transfers.Holder(other.name, other.address, other.domain)
+        for other in router.catalog.list_service(service.name)
+        if other.name != target.name and router.health.is_usable(other.name)
+    ]
+    holders += [
+        transfers.Holder(store.address, store.address, store.domain)
+        for store in router.desired.state.list_cache_stores()
+    ]
+    engine = service.engine
+    seconds_per_token = engine.token_bytes / max(1.0, engine.bytes_per_second)
+    return transfers.choose_source(
+        holders,
+        shared,
+        salt,
+        cached,
+        seconds_per_token,
+        target.domain,
+        router.topology,
+        router.caches,
+    )
+
+
+def find_store(
+    router: routers.CallRouter, domain: str
+) -> desired.CacheStore | None:
+    """Return the store of cached parts that is nearest to a domain."""
+    state = router.desired.state
+    if state is None:
+        return None
+    return min(
+        state.list_cache_stores(),
+        key=lambda store: transfers.get_factor(
+            router.topology, domain, store.domain
+        ),
+        default=None,
+    )
+
+
+def note_sent(
+    router: routers.CallRouter, target: catalog.LiveTarget, plan: RunPlan
+) -> None:
+    """Note what a call that is being sent brings into the caches."""
+    if not plan.shared:
+        return
+    for holder in (target.name, plan.save_to):
+        if holder:
+            note_sighting(
+                router,
+                residency.Sighting(holder, plan.salt, plan.shared),
+                is_own=True,
+            )
+
+
+def note_sighting(
+    router: routers.CallRouter, sighting: residency.Sighting, is_own: bool
+) -> None:
+    """Note what is in a cache, as this host or a peer has seen."""
+    capacity = get_capacity(router, sighting.holder)
+    if capacity is None:
+        return
+    if is_own:
+        router.caches.note_use(sighting, capacity)
+    else:
+        router.caches.merge(sighting, capacity)
+
+
+def get_capacity(router: routers.CallRouter, holder: str) -> int | None:
+    """Return the tokens that a target's or store's cache can hold."""
+    state = router.desired.state
+    if state is None:
+        return None
+    target = router.catalog.get(holder)
+    if target is None:
+        for store in state.list_cache_stores():
+            if store.address == holder:
+                return store.capacity_tokens
+        return None
+    service = state.find_service(target.service)
+    if service is None or service.engine is None:
+        return None
+    return int(service.engine.cache_tokens * CACHE_SHARE)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -11,6 +11,7 @@
 from pistachioseam.forwarding import freshness
 from pistachioseam.forwarding import loads
 from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import residency
 from pistachioseam import health
 from pistachioseam import interfaces
 from pistachioseam import links
@@ -40,6 +41,9 @@
     budget: budgets.FleetBudget
     health: health.HealthBoard
     max_behind_seconds: float = float('inf')
+    caches: residency.ResidencyMap = attrs.field(
+        factory=residency.ResidencyMap
+    )
     home_order: homes.HomeOrder = attrs.field(factory=homes.HomeOrder)
     busy_until: dict[str, float] = attrs.field(factory=dict)
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/selection.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/selection.py
@@ -12,6 +12,7 @@
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import loads
+from pistachioseam.forwarding import plans
 from pistachioseam import links
 
 PREFILL_TOKENS_PER_SECOND = 40_000.0
@@ -20,8 +21,12 @@
 """Work of a call to a plain service; users' sheets."""
 COLD_FACTOR = 0.5
 """Part of a cold target's remaining warm-up that counts as waiting."""
-OVERFULL_SECONDS = 1.0
+OVERFULL_SECONDS = 2.0
 """Wait for each memory's worth of tokens beyond an engine's own."""
+MAX_FILL = 0.9
+"""Part of an engine's memory that runs may take before others wait."""
+WASTE_WEIGHT = 3.0
+"""Weight of reading again what is cached elsewhere: it delays all others."""
 
 
 @attrs.frozen(kw_only=True)
@@ -88,21 +93,24 @@
     target: catalog.LiveTarget,
     engine: desired.Engine,
     load: loads.Load,
-    tokens: int,
-    missing_tokens: int,
+    plan: plans.RunPlan,
+    output_tokens: int,
     topology: links.Topology,
 ) -> Candidate:
-    """Return the cost of an engine for a call of `tokens` in memory."""
+    """Return the cost of an engine for a planned run."""
     wait = load.prefill_tokens / PREFILL_TOKENS_PER_SECOND
-    fill = (load.tokens + tokens) / max(1, engine.cache_tokens)
-    if fill > 1.0:
-        wait += OVERFULL_SECONDS * (fill - 1.0)
+    wait += load.transfer_ms / 1000 if plan.source.tokens else 0.0
+    tokens = plan.own_tokens + plan.read_tokens + plan.source.tokens
+    fill = (load.tokens + tokens + output_tokens) / max(1, engine.cache_tokens)
+    if fill > MAX_FILL:
+        wait += OVERFULL_SECONDS * (fill - MAX_FILL)
     if load.runs >= engine.slots:
         wait += OVERFULL_SECONDS * (load.runs + 1 - engine.slots)
+    reading = plan.read_tokens / PREFILL_TOKENS_PER_SECOND
     return Candidate(
         target=target.name,
         wait=wait,
-        missing=missing_tokens / PREFILL_TOKENS_PER_SECOND,
+        missing=reading * (1.0 + WASTE_WEIGHT) + plan.source.seconds,
         latency=2 * topology.get_latency(target.domain),
         other=target.cold_seconds * COLD_FACTOR,
     )
--- a/tests/clocks.py
+++ b/tests/clocks.py
@@ -54,3 +54,9 @@
         loop.run_until_complete(asyncio.sleep(0))
         asyncio.set_event_loop(None)
         loop.close()
+
+
+async def settle() -> None:
+    """Let started coroutines run until they wait."""
+    for _ in range(10):
+        await asyncio.sleep(0)
--- /dev/null
+++ b/tests/core/forwarding/test_caches.py
@@ -0,0 +1,161 @@
+"""Shared parts are read once, and fetched or found afterwards."""
+
+import random
+
+from pistachioseam.forwarding import calls
+from pistachioseam.forwarding import desired
+from pistachioseam.forwarding import prompts
+from pistachioseam.forwarding import residency
+from pistachioseam.forwarding import router as routers
+from pistachioseam.forwarding import transfers
+from pistachioseam import links
+from tests import call_fakes
+from tests import clocks
+from tests import support
+
+MODEL = call_fakes.MODEL
+STORE = desired.CacheStore(
+    address='10.9.0.1:80',
+    domain='d9',
+    capacity_tokens=1_000_000,
+    bytes_per_second=4e10,
+)
+TOPOLOGY = links.Topology(
+    domain='d1',
+    regions=(
+        links.Region(name='r1', domains=('d1', 'd2')),
+        links.Region(name='r9', domains=('d9',)),
+    ),
+)
+PARTS = (prompts.Part('base', 2000), prompts.Part('subject', 4000))
+SECONDS_PER_TOKEN = 2e-6
+ENGINE_SLOTS = 8
+
+
+def create_fleet(count: int) -> call_fakes.Fleet:
+    """Return engines with a store of cached parts."""
+    fleet = call_fakes.Fleet(
+        [call_fakes.create_target(n, call_fakes.ENGINES) for n in range(count)]
+    )
+    state = call_fakes.create_state(2)
+    service = desired.Service(name='store', cache_store=STORE)
+    fleet.set_state(
+        desired.DesiredState(
+            version=2,
+            routes=state.routes,
+            services=(*state.services, service),
+            accounts=None,
+            limits=state.limits,
+        )
+    )
+    return fleet
+
+
+def create_prompt(subject: str, own: int) -> prompts.Prompt:
+    """Return a prompt that shares two parts."""
+    parts = (
+        prompts.Part('base', 2000),
+        prompts.Part(subject, 4000),
+        prompts.Part(f'own-{own}', 1000),
+    )
+    return prompts.Prompt(
+        model=MODEL, prompt_tokens=7000, output_tokens=10, parts=parts
+    )
+
+
+def test_least_recently_used_parts_yield(case: support.Case) -> None:
+    """The first part of a chain outlives those behind it."""
+    cache = residency.CacheModel(9000)
+    cache.note_use('s', PARTS)
+    cache.note_use('s', (PARTS[0], prompts.Part('other', 4000)))
+    case.assertEqual(6000, cache.count_leading('s', PARTS[:1]) + 4000)
+    case.assertEqual(2000, cache.count_leading('s', PARTS))
+    case.assertEqual(0, cache.count_leading('t', PARTS))
+
+
+def test_nearest_source_of_the_most_tokens_is_chosen(
+    case: support.Case,
+) -> None:
+    """Distance decides among equals; more tokens go before distance."""
+    caches = residency.ResidencyMap()
+    for holder, parts in (
+        ('far', PARTS),
+        ('near', PARTS),
+        ('half', PARTS[:1]),
+    ):
+        caches.merge(residency.Sighting(holder, 's', parts), 100_000)
+    holders = [
+        transfers.Holder('far', 'far:1', 'd9'),
+        transfers.Holder('half', 'half:1', 'd1'),
+        transfers.Holder('near', 'near:1', 'd2'),
+    ]
+
+    def choose(own_tokens: int) -> transfers.Source:
+        return transfers.choose_source(
+            holders,
+            PARTS,
+            's',
+            own_tokens,
+            SECONDS_PER_TOKEN,
+            'd1',
+            TOPOLOGY,
+            caches,
+        )
+
+    chosen = choose(0)
+    case.assertEqual('near:1', chosen.address)
+    case.assertAlmostEqual(6000 * SECONDS_PER_TOKEN * 2, chosen.seconds)
+    case.assertEqual(4000, choose(2000).tokens)
+    case.assertIs(transfers.NO_SOURCE, choose(6000))
+
+
+def test_shared_parts_are_read_once(case: support.Case) -> None:
+    """Nested prompts beyond one engine's memory: one read for each part."""
+
+    async def run() -> None:
+        fleet = create_fleet(4)
+        random_ = random.Random(1)
+        reads: list[str] = []
+        for number in range(200):
+            subject = f'subject-{random_.randrange(20)}'
+            call, _ = await fleet.serve(
+                '/stream/',
+                [call_fakes.answer(chunks=(call_fakes.event(1),))],
+                prompt=create_prompt(subject, number),
+            )
+            case.assertTrue(call.is_served)
+            sent = fleet.link.sent[-1][1]
+            if sent.save_to:
+                reads.append(subject)
+        case.assertEqual(20, len(set(reads)))
+        case.assertEqual(20, len(reads))
+
+    clocks.run(run())
+
+
+def test_hot_part_spreads_under_load(case: support.Case) -> None:
+    """Calls for one subject beyond an engine's slots go to others too."""
+
+    async def run() -> None:
+        fleet = create_fleet(4)
+        busy: set[str] = set()
+        for number in range(24):
+            fleet.link.script = [
+                [call_fakes.answer(chunks=(call_fakes.event(1), 60.0))]
+            ]
+            call = fleet.create_call('/stream/', create_prompt('hot', number))
+            fleet.runtime.start(_serve(fleet, call))
+            await clocks.settle()
+            busy.add(fleet.link.sent[-1][0])
+        case.assertGreaterEqual(len(busy), 24 // ENGINE_SLOTS)
+
+    clocks.run(run())
+
+
+async def _serve(fleet: call_fakes.Fleet, call: calls.Call) -> None:
+    await routers.run_filters(call, fleet.router)
+
+
+def load_tests(*_: object) -> object:
+    """Load the functions of this module."""
+    return support.load_functions(globals())
