Know the store's speed and queue, and own parts, when parts are fetched

The model left out each call's own part, which pushes others out, and took a fetch from the store for as fast as one between engines, though its link is a third as fast and its transfers queue.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
@@ -17,6 +17,7 @@
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import router as routers
 from pistachioseam.forwarding import steps  # noqa: F401
+from pistachioseam.forwarding.steps import inform
 from pistachioseam import refusals
 from pistachioseam_entry import call_replies
 from pistachioseam_entry import listener
@@ -50,6 +51,7 @@
         super().__init__()
         self.active = 0
         self.is_draining = False
+        self.is_closing = False
         self._router = router
         self._decoder = decoder
         self._metrics = measures
@@ -169,6 +171,8 @@
                 refusals.Reason.HEADERS_TOO_LARGE,
                 'the headers are too large',
             )
+        if self.is_closing:
+            return inform.refuse_uninformed('this host is about to stop')
         if not call.request_id:
             return refusals.Refusal(
                 400, refusals.Reason.BAD_REQUEST, 'the request has no id'
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -36,7 +36,7 @@
 
 NOTICE_SECONDS = 2.5
 """The balancer asks once a second and reacts to the second miss."""
-LAST_SECONDS = 1.0
+LAST_SECONDS = 0.4
 """Part of the shutdown time that is left for the end of the process."""
 DRAIN_CHECK_SECONDS = 0.05
 MS = 1000.0
@@ -218,6 +218,7 @@
         try:
             async with asyncio.timeout(seconds):
                 await asyncio.sleep(NOTICE_SECONDS)
+                self.listener.is_closing = True
                 while self.listener.active:
                     await asyncio.sleep(DRAIN_CHECK_SECONDS)
                 await self.peers.leave()
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_channels.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_channels.py
@@ -32,9 +32,9 @@
 """Targets close idle channels after a few seconds."""
 MAX_IDLE_CHANNELS = 16
 """Kept channels to one target; each takes one of its places."""
-UNACKNOWLEDGED_MS = 2_000
+UNACKNOWLEDGED_MS = 2_500
 """Sent data that no one acknowledges for so long ends a channel."""
-KEEPALIVE_SECONDS = 2
+KEEPALIVE_SECONDS = 1
 """Silence after which, and pause at which, a channel is probed."""
 KEEPALIVE_PROBES = 2
 """Unanswered probes that end a channel."""
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -42,6 +42,7 @@
             int(last) if last.isdigit() else None
         )
         self._ticket: loads.Ticket | None = None
+        self._source_ticket: loads.Ticket | None = None
         self._plan: plans.RunPlan | None = None
 
     async def receive_from(
@@ -54,7 +55,7 @@
         try:
             failure = await self._exchange(target)
         finally:
-            self._router.loads.end(self._ticket)
+            self._end_loads()
         if failure is not None and failure.kind in (
             Kind.NOT_SENT,
             Kind.BUSY,
@@ -63,6 +64,12 @@
             self._call.may_have_run = ran_before
         return failure
 
+    def _end_loads(self) -> None:
+        for ticket in (self._ticket, self._source_ticket):
+            if ticket is not None:
+                self._router.loads.end(ticket)
+        self._ticket = self._source_ticket = None
+
     def _begin_load(self, target: catalog.LiveTarget) -> loads.Ticket:
         prompt = self._call.prompt
         if prompt is None:
@@ -70,12 +77,17 @@
         self._plan = plans.plan_run(self._call, self._router, target)
         plan = self._plan
         plans.note_sent(self._router, target, plan)
+        transfer_ms = int(plan.source.seconds * plans.MS)
+        if plan.source.name:
+            self._source_ticket = self._router.loads.begin_transfer(
+                plan.source.name, transfer_ms
+            )
         read = plan.own_tokens + plan.read_tokens
         return self._router.loads.begin(
             target.name,
             read + plan.source.tokens + prompt.output_tokens,
             read,
-            int(plan.source.seconds * 1000),
+            transfer_ms,
         )
 
     async def _exchange(
@@ -154,6 +166,9 @@
             self._call.first_byte_at = self._router.runtime.now()
         if self._ticket is not None:
             self._router.loads.note_prefilled(self._ticket)
+        if self._source_ticket is not None:
+            self._router.loads.end(self._source_ticket)
+            self._source_ticket = None
 
     async def _relay(
         self, answer: ports.OpenAnswer
--- a/packages/pistachioseam/src/pistachioseam/forwarding/loads.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/loads.py
@@ -41,6 +41,7 @@
     tokens: int
     prefill_tokens: int
     transfer_ms: int = 0
+    is_run: bool = True
 
 
 @attrs.define
@@ -68,6 +69,12 @@
         self._tickets.setdefault(target, set()).add(ticket)
         return ticket
 
+    def begin_transfer(self, source: str, transfer_ms: int) -> Ticket:
+        """Count a transfer that a call has its target fetch."""
+        ticket = Ticket(source, 0, 0, transfer_ms, is_run=False)
+        self._tickets.setdefault(source, set()).add(ticket)
+        return ticket
+
     def note_prefilled(self, ticket: Ticket) -> None:
         """Note that the target has begun to answer."""
         ticket.prefill_tokens = 0
@@ -106,7 +113,7 @@
         for ticket in tickets:
             load = load.add(
                 Load(
-                    1,
+                    1 if ticket.is_run else 0,
                     ticket.tokens,
                     ticket.prefill_tokens,
                     ticket.transfer_ms,
--- a/packages/pistachioseam/src/pistachioseam/forwarding/plans.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/plans.py
@@ -10,22 +10,24 @@
 from pistachioseam.forwarding import router as routers
 from pistachioseam.forwarding import transfers
 
-CACHE_SHARE = 0.8
-"""Part of an engine's memory that its cached parts have on average."""
+CACHE_SHARE = 0.9
+"""Part of an engine's memory that the parts of prompts have on average."""
+
+MS = 1000.0
 
 
 @attrs.frozen(kw_only=True)
 class RunPlan:
     """How a call would run at an engine.
 
-    `version` is what the engine is believed to run. `shared` are the parts
-    that other calls may have, `read_tokens` those of them to be read again,
-    `own_tokens` what must be read in any case.
+    `version` is what the engine is believed to run. Of the parts that other
+    calls share, `read_tokens` are to be read again; `own_tokens` must be read
+    in any case.
     """
 
     version: int
     salt: str
-    shared: tuple[prompts.Part, ...]
+    parts: tuple[prompts.Part, ...]
     own_tokens: int
     read_tokens: int
     source: transfers.Source
@@ -59,7 +61,7 @@
     return RunPlan(
         version=version,
         salt=salt,
-        shared=shared,
+        parts=prompt.parts,
         own_tokens=prompt.prompt_tokens - shared_tokens,
         read_tokens=max(0, shared_tokens - cached - source.tokens),
         source=source,
@@ -76,29 +78,56 @@
     cached: int,
 ) -> transfers.Source:
     assert service.engine is not None and router.desired.state is not None
-    holders = [
-        transfers.Holder(other.name, other.address, other.domain)
-        for other in router.catalog.list_service(service.name)
-        if other.name != target.name and router.health.is_usable(other.name)
-    ]
-    holders += [
-        transfers.Holder(store.address, store.address, store.domain)
-        for store in router.desired.state.list_cache_stores()
-    ]
     engine = service.engine
-    seconds_per_token = engine.token_bytes / max(1.0, engine.bytes_per_second)
+    receiver = transfers.Receiver(
+        domain=target.domain,
+        own_tokens=cached,
+        token_bytes=engine.token_bytes,
+        bytes_per_second=engine.bytes_per_second,
+    )
     return transfers.choose_source(
-        holders,
+        receiver,
+        _list_holders(router, target, service),
         shared,
         salt,
-        cached,
-        seconds_per_token,
-        target.domain,
         router.topology,
         router.caches,
     )
 
 
+def _list_holders(
+    router: routers.CallRouter,
+    receiver: catalog.LiveTarget,
+    service: desired.Service,
+) -> list[transfers.Holder]:
+    """Return the other engines and the stores, with their queues."""
+    assert service.engine is not None and router.desired.state is not None
+    now = router.runtime.now()
+    holders = [
+        transfers.Holder(
+            name=other.name,
+            address=other.address,
+            domain=other.domain,
+            bytes_per_second=service.engine.bytes_per_second,
+            wait_seconds=router.loads.get(other.name, now).transfer_ms / MS,
+        )
+        for other in router.catalog.list_service(service.name)
+        if other.name != receiver.name
+        and not router.health.is_suspected(other.name)
+    ]
+    holders += [
+        transfers.Holder(
+            name=store.address,
+            address=store.address,
+            domain=store.domain,
+            bytes_per_second=store.bytes_per_second,
+            wait_seconds=router.loads.get(store.address, now).transfer_ms / MS,
+        )
+        for store in router.desired.state.list_cache_stores()
+    ]
+    return holders
+
+
 def find_store(
     router: routers.CallRouter, domain: str
 ) -> desired.CacheStore | None:
@@ -119,13 +148,11 @@
     router: routers.CallRouter, target: catalog.LiveTarget, plan: RunPlan
 ) -> None:
     """Note what a call that is being sent brings into the caches."""
-    if not plan.shared:
-        return
     for holder in (target.name, plan.save_to):
-        if holder:
+        if holder and plan.parts:
             note_sighting(
                 router,
-                residency.Sighting(holder, plan.salt, plan.shared),
+                residency.Sighting(holder, plan.salt, plan.parts),
                 is_own=True,
             )
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/selection.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/selection.py
@@ -13,10 +13,9 @@
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import loads
 from pistachioseam.forwarding import plans
+from pistachioseam.forwarding import transfers
 from pistachioseam import links
 
-PREFILL_TOKENS_PER_SECOND = 40_000.0
-"""Speed at which engines read prompts; users' sheets."""
 RUN_SECONDS = 0.1
 """Work of a call to a plain service; users' sheets."""
 COLD_FACTOR = 0.5
@@ -25,8 +24,6 @@
 """Wait for each memory's worth of tokens beyond an engine's own."""
 MAX_FILL = 0.9
 """Part of an engine's memory that runs may take before others wait."""
-WASTE_WEIGHT = 3.0
-"""Weight of reading again what is cached elsewhere: it delays all others."""
 
 
 @attrs.frozen(kw_only=True)
@@ -98,19 +95,20 @@
     topology: links.Topology,
 ) -> Candidate:
     """Return the cost of an engine for a planned run."""
-    wait = load.prefill_tokens / PREFILL_TOKENS_PER_SECOND
-    wait += load.transfer_ms / 1000 if plan.source.tokens else 0.0
+    wait = load.prefill_tokens / transfers.PREFILL_TOKENS_PER_SECOND
+    if plan.source.tokens:
+        wait += load.transfer_ms / 1000 + plan.source.wait_seconds
     tokens = plan.own_tokens + plan.read_tokens + plan.source.tokens
     fill = (load.tokens + tokens + output_tokens) / max(1, engine.cache_tokens)
     if fill > MAX_FILL:
         wait += OVERFULL_SECONDS * (fill - MAX_FILL)
     if load.runs >= engine.slots:
         wait += OVERFULL_SECONDS * (load.runs + 1 - engine.slots)
-    reading = plan.read_tokens / PREFILL_TOKENS_PER_SECOND
+    reading = plan.read_tokens * transfers.READ_SECONDS_PER_TOKEN
     return Candidate(
         target=target.name,
         wait=wait,
-        missing=reading * (1.0 + WASTE_WEIGHT) + plan.source.seconds,
+        missing=reading + plan.source.seconds,
         latency=2 * topology.get_latency(target.domain),
         other=target.cold_seconds * COLD_FACTOR,
     )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/transfers.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/transfers.py
@@ -19,27 +19,46 @@
 """A transfer between regions takes ten times as long; users' page."""
 MAX_WAIT_SECONDS = 1.5
 """An engine does not start a transfer that would wait for two seconds."""
+PREFILL_TOKENS_PER_SECOND = 40_000.0
+"""Speed at which engines read prompts; users' sheets."""
+WASTE_WEIGHT = 3.0
+"""Weight of reading again what is cached elsewhere: it delays all others."""
+READ_SECONDS_PER_TOKEN = (1.0 + WASTE_WEIGHT) / PREFILL_TOKENS_PER_SECOND
+"""Cost of reading a token that could have been fetched."""
 
 
 @attrs.frozen
 class Holder:
-    """Target or store that may hold parts; `name` is its cache's name."""
+    """Target or store that may hold parts.
+
+    `name` is its cache's name, `bytes_per_second` the speed of its link and
+    `wait_seconds` the time of the transfers that it has begun.
+    """
 
     name: str
     address: str
     domain: str
+    bytes_per_second: float
+    wait_seconds: float
 
 
 @attrs.frozen(kw_only=True)
 class Source:
-    """Where to fetch parts from; `tokens` beyond those of the engine."""
+    """Where to fetch parts from; `tokens` beyond those of the engine.
+
+    `seconds` is the time of the transfer, `wait_seconds` that before it.
+    """
 
+    name: str
     address: str
     tokens: int
     seconds: float
+    wait_seconds: float
 
 
-NO_SOURCE = Source(address='', tokens=0, seconds=0.0)
+NO_SOURCE = Source(
+    name='', address='', tokens=0, seconds=0.0, wait_seconds=0.0
+)
 
 
 def get_factor(topology: links.Topology, here: str, there: str) -> float:
@@ -51,30 +70,42 @@
     return DISTANT_FACTOR
 
 
+@attrs.frozen(kw_only=True)
+class Receiver:
+    """Engine that is to fetch; `own_tokens` of the parts it has already."""
+
+    domain: str
+    own_tokens: int
+    token_bytes: int
+    bytes_per_second: float
+
+
 def choose_source(
+    receiver: Receiver,
     holders: abc.Iterable[Holder],
     parts: abc.Sequence[prompts.Part],
     salt: str,
-    own_tokens: int,
-    seconds_per_token: float,
-    domain: str,
     topology: links.Topology,
     caches: residency.ResidencyMap,
 ) -> Source:
-    """Return the source that leaves the least to read, nearest first.
-
-    `own_tokens` are cached at the engine in `domain` already;
-    `seconds_per_token` is the time of a transfer within one domain.
-    """
-    best = NO_SOURCE
+    """Return the source that saves the most time, if any saves time."""
+    best, best_gain = NO_SOURCE, 0.0
     for holder in holders:
-        tokens = caches.count_leading(holder.name, salt, parts) - own_tokens
-        if tokens <= 0 or tokens < best.tokens:
+        held = caches.count_leading(holder.name, salt, parts)
+        tokens = held - receiver.own_tokens
+        if tokens <= 0 or holder.wait_seconds > MAX_WAIT_SECONDS:
             continue
-        factor = get_factor(topology, domain, holder.domain)
-        seconds = tokens * seconds_per_token * factor
-        if tokens > best.tokens or seconds < best.seconds:
+        factor = get_factor(topology, receiver.domain, holder.domain)
+        speed = min(holder.bytes_per_second, receiver.bytes_per_second)
+        seconds = tokens * receiver.token_bytes / max(1.0, speed) * factor
+        gain = tokens * READ_SECONDS_PER_TOKEN - seconds - holder.wait_seconds
+        if gain > best_gain:
+            best_gain = gain
             best = Source(
-                address=holder.address, tokens=tokens, seconds=seconds
+                name=holder.name,
+                address=holder.address,
+                tokens=tokens,
+                seconds=seconds,
+                wait_seconds=holder.wait_seconds,
             )
     return best
--- a/packages/pistachioseam/src/pistachioseam/health.py
+++ b/packages/pistachioseam/src/pistachioseam/health.py
@@ -147,6 +147,10 @@
             self._suspected.discard(target)
             self._sink.emit(events.Event.TARGET_RECOVERED, target=target)
 
+    def is_suspected(self, target: str) -> bool:
+        """Tell whether the target is not healthy, probe due or not."""
+        return target in self._suspected
+
     def list_suspected(self) -> tuple[str, ...]:
         """Return the names of targets that are not healthy."""
         return tuple(sorted(self._suspected))
--- a/tests/core/forwarding/test_caches.py
+++ b/tests/core/forwarding/test_caches.py
@@ -29,6 +29,7 @@
 )
 PARTS = (prompts.Part('base', 2000), prompts.Part('subject', 4000))
 SECONDS_PER_TOKEN = 2e-6
+TOKEN_BYTES = 262_144
 ENGINE_SLOTS = 8
 
 
@@ -85,21 +86,25 @@
     ):
         caches.merge(residency.Sighting(holder, 's', parts), 100_000)
     holders = [
-        transfers.Holder('far', 'far:1', 'd9'),
-        transfers.Holder('half', 'half:1', 'd1'),
-        transfers.Holder('near', 'near:1', 'd2'),
+        transfers.Holder(
+            name=name,
+            address=f'{name}:1',
+            domain=domain,
+            bytes_per_second=4e11,
+            wait_seconds=0.0,
+        )
+        for name, domain in (('far', 'd9'), ('half', 'd1'), ('near', 'd2'))
     ]
 
     def choose(own_tokens: int) -> transfers.Source:
+        receiver = transfers.Receiver(
+            domain='d1',
+            own_tokens=own_tokens,
+            token_bytes=TOKEN_BYTES,
+            bytes_per_second=TOKEN_BYTES / SECONDS_PER_TOKEN,
+        )
         return transfers.choose_source(
-            holders,
-            PARTS,
-            's',
-            own_tokens,
-            SECONDS_PER_TOKEN,
-            'd1',
-            TOPOLOGY,
-            caches,
+            receiver, holders, PARTS, 's', TOPOLOGY, caches
         )
 
     chosen = choose(0)
