Roll out the oldest weights first, tell of first reads at once

The oldest version goes first now; peers tell ages; until then old weights are a last resort. Also: parts count as a source only once they are read, and peers hear of a first read within 20 ms instead of 350.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -22,6 +22,8 @@
 
 GOSSIP_SECONDS = 0.35
 """Pause between two messages to each peer; bytes between zones are dear."""
+SIGHTING_SECONDS = 0.02
+"""Time for which parts that begin to be read are gathered for peers."""
 HOSTS_SECONDS = 5.0
 """Pause between reads of the list of hosts."""
 RETRY_SECONDS = 0.5
@@ -53,6 +55,7 @@
         self._rollout = rollout
         self._store = store
         self._is_listed = False
+        self._is_telling = False
         self._client: clients.PeerClient | None = None
         self._server: servers.PeerServer | None = None
         self._tried_at: dict[str, float] = {}
@@ -61,6 +64,7 @@
         """Start to look for peers."""
         self._router.runtime.start(self._run())
         self._rollout.add_listener(self.tell)
+        self._router.first_read_listeners.append(self._tell_sightings_soon)
         return self
 
     def __exit__(self, *_: object) -> None:
@@ -144,18 +148,40 @@
 
     def tell(self) -> None:
         """Tell the live peers what this host knows."""
+        message = self._create_message()
+        self._add_sightings(message.host_status)
+        self._send(message)
+
+    def _tell_sightings_soon(self) -> None:
+        """Tell of parts that are being read, before others read them too."""
+        if self._is_telling:
+            return
+        self._is_telling = True
+        self._router.runtime.start(self._tell_sightings())
+
+    async def _tell_sightings(self) -> None:
+        await self._router.runtime.sleep(SIGHTING_SECONDS)
+        self._is_telling = False
+        message = self._create_empty_message()
+        message.host_status.is_partial = True
+        self._add_sightings(message.host_status)
+        self._send(message)
+
+    def _send(self, message: messages_pb2.Message) -> None:
         if self._client is not None:
             alive = [peer.address for peer in self.members.list_alive()]
-            message = self._create_message()
-            for sighting in self._router.caches.take_sightings():
-                message.host_status.sightings.add(
-                    holder=sighting.holder,
-                    salt=sighting.salt,
-                    names=[part.name for part in sighting.parts],
-                    tokens=[part.tokens for part in sighting.parts],
-                )
             self._client.tell(alive, message)
 
+    def _add_sightings(self, status: messages_pb2.HostStatus) -> None:
+        for sighting in self._router.caches.take_sightings():
+            status.sightings.add(
+                holder=sighting.holder,
+                salt=sighting.salt,
+                names=[part.name for part in sighting.parts],
+                tokens=[part.tokens for part in sighting.parts],
+                ready_ms=int(sighting.ready_seconds * plans.MS),
+            )
+
     def _greet_silent(self) -> None:
         """Try the peers that are silent, each once in a while."""
         now = self._router.runtime.now()
@@ -184,12 +210,23 @@
         self._hear(message)
         return self._create_message()
 
-    def _create_message(self) -> messages_pb2.Message:
+    def _create_empty_message(self) -> messages_pb2.Message:
         message = messages_pb2.Message(
             sender=peer_messages.encode_peer(self.members.own)
         )
+        message.host_status.SetInParent()
+        return message
+
+    def _create_message(self) -> messages_pb2.Message:
+        message = self._create_empty_message()
         status = message.host_status
-        status.SetInParent()
+        now = self._router.runtime.now()
+        for named in self._router.desired.list_ages(now):
+            status.named.add(
+                model=named.model,
+                weights_version=named.version,
+                age_ms=int(named.age_seconds * plans.MS),
+            )
         for name, load in self._router.loads.get_own().items():
             status.loads.add(
                 target=name,
@@ -214,6 +251,11 @@
         sender = peer_messages.decode_peer(message.sender)
         self.members.note_heard(sender)
         status = message.host_status
+        for sighting in status.sightings:
+            self._hear_sighting(sighting)
+        if status.is_partial:
+            return
+        now = self._router.runtime.now()
         self._router.loads.note_peer(
             sender.name,
             {
@@ -225,12 +267,19 @@
                 )
                 for load in status.loads
             },
-            self._router.runtime.now(),
+            now,
         )
         for engine in status.engines:
             self._hear_engine(engine)
-        for sighting in status.sightings:
-            self._hear_sighting(sighting)
+        for named in status.named:
+            self._router.desired.merge_age(
+                beliefs.NamedWeights(
+                    named.model,
+                    named.weights_version,
+                    named.age_ms / plans.MS,
+                ),
+                now,
+            )
 
     def _hear_sighting(self, sighting: messages_pb2.CacheSighting) -> None:
         parts = tuple(
@@ -241,7 +290,12 @@
         )
         plans.note_sighting(
             self._router,
-            residency.Sighting(sighting.holder, sighting.salt, parts),
+            residency.Sighting(
+                sighting.holder,
+                sighting.salt,
+                parts,
+                sighting.ready_ms / plans.MS,
+            ),
             is_own=False,
         )
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/beliefs.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/beliefs.py
@@ -11,6 +11,21 @@
 from pistachioseam import interfaces
 
 
+LONG_AGO = float('-inf')
+"""Naming time of versions that were there when this host started."""
+TOLD_VERSIONS = 3
+"""Newest versions whose ages peers are told; engines skip the others."""
+
+
+@attrs.frozen
+class NamedWeights:
+    """Version of a model's weights and the time since it was named."""
+
+    model: str
+    version: int
+    age_seconds: float
+
+
 class DesiredKeeper:
     """Newest desired state and newest version named for each model."""
 
@@ -18,6 +33,7 @@
         self._sink = sink
         self.state: desired.DesiredState | None = None
         self._named: dict[str, dict[int, float]] = {}
+        self._is_first = True
         self._listeners: list[abc.Callable[[], None]] = []
 
     def add_listener(self, listener: abc.Callable[[], None]) -> None:
@@ -29,11 +45,14 @@
         is_changed = self._apply_state(change.state)
         for model, version in change.weights.items():
             if version > self.get_named(model):
-                self._named.setdefault(model, {})[version] = now
+                # What was there at the start may have been named long ago.
+                named_at = LONG_AGO if self._is_first else now
+                self._named.setdefault(model, {})[version] = named_at
                 is_changed = True
                 self._sink.emit(
                     events.Event.WEIGHTS_NAMED, model=model, version=version
                 )
+        self._is_first = False
         for finding in change.findings:
             self._sink.emit(events.Event.DOCUMENT_MALFORMED, finding=finding)
         if is_changed:
@@ -69,6 +88,31 @@
         ]
         return now - min(since) if since else 0.0
 
+    def is_age_known(self, model: str, version: int) -> bool:
+        """Tell whether it is known when a version was replaced."""
+        return LONG_AGO not in [
+            named_at
+            for named, named_at in self._named.get(model, {}).items()
+            if named > version
+        ]
+
+    def list_ages(self, now: float) -> tuple[NamedWeights, ...]:
+        """Return the newest versions with known ages, for peers."""
+        return tuple(
+            NamedWeights(model, version, now - named_at)
+            for model, versions in self._named.items()
+            for version, named_at in sorted(versions.items())[-TOLD_VERSIONS:]
+            if named_at != LONG_AGO
+        )
+
+    def merge_age(self, named: NamedWeights, now: float) -> None:
+        """Take in when a peer has learned of a version."""
+        versions = self._named.get(named.model, {})
+        known = versions.get(named.version)
+        named_at = now - named.age_seconds
+        if known == LONG_AGO or (known is not None and named_at < known):
+            versions[named.version] = named_at
+
     def list_named(self) -> dict[str, int]:
         """Return the newest version of each model."""
         return {model: self.get_named(model) for model in self._named}
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -64,6 +64,19 @@
             self._call.may_have_run = ran_before
         return failure
 
+    def describe_plan(self, target: catalog.LiveTarget) -> str:
+        """Return what a model call would read and fetch at a target."""
+        if self._call.prompt is None:
+            return ''
+        plan = plans.plan_run(self._call, self._router, target)
+        source = plan.source
+        return (
+            f'version {plan.version}, read {plan.read_tokens}'
+            f'+{plan.own_tokens}, fetch {source.tokens}'
+            f' of {source.name or "nobody"} in {source.wait_seconds:.3f}'
+            f'+{source.seconds:.3f} s, save {bool(plan.save_to)}'
+        )
+
     def _end_loads(self) -> None:
         for ticket in (self._ticket, self._source_ticket):
             if ticket is not None:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -52,9 +52,7 @@
         for target in router.catalog.list_service(call.service.name)
         if target.is_ready
     ]
-    ready = [
-        target for target in ready if _has_fit_weights(call, router, target)
-    ]
+    ready = _select_fit(call, router, ready)
     tried = {attempt.target.name for attempt in call.attempts}
     usable = [target for target in ready if target.name not in tried] or ready
     usable = [
@@ -68,19 +66,30 @@
     ] or usable
 
 
-def _has_fit_weights(
+def _select_fit(
     call: calls.Call,
     router: routers.CallRouter,
-    target: catalog.LiveTarget,
-) -> bool:
-    """Tell whether a call that begins soon is still within the bound."""
+    ready: list[catalog.LiveTarget],
+) -> list[catalog.LiveTarget]:
+    """Leave out targets on which a call would begin with old weights.
+
+    Those whose age is unknown, as after a restart of this host, are used only
+    when there is no other.
+    """
     if call.prompt is None:
-        return True
+        return ready
     model = call.prompt.model
-    behind = router.desired.get_behind_seconds(
-        model, router.weights.get(target, model), router.runtime.now()
-    )
-    return behind < router.max_behind_seconds
+    now = router.runtime.now()
+    fit, unknown = [], []
+    for target in ready:
+        version = router.weights.get(target, model)
+        if not router.desired.is_age_known(model, version):
+            unknown.append(target)
+            continue
+        behind = router.desired.get_behind_seconds(model, version, now)
+        if behind < router.max_behind_seconds:
+            fit.append(target)
+    return fit or unknown
 
 
 def _rank_homes(
--- a/packages/pistachioseam/src/pistachioseam/forwarding/plans.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/plans.py
@@ -13,6 +13,8 @@
 CACHE_SHARE = 0.9
 """Part of an engine's memory that the parts of prompts have on average."""
 
+SAVE_SECONDS = 0.6
+"""Time from the reading of parts until the store has them."""
 MS = 1000.0
 
 
@@ -92,6 +94,7 @@
         salt,
         router.topology,
         router.caches,
+        router.runtime.now(),
     )
 
 
@@ -148,13 +151,25 @@
     router: routers.CallRouter, target: catalog.LiveTarget, plan: RunPlan
 ) -> None:
     """Note what a call that is being sent brings into the caches."""
-    for holder in (target.name, plan.save_to):
-        if holder and plan.parts:
-            note_sighting(
-                router,
-                residency.Sighting(holder, plan.salt, plan.parts),
-                is_own=True,
+    if not plan.parts:
+        return
+    load = router.loads.get(target.name, router.runtime.now())
+    tokens = load.prefill_tokens + plan.own_tokens + plan.read_tokens
+    seconds = tokens / transfers.PREFILL_TOKENS_PER_SECOND
+    seconds += plan.source.wait_seconds + plan.source.seconds
+    is_new = plan.read_tokens > 0
+    for holder, ready_seconds in (
+        (target.name, seconds),
+        (plan.save_to, seconds + SAVE_SECONDS),
+    ):
+        if holder:
+            sighting = residency.Sighting(
+                holder, plan.salt, plan.parts, ready_seconds
             )
+            note_sighting(router, sighting, is_own=True)
+    if is_new:
+        for listener in router.first_read_listeners:
+            listener()
 
 
 def note_sighting(
@@ -164,10 +179,11 @@
     capacity = get_capacity(router, sighting.holder)
     if capacity is None:
         return
+    now = router.runtime.now()
     if is_own:
-        router.caches.note_use(sighting, capacity)
+        router.caches.note_use(sighting, capacity, now)
     else:
-        router.caches.merge(sighting, capacity)
+        router.caches.merge(sighting, capacity, now)
 
 
 def get_capacity(router: routers.CallRouter, holder: str) -> int | None:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/residency.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/residency.py
@@ -24,11 +24,21 @@
 
 @attrs.frozen
 class Sighting:
-    """Parts that a call has brought into a target's or store's cache."""
+    """Parts that a call brings into a target's or store's cache.
+
+    `ready_seconds` is the time until they can be fetched from there.
+    """
 
     holder: str
     salt: str
     parts: tuple[prompts.Part, ...]
+    ready_seconds: float = 0.0
+
+
+@attrs.define
+class _CachedPart:
+    tokens: int
+    ready_at: float
 
 
 class CacheModel:
@@ -37,29 +47,38 @@
     def __init__(self, capacity_tokens: int) -> None:
         self.capacity_tokens = capacity_tokens
         self._tokens = 0
-        self._parts: collections.OrderedDict[PartKey, int] = (
+        self._parts: collections.OrderedDict[PartKey, _CachedPart] = (
             collections.OrderedDict()
         )
 
-    def note_use(self, salt: str, parts: abc.Sequence[prompts.Part]) -> None:
+    def note_use(
+        self, salt: str, parts: abc.Sequence[prompts.Part], ready_at: float
+    ) -> None:
         """Move parts to the end; the first of a chain yields last."""
         for part in reversed(parts):
             key = (salt, part.name)
-            self._tokens -= self._parts.pop(key, 0)
-            tokens = -(-part.tokens // BLOCK_TOKENS) * BLOCK_TOKENS
-            self._parts[key] = tokens
-            self._tokens += tokens
+            cached = self._parts.pop(key, None)
+            if cached is None:
+                tokens = -(-part.tokens // BLOCK_TOKENS) * BLOCK_TOKENS
+                cached = _CachedPart(tokens, ready_at)
+                self._tokens += tokens
+            cached.ready_at = min(cached.ready_at, ready_at)
+            self._parts[key] = cached
         while self._tokens > self.capacity_tokens and self._parts:
-            _, tokens = self._parts.popitem(last=False)
-            self._tokens -= tokens
+            _, dropped = self._parts.popitem(last=False)
+            self._tokens -= dropped.tokens
 
     def count_leading(
-        self, salt: str, parts: abc.Sequence[prompts.Part]
+        self,
+        salt: str,
+        parts: abc.Sequence[prompts.Part],
+        at: float = float('inf'),
     ) -> int:
-        """Return the tokens of the leading parts that are cached."""
+        """Return the tokens of the leading parts that are there at a time."""
         tokens = 0
         for part in parts:
-            if (salt, part.name) not in self._parts:
+            cached = self._parts.get((salt, part.name))
+            if cached is None or cached.ready_at > at:
                 break
             tokens += part.tokens
         return tokens
@@ -78,26 +97,38 @@
             maxlen=KEPT_SIGHTINGS
         )
 
-    def note_use(self, sighting: Sighting, capacity_tokens: int) -> None:
+    def note_use(
+        self, sighting: Sighting, capacity_tokens: int, now: float
+    ) -> None:
         """Note what a call of this host brings into a cache."""
-        self.merge(sighting, capacity_tokens)
+        self.merge(sighting, capacity_tokens, now)
         self._sightings.append(sighting)
 
-    def merge(self, sighting: Sighting, capacity_tokens: int) -> None:
+    def merge(
+        self, sighting: Sighting, capacity_tokens: int, now: float
+    ) -> None:
         """Take in what this host or a peer has seen."""
         cache = self._caches.get(sighting.holder)
         if cache is None:
             cache = CacheModel(capacity_tokens)
             self._caches[sighting.holder] = cache
         cache.capacity_tokens = capacity_tokens
-        cache.note_use(sighting.salt, sighting.parts)
+        ready_at = now + sighting.ready_seconds
+        cache.note_use(sighting.salt, sighting.parts, ready_at)
 
     def count_leading(
-        self, holder: str, salt: str, parts: abc.Sequence[prompts.Part]
+        self,
+        holder: str,
+        salt: str,
+        parts: abc.Sequence[prompts.Part],
+        at: float = float('inf'),
     ) -> int:
-        """Return the tokens of the leading parts that a holder has."""
+        """Return the tokens of the leading parts a holder has at a time.
+
+        Without a time, parts that are still being read count too.
+        """
         cache = self._caches.get(holder)
-        return cache.count_leading(salt, parts) if cache else 0
+        return cache.count_leading(salt, parts, at) if cache else 0
 
     def forget(self, holder: str) -> None:
         """Drop what a target or store held, as after a restart."""
--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -68,7 +68,7 @@
 def order_by_need(
     outdated: abc.Sequence[OutdatedEngine], router: routers.CallRouter
 ) -> list[OutdatedEngine]:
-    """Return the engines that have been behind for longest first.
+    """Return the engines with the oldest weights first.
 
     Load pattern: versions named faster than all engines can load them. By
     load alone the same idle engines would load each version, and a busy one
@@ -76,10 +76,9 @@
     """
     now = router.runtime.now()
 
-    def rate(engine: OutdatedEngine) -> tuple[float, int]:
+    def rate(engine: OutdatedEngine) -> tuple[int, int]:
         loaded = router.weights.get(engine.target, engine.model)
-        behind = router.desired.get_behind_seconds(engine.model, loaded, now)
-        return (-behind, router.loads.get(engine.target.name, now).runs)
+        return loaded, router.loads.get(engine.target.name, now).runs
 
     return sorted(outdated, key=rate)
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -44,6 +44,9 @@
     caches: residency.ResidencyMap = attrs.field(
         factory=residency.ResidencyMap
     )
+    first_read_listeners: list[abc.Callable[[], None]] = attrs.field(
+        factory=list
+    )
     home_order: homes.HomeOrder = attrs.field(factory=homes.HomeOrder)
     busy_until: dict[str, float] = attrs.field(factory=dict)
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -99,6 +99,7 @@
             for c in choice.candidates[:3]
         ],
         configuration=call.desired_version,
+        plan=answer.describe_plan(target),
         age=round(router.freshness.get_age(router.read_boot_clock()), 3),
     )
     router.health.note_sent(target.name)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/transfers.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/transfers.py
@@ -87,11 +87,12 @@
     salt: str,
     topology: links.Topology,
     caches: residency.ResidencyMap,
+    now: float,
 ) -> Source:
     """Return the source that saves the most time, if any saves time."""
     best, best_gain = NO_SOURCE, 0.0
     for holder in holders:
-        held = caches.count_leading(holder.name, salt, parts)
+        held = caches.count_leading(holder.name, salt, parts, now)
         tokens = held - receiver.own_tokens
         if tokens <= 0 or holder.wait_seconds > MAX_WAIT_SECONDS:
             continue
--- a/tests/core/forwarding/test_caches.py
+++ b/tests/core/forwarding/test_caches.py
@@ -67,8 +67,8 @@
 def test_least_recently_used_parts_yield(case: support.Case) -> None:
     """The first part of a chain outlives those behind it."""
     cache = residency.CacheModel(9000)
-    cache.note_use('s', PARTS)
-    cache.note_use('s', (PARTS[0], prompts.Part('other', 4000)))
+    cache.note_use('s', PARTS, 0.0)
+    cache.note_use('s', (PARTS[0], prompts.Part('other', 4000)), 0.0)
     case.assertEqual(6000, cache.count_leading('s', PARTS[:1]) + 4000)
     case.assertEqual(2000, cache.count_leading('s', PARTS))
     case.assertEqual(0, cache.count_leading('t', PARTS))
@@ -84,7 +84,7 @@
         ('near', PARTS),
         ('half', PARTS[:1]),
     ):
-        caches.merge(residency.Sighting(holder, 's', parts), 100_000)
+        caches.merge(residency.Sighting(holder, 's', parts), 100_000, 0.0)
     holders = [
         transfers.Holder(
             name=name,
@@ -104,7 +104,7 @@
             bytes_per_second=TOKEN_BYTES / SECONDS_PER_TOKEN,
         )
         return transfers.choose_source(
-            receiver, holders, PARTS, 's', TOPOLOGY, caches
+            receiver, holders, PARTS, 's', TOPOLOGY, caches, 1.0
         )
 
     chosen = choose(0)
