Admit model calls by the expected time to their first token

All calls waited in the engines' queues, the median first token took 1.6 to 3.2 s for 18 s on end, most were late and a seventh failed. A call is sent only if its first token is expected within 1.2 times the objective; else it is held for an eighth of the objective, then refused as not run with the time in which the excess is worked off. Expectations count what goes before (urgent prompts pass others), transfers, memory, and the pace an engine has shown.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -234,6 +234,7 @@
                 tokens=load.tokens,
                 prefill_tokens=load.prefill_tokens,
                 transfer_ms=load.transfer_ms,
+                urgent_tokens=load.urgent_tokens,
             )
         for seen in self._router.weights.list_recent():
             status.engines.add(
@@ -264,6 +265,7 @@
                     load.tokens,
                     load.prefill_tokens,
                     load.transfer_ms,
+                    load.urgent_tokens,
                 )
                 for load in status.loads
             },
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -188,6 +188,7 @@
         """Drop what was kept for an incarnation that has ended."""
         self.router.weights.forget(target)
         self.router.caches.forget(target.name)
+        self.router.pace_board.forget(target.name)
         self.channels.forget(target.address)
 
     def is_ready(self) -> bool:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
@@ -12,10 +12,14 @@
 
 @attrs.define(kw_only=True)
 class CallAttempt:
-    """One send to a target; `failure` is empty unless it failed."""
+    """One send to a target; `failure` is empty unless it failed.
+
+    `expected` is the expected time to the first byte, in seconds.
+    """
 
     target: catalog.LiveTarget
     started_at: float
+    expected: float = 0.0
     failure: str = ''
 
 
@@ -88,6 +92,10 @@
             self.route.repetition.is_repeatable()
         )
 
+    def is_urgent(self) -> bool:
+        """Tell whether the call goes before all calls of other ranks."""
+        return self.get_rank() == 0
+
     def get_rank(self) -> int:
         """Return the urgency; 0 is first. An account's goes first."""
         if self.account is not None and self.account.priority is not None:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -101,6 +101,7 @@
             read + plan.source.tokens + prompt.output_tokens,
             read,
             transfer_ms,
+            self._call.is_urgent(),
         )
 
     async def _exchange(
@@ -179,6 +180,15 @@
             self._call.first_byte_at = self._router.runtime.now()
         if self._ticket is not None:
             self._router.loads.note_prefilled(self._ticket)
+        if self._plan is not None and self._call.attempts:
+            attempt = self._call.attempts[-1]
+            now = self._router.runtime.now()
+            self._router.pace_board.note(
+                attempt.target.name,
+                attempt.expected,
+                now - attempt.started_at,
+                now,
+            )
         if self._source_ticket is not None:
             self._router.loads.end(self._source_ticket)
             self._source_ticket = None
--- a/packages/pistachioseam/src/pistachioseam/forwarding/loads.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/loads.py
@@ -12,13 +12,15 @@
 class Load:
     """Work at a target: runs, their memory and what is still to prefill.
 
-    `transfer_ms` is the time of the transfers that are still under way.
+    `transfer_ms` is the time of the transfers that are still under way,
+    `urgent_tokens` the part of `prefill_tokens` that goes before all other.
     """
 
     runs: int = 0
     tokens: int = 0
     prefill_tokens: int = 0
     transfer_ms: int = 0
+    urgent_tokens: int = 0
 
     def add(self, other: 'Load') -> 'Load':
         """Return the sum of two loads."""
@@ -27,6 +29,7 @@
             self.tokens + other.tokens,
             self.prefill_tokens + other.prefill_tokens,
             self.transfer_ms + other.transfer_ms,
+            self.urgent_tokens + other.urgent_tokens,
         )
 
 
@@ -41,6 +44,7 @@
     tokens: int
     prefill_tokens: int
     transfer_ms: int = 0
+    is_urgent: bool = False
     is_run: bool = True
 
 
@@ -63,9 +67,10 @@
         tokens: int,
         prefill_tokens: int,
         transfer_ms: int = 0,
+        is_urgent: bool = False,
     ) -> Ticket:
         """Count a call that is about to be sent."""
-        ticket = Ticket(target, tokens, prefill_tokens, transfer_ms)
+        ticket = Ticket(target, tokens, prefill_tokens, transfer_ms, is_urgent)
         self._tickets.setdefault(target, set()).add(ticket)
         return ticket
 
@@ -117,6 +122,7 @@
                     ticket.tokens,
                     ticket.prefill_tokens,
                     ticket.transfer_ms,
+                    ticket.prefill_tokens if ticket.is_urgent else 0,
                 )
             )
         return load
--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -118,7 +118,14 @@
         return selection.weigh_service(target, load, router.topology)
     plan = plans.plan_run(call, router, target)
     weighed = selection.weigh_engine(
-        target, engine, load, plan, call.prompt.output_tokens, router.topology
+        target,
+        engine,
+        load,
+        plan,
+        call.prompt.output_tokens,
+        call.is_urgent(),
+        router.pace_board.get(target.name, router.runtime.now()),
+        router.topology,
     )
     other = weighed.other + HOME_STEP_SECONDS * ranks.get(target.name, HOMES)
     if plan.version < router.desired.get_named(call.prompt.model):
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -10,6 +10,7 @@
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import freshness
 from pistachioseam.forwarding import loads
+from pistachioseam.forwarding import paces
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import residency
 from pistachioseam import health
@@ -44,6 +45,7 @@
     caches: residency.ResidencyMap = attrs.field(
         factory=residency.ResidencyMap
     )
+    pace_board: paces.PaceBoard = attrs.field(factory=paces.PaceBoard)
     first_read_listeners: list[abc.Callable[[], None]] = attrs.field(
         factory=list
     )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/selection.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/selection.py
@@ -12,6 +12,7 @@
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import loads
+from pistachioseam.forwarding import paces
 from pistachioseam.forwarding import plans
 from pistachioseam.forwarding import transfers
 from pistachioseam import links
@@ -20,6 +21,8 @@
 """Work of a call to a plain service; users' sheets."""
 COLD_FACTOR = 0.5
 """Part of a cold target's remaining warm-up that counts as waiting."""
+FASTEST = transfers.PREFILL_TOKENS_PER_SECOND / paces.LEAST
+"""Reading at this speed costs a target nothing against the others."""
 OVERFULL_SECONDS = 2.0
 """Wait for each memory's worth of tokens beyond an engine's own."""
 MAX_FILL = 0.9
@@ -28,13 +31,17 @@
 
 @attrs.frozen(kw_only=True)
 class Candidate:
-    """A target with the terms of its cost, in seconds."""
+    """A target with the terms of its cost, in seconds.
+
+    `expected` is the time to the first byte of the answer.
+    """
 
     target: str
     wait: float
     missing: float
     latency: float
     other: float = 0.0
+    expected: float = 0.0
 
     def get_cost(self) -> float:
         """Return the sum of the terms."""
@@ -48,6 +55,11 @@
     target: catalog.LiveTarget
     candidates: tuple[Candidate, ...]
 
+    @property
+    def expected(self) -> float:
+        """Return the expected seconds to the first byte."""
+        return self.candidates[0].expected
+
 
 def choose(
     targets: abc.Sequence[catalog.LiveTarget],
@@ -92,10 +104,18 @@
     load: loads.Load,
     plan: plans.RunPlan,
     output_tokens: int,
+    is_urgent: bool,
+    pace: float,
     topology: links.Topology,
 ) -> Candidate:
-    """Return the cost of an engine for a planned run."""
-    wait = load.prefill_tokens / transfers.PREFILL_TOKENS_PER_SECOND
+    """Return the cost of an engine for a planned run.
+
+    Engines read urgent prompts first; `pace` is how much longer this engine
+    has taken than expected.
+    """
+    ahead = load.urgent_tokens if is_urgent else load.prefill_tokens
+    rate = transfers.PREFILL_TOKENS_PER_SECOND / pace
+    wait = ahead / rate
     if plan.source.tokens:
         wait += load.transfer_ms / 1000 + plan.source.wait_seconds
     tokens = plan.own_tokens + plan.read_tokens + plan.source.tokens
@@ -104,11 +124,14 @@
         wait += OVERFULL_SECONDS * (fill - MAX_FILL)
     if load.runs >= engine.slots:
         wait += OVERFULL_SECONDS * (load.runs + 1 - engine.slots)
-    reading = plan.read_tokens * transfers.READ_SECONDS_PER_TOKEN
+    latency = 2 * topology.get_latency(target.domain)
+    reading = (plan.own_tokens + plan.read_tokens) / rate
+    waste = plan.read_tokens * transfers.READ_SECONDS_PER_TOKEN
     return Candidate(
         target=target.name,
-        wait=wait,
-        missing=reading + plan.source.seconds,
-        latency=2 * topology.get_latency(target.domain),
+        wait=wait + plan.own_tokens * (1 / rate - 1 / FASTEST),
+        missing=waste + plan.source.seconds,
+        latency=latency,
         other=target.cold_seconds * COLD_FACTOR,
+        expected=wait + reading + plan.source.seconds + latency,
     )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -6,6 +6,7 @@
 from returns import result
 
 from pistachioseam import events
+from pistachioseam.forwarding import admission
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import delivery
 from pistachioseam.forwarding import placement
@@ -59,6 +60,12 @@
             return fit
         if choice is None:
             return result.Failure(refuse_without_target(call))
+        verdict = judge_admission(call, router, choice)
+        if isinstance(verdict, admission.Hold):
+            await router.runtime.sleep(verdict.seconds)
+            continue
+        if isinstance(verdict, admission.Refuse):
+            return result.Failure(refuse_overloaded(choice, verdict))
         failure = await _attempt(call, router, choice, answer)
         if failure is None:
             call.is_served = True
@@ -79,6 +86,24 @@
         return result.Failure(refusal)
 
 
+def judge_admission(
+    call: calls.Call, router: routers.CallRouter, choice: selection.Choice
+) -> admission.Verdict:
+    """Judge whether a model call is worth sending now.
+
+    Calls that may have run, and those to plain services, always are.
+    """
+    assert call.route is not None
+    if call.prompt is None or call.may_have_run:
+        return admission.Admit()
+    return admission.judge(
+        choice.expected,
+        router.runtime.now() - call.received_at,
+        call.route.objective_seconds,
+        router.random.random(),
+    )
+
+
 async def _attempt(
     call: calls.Call,
     router: routers.CallRouter,
@@ -87,7 +112,9 @@
 ) -> interfaces.CallFailure | None:
     target = choice.target
     now = router.runtime.now()
-    attempt = calls.CallAttempt(target=target, started_at=now)
+    attempt = calls.CallAttempt(
+        target=target, started_at=now, expected=choice.expected
+    )
     call.attempts.append(attempt)
     router.sink.emit(
         events.Event.CALL_PLACED,
@@ -182,6 +209,19 @@
     )
 
 
+def refuse_overloaded(
+    choice: selection.Choice, verdict: admission.Refuse
+) -> refusals.Refusal:
+    """Return the refusal of a call that would begin too late."""
+    best = choice.candidates[0]
+    return refusals.Refusal(
+        503,
+        refusals.Reason.OVERLOADED,
+        f'the first token would take {best.expected:.2f} s at {best.target}',
+        retry_after_seconds=verdict.retry_after_seconds,
+    )
+
+
 def refuse_without_target(call: calls.Call) -> refusals.Refusal:
     """Return the refusal of a call whose service has no ready target."""
     outcome = refusals.Outcome.NOT_RUN
