Learn from peers the ages of versions that this host never read

A restarted host had read only the newest version, so it counted the age of version 1 from the naming of version 3, two seconds before, instead of from that of version 2.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/beliefs.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/beliefs.py
@@ -108,9 +108,11 @@
     def merge_age(self, named: NamedWeights, now: float) -> None:
         """Take in when a peer has learned of a version."""
         versions = self._named.get(named.model, {})
-        known = versions.get(named.version)
+        if named.version > self.get_named(named.model):
+            return
+        known = versions.get(named.version, LONG_AGO)
         named_at = now - named.age_seconds
-        if known == LONG_AGO or (known is not None and named_at < known):
+        if known == LONG_AGO or named_at < known:
             versions[named.version] = named_at
 
     def list_named(self) -> dict[str, int]:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -127,6 +127,7 @@
         ],
         configuration=call.desired_version,
         plan=answer.describe_plan(target),
+        expected=round(choice.expected, 3),
         age=round(router.freshness.get_age(router.read_boot_clock()), 3),
     )
     router.health.note_sent(target.name)
