Weigh reading again above waiting while a call is surely in time

Cause: short prompts spread over all engines for waits of some milliseconds and read their shared parts again; long ones were read again where the store had them. A shorter wait is worth little until the first token comes close to the objective, reading again delays every other call.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -125,6 +125,7 @@
         call.prompt.output_tokens,
         call.is_urgent(),
         router.pace_board.get(target.name, router.runtime.now()),
+        call.route.objective_seconds if call.route else 0.0,
         router.topology,
     )
     other = weighed.other + HOME_STEP_SECONDS * ranks.get(target.name, HOMES)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/selection.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/selection.py
@@ -12,7 +12,6 @@
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import loads
-from pistachioseam.forwarding import paces
 from pistachioseam.forwarding import plans
 from pistachioseam.forwarding import transfers
 from pistachioseam import links
@@ -21,10 +20,12 @@
 """Work of a call to a plain service; users' sheets."""
 COLD_FACTOR = 0.5
 """Part of a cold target's remaining warm-up that counts as waiting."""
-FASTEST = transfers.PREFILL_TOKENS_PER_SECOND / paces.LEAST
-"""Reading at this speed costs a target nothing against the others."""
 OVERFULL_SECONDS = 2.0
 """Wait for each memory's worth of tokens beyond an engine's own."""
+SAFE_SHARE = 0.5
+"""Share of the objective up to which a call is surely in time."""
+LATENESS_WEIGHT = 8.0
+"""Weight of time beyond that against reading parts again."""
 MAX_FILL = 0.9
 """Part of an engine's memory that runs may take before others wait."""
 
@@ -33,19 +34,31 @@
 class Candidate:
     """A target with the terms of its cost, in seconds.
 
-    `expected` is the time to the first byte of the answer.
+    `expected` is the time to the first byte of the answer, `lateness` a
+    penalty where that is close to the objective or beyond it, `waste` the
+    cost of reading again what other targets have.
     """
 
     target: str
-    wait: float
-    missing: float
-    latency: float
+    expected: float
+    lateness: float = 0.0
+    waste: float = 0.0
     other: float = 0.0
-    expected: float = 0.0
 
     def get_cost(self) -> float:
         """Return the sum of the terms."""
-        return self.wait + self.missing + self.latency + self.other
+        return self.expected + self.lateness + self.waste + self.other
+
+
+def rate_lateness(expected: float, objective: float) -> float:
+    """Return the penalty of an expected time to the first byte.
+
+    While a call is surely in time, a shorter wait is worth little against a
+    part that need not be read again; near the objective it is worth more.
+    """
+    if objective <= 0:
+        return 0.0
+    return LATENESS_WEIGHT * max(0.0, expected - SAFE_SHARE * objective)
 
 
 @attrs.frozen(kw_only=True)
@@ -91,9 +104,7 @@
         wait += RUN_SECONDS * (load.runs - slots + 1) / slots
     return Candidate(
         target=target.name,
-        wait=wait,
-        missing=0.0,
-        latency=2 * topology.get_latency(target.domain),
+        expected=wait + 2 * topology.get_latency(target.domain),
         other=target.cold_seconds * COLD_FACTOR,
     )
 
@@ -106,6 +117,7 @@
     output_tokens: int,
     is_urgent: bool,
     pace: float,
+    objective: float,
     topology: links.Topology,
 ) -> Candidate:
     """Return the cost of an engine for a planned run.
@@ -126,12 +138,11 @@
         wait += OVERFULL_SECONDS * (load.runs + 1 - engine.slots)
     latency = 2 * topology.get_latency(target.domain)
     reading = (plan.own_tokens + plan.read_tokens) / rate
-    waste = plan.read_tokens * transfers.READ_SECONDS_PER_TOKEN
+    expected = wait + reading + plan.source.seconds + latency
     return Candidate(
         target=target.name,
-        wait=wait + plan.own_tokens * (1 / rate - 1 / FASTEST),
-        missing=waste + plan.source.seconds,
-        latency=latency,
+        expected=expected,
+        lateness=rate_lateness(expected, objective),
+        waste=plan.read_tokens * transfers.READ_SECONDS_PER_TOKEN,
         other=target.cold_seconds * COLD_FACTOR,
-        expected=wait + reading + plan.source.seconds + latency,
     )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -121,13 +121,12 @@
         request_id=call.request_id,
         target=target.name,
         costs=[
-            f'{c.target}={c.wait:.3f}+{c.missing:.3f}+{c.latency:.3f}'
+            f'{c.target}={c.expected:.3f}+{c.lateness:.3f}+{c.waste:.3f}'
             f'+{c.other:.3f}'
             for c in choice.candidates[:3]
         ],
         configuration=call.desired_version,
         plan=answer.describe_plan(target),
-        expected=round(choice.expected, 3),
         age=round(router.freshness.get_age(router.read_boot_clock()), 3),
     )
     router.health.note_sent(target.name)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/transfers.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/transfers.py
@@ -21,9 +21,9 @@
 """An engine does not start a transfer that would wait for two seconds."""
 PREFILL_TOKENS_PER_SECOND = 40_000.0
 """Speed at which engines read prompts; users' sheets."""
-WASTE_WEIGHT = 3.0
+WASTE_WEIGHT = 20.0
 """Weight of reading again what is cached elsewhere: it delays all others."""
-READ_SECONDS_PER_TOKEN = (1.0 + WASTE_WEIGHT) / PREFILL_TOKENS_PER_SECOND
+READ_SECONDS_PER_TOKEN = WASTE_WEIGHT / PREFILL_TOKENS_PER_SECOND
 """Cost of reading a token that could have been fetched."""
 
 
