Quarantine requests that crash targets; steer away from faulty targets

A broken channel is followed by a try to open another: only a refused one counts as a crash against the request, at three crashes it is refused as not run, and peers hear of it. Targets that fail calls or leave them unanswered cost more in placement, for a while.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -64,6 +64,7 @@
         """Start to look for peers."""
         self._router.runtime.start(self._run())
         self._rollout.add_listener(self.tell)
+        self._router.quarantine.add_listener(self.tell)
         self._router.first_read_listeners.append(self._tell_sightings_soon)
         return self
 
@@ -243,6 +244,9 @@
                 model=seen.model,
                 weights_version=seen.version,
             )
+        peer_messages.add_suspects(
+            status, self._router.quarantine.list_suspects()
+        )
         for name, born_ms in self._rollout.loading:
             status.engines.add(target=name, born_ms=born_ms, is_loading=True)
         return message
@@ -273,6 +277,8 @@
         )
         for engine in status.engines:
             self._hear_engine(engine)
+        for suspect in peer_messages.decode_suspects(status):
+            self._router.quarantine.merge(suspect)
         for named in status.named:
             self._router.desired.merge_age(
                 beliefs.NamedWeights(
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -23,6 +23,7 @@
 from pistachioseam import health
 from pistachioseam import links
 from pistachioseam import membership
+from pistachioseam import quarantine
 from pistachioseam_entry import call_admin
 from pistachioseam_entry import call_listener
 from pistachioseam_entry import call_peers
@@ -39,6 +40,8 @@
 LAST_SECONDS = 0.4
 """Part of the shutdown time that is left for the end of the process."""
 DRAIN_CHECK_SECONDS = 0.05
+CRASHES_TO_QUARANTINE = 3
+"""Crashes after which the users' rules end the retries of a request."""
 MS = 1000.0
 WEIGHTS_MARGIN_SECONDS = 1.5
 """Time that a call may wait at its engine before it begins to run."""
@@ -125,6 +128,9 @@
                 options.retries, lambda: self.peers.count_hosts()
             ),
             health=health.HealthBoard(self.runtime, self.sink),
+            quarantine=quarantine.Quarantine(
+                self.runtime, CRASHES_TO_QUARANTINE
+            ),
             max_behind_seconds=(
                 options.bounds.weights_ms / MS - WEIGHTS_MARGIN_SECONDS
             ),
@@ -189,6 +195,7 @@
         self.router.weights.forget(target)
         self.router.caches.forget(target.name)
         self.router.pace_board.forget(target.name)
+        self.router.fault_board.forget(target.name)
         self.channels.forget(target.address)
 
     def is_ready(self) -> bool:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/peer_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/peer_messages.py
@@ -30,7 +30,8 @@
 
 
 def add_suspects(
-    gossip: messages_pb2.Gossip, suspects: abc.Iterable[quarantine.Suspect]
+    gossip: messages_pb2.Gossip | messages_pb2.HostStatus,
+    suspects: abc.Iterable[quarantine.Suspect],
 ) -> None:
     """Add requests that were in flight at crashes."""
     for suspect in suspects:
@@ -42,7 +43,7 @@
 
 
 def decode_suspects(
-    gossip: messages_pb2.Gossip,
+    gossip: messages_pb2.Gossip | messages_pb2.HostStatus,
 ) -> tuple[quarantine.Suspect, ...]:
     """Return the suspects of gossip."""
     return tuple(
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_channels.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_channels.py
@@ -143,6 +143,16 @@
             channel = connected.unwrap()
         return await self._request(channel, call)
 
+    async def is_refused(self, address: str) -> bool:
+        """Tell whether an address refuses a new channel; keep it if not."""
+        connected = await self._connect(address)
+        if pipeline.is_successful(connected):
+            self._keep(connected.unwrap())
+            return False
+        return (
+            connected.failure().detail == error.ConnectionRefusedError.__name__
+        )
+
     async def call_whole(
         self, address: str, call: ports.OutgoingCall
     ) -> result.Result[tuple[int, bytes], interfaces.CallFailure]:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -85,8 +85,9 @@
 
     def _begin_load(self, target: catalog.LiveTarget) -> loads.Ticket:
         prompt = self._call.prompt
+        now = self._router.runtime.now()
         if prompt is None:
-            return self._router.loads.begin(target.name, 0, 0)
+            return self._router.loads.begin(target.name, 0, 0, now=now)
         self._plan = plans.plan_run(self._call, self._router, target)
         plan = self._plan
         plans.note_sent(self._router, target, plan)
@@ -102,6 +103,7 @@
             read,
             transfer_ms,
             self._call.is_urgent(),
+            now,
         )
 
     async def _exchange(
--- a/packages/pistachioseam/src/pistachioseam/forwarding/loads.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/loads.py
@@ -46,6 +46,8 @@
     transfer_ms: int = 0
     is_urgent: bool = False
     is_run: bool = True
+    begun_at: float = 0.0
+    is_answered: bool = False
 
 
 @attrs.define
@@ -68,9 +70,17 @@
         prefill_tokens: int,
         transfer_ms: int = 0,
         is_urgent: bool = False,
+        now: float = 0.0,
     ) -> Ticket:
         """Count a call that is about to be sent."""
-        ticket = Ticket(target, tokens, prefill_tokens, transfer_ms, is_urgent)
+        ticket = Ticket(
+            target,
+            tokens,
+            prefill_tokens,
+            transfer_ms,
+            is_urgent,
+            begun_at=now,
+        )
         self._tickets.setdefault(target, set()).add(ticket)
         return ticket
 
@@ -84,6 +94,7 @@
         """Note that the target has begun to answer."""
         ticket.prefill_tokens = 0
         ticket.transfer_ms = 0
+        ticket.is_answered = True
 
     def end(self, ticket: Ticket) -> None:
         """Take a call off its target."""
@@ -98,6 +109,15 @@
         """Replace what a peer has said."""
         self._peers[peer] = _PeerLoads(now, loads)
 
+    def count_overdue(self, target: str, begun_before: float) -> int:
+        """Return this host's calls there that are still unanswered."""
+        return sum(
+            ticket.is_run
+            and not ticket.is_answered
+            and ticket.begun_at < begun_before
+            for ticket in self._tickets.get(target, ())
+        )
+
     def get_own(self) -> dict[str, Load]:
         """Return this host's part of the loads."""
         return {
--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -6,6 +6,7 @@
 
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import faults
 from pistachioseam.forwarding import plans
 from pistachioseam.forwarding import prompts
 from pistachioseam.forwarding import router as routers
@@ -24,13 +25,10 @@
 ) -> selection.Choice | None:
     """Return the choice among the usable targets, None if there are none."""
     usable = list_usable(call, router)
-    now = router.runtime.now()
     if call.prompt is None or call.service is None:
         return selection.choose(
             usable,
-            lambda target: selection.weigh_service(
-                target, router.loads.get(target.name, now), router.topology
-            ),
+            lambda target: _weigh_service(router, target),
             router.random.random(),
         )
     ranks = _rank_homes(call.prompt, usable, router)
@@ -105,6 +103,25 @@
     return {name: rank for rank, name in enumerate(order)}
 
 
+def _weigh_service(
+    router: routers.CallRouter, target: catalog.LiveTarget
+) -> selection.Candidate:
+    load = router.loads.get(target.name, router.runtime.now())
+    weighed = selection.weigh_service(target, load, router.topology)
+    other = weighed.other + _rate_faults(router, target)
+    return attrs.evolve(weighed, other=other)
+
+
+def _rate_faults(
+    router: routers.CallRouter, target: catalog.LiveTarget
+) -> float:
+    now = router.runtime.now()
+    return faults.rate_faults(
+        router.fault_board.get_share(target.name, now),
+        router.loads.count_overdue(target.name, now - faults.OVERDUE_SECONDS),
+    )
+
+
 def _weigh_engine(
     call: calls.Call,
     router: routers.CallRouter,
@@ -113,9 +130,9 @@
 ) -> selection.Candidate:
     assert call.service is not None and call.prompt is not None
     engine = call.service.engine
-    load = router.loads.get(target.name, router.runtime.now())
     if engine is None:
-        return selection.weigh_service(target, load, router.topology)
+        return _weigh_service(router, target)
+    load = router.loads.get(target.name, router.runtime.now())
     plan = plans.plan_run(call, router, target)
     weighed = selection.weigh_engine(
         target,
@@ -128,7 +145,8 @@
         call.route.objective_seconds if call.route else 0.0,
         router.topology,
     )
-    other = weighed.other + HOME_STEP_SECONDS * ranks.get(target.name, HOMES)
+    other = weighed.other + _rate_faults(router, target)
+    other += HOME_STEP_SECONDS * ranks.get(target.name, HOMES)
     if plan.version < router.desired.get_named(call.prompt.model):
         other += STALE_WEIGHTS_SECONDS
     return attrs.evolve(weighed, other=other)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -99,6 +99,9 @@
     async def send(self, address: str, call: OutgoingCall) -> SendResult:
         """Send once and return the answer when its head is there."""
 
+    async def is_refused(self, address: str) -> bool:
+        """Tell whether an address refuses a new channel."""
+
     def forget(self, address: str) -> None:
         """Drop the idle channels to an address."""
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -8,6 +8,7 @@
 from pistachioseam.forwarding import budgets
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import faults
 from pistachioseam.forwarding import freshness
 from pistachioseam.forwarding import loads
 from pistachioseam.forwarding import paces
@@ -18,6 +19,7 @@
 from pistachioseam import links
 from pistachioseam import pipeline
 from pistachioseam.placement import homes
+from pistachioseam import quarantine
 
 
 @attrs.define(kw_only=True)
@@ -41,10 +43,12 @@
     loads: loads.LoadBoard
     budget: budgets.FleetBudget
     health: health.HealthBoard
+    quarantine: quarantine.Quarantine
     max_behind_seconds: float = float('inf')
     caches: residency.ResidencyMap = attrs.field(
         factory=residency.ResidencyMap
     )
+    fault_board: faults.FaultBoard = attrs.field(factory=faults.FaultBoard)
     pace_board: paces.PaceBoard = attrs.field(factory=paces.PaceBoard)
     first_read_listeners: list[abc.Callable[[], None]] = attrs.field(
         factory=list
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -8,6 +8,7 @@
 from pistachioseam import events
 from pistachioseam.forwarding import admission
 from pistachioseam.forwarding import calls
+from pistachioseam.forwarding import crashes
 from pistachioseam.forwarding import delivery
 from pistachioseam.forwarding import placement
 from pistachioseam.forwarding import router as routers
@@ -45,6 +46,7 @@
         async with asyncio.timeout(call.deadline - router.runtime.now()):
             return await _send_until_served(call, router, answer)
     except TimeoutError:
+        note_unanswered(call, router)
         return result.Failure(refuse_late(call))
 
 
@@ -55,6 +57,8 @@
 ) -> pipeline.FilterResult:
     while True:
         fit = authenticate.check_key(call, router)
+        if router.quarantine.is_quarantined(crashes.digest_call(call)):
+            return result.Failure(crashes.refuse_quarantined(call))
         choice = placement.place_call(call, router)
         if not railway.is_successful(fit) and not call.may_have_run:
             return fit
@@ -144,8 +148,12 @@
 ) -> None:
     """Learn from the end of an attempt."""
     name = attempt.target.name
+    now = router.runtime.now()
+    is_failed = failure is not None and failure.kind is not Kind.WRONG_TARGET
+    router.fault_board.note(name, is_failed, now)
     if failure is None or failure.kind is Kind.FAILED:
         router.health.note_success(name)
+        router.quarantine.note_completion(crashes.digest_call(call))
         return
     router.sink.emit(
         events.Event.ATTEMPT_FAILED,
@@ -159,6 +167,30 @@
         router.busy_until[name] = router.runtime.now() + BUSY_SECONDS
     elif failure.kind is not Kind.WRONG_TARGET:
         router.health.note_failure(name)
+    if failure.kind is Kind.BROKEN:
+        router.runtime.start(
+            crashes.confirm_crash(call, router, attempt.target)
+        )
+
+
+def note_unanswered(call: calls.Call, router: routers.CallRouter) -> None:
+    """Learn that a target has let the deadline of a call pass."""
+    if not call.attempts or call.first_byte_at is not None:
+        return
+    attempt = call.attempts[-1]
+    if attempt.failure:
+        return
+    attempt.failure = Kind.TIMED_OUT.value
+    now = router.runtime.now()
+    router.fault_board.note(attempt.target.name, True, now)
+    router.sink.emit(
+        events.Event.ATTEMPT_FAILED,
+        request_id=call.request_id,
+        target=attempt.target.name,
+        failure=attempt.failure,
+        detail='the deadline passed',
+        seconds=round(now - attempt.started_at, 3),
+    )
 
 
 def judge_failure(
--- a/packages/pistachioseam/src/pistachioseam/forwarding/transfers.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/transfers.py
@@ -9,8 +9,8 @@
 
 import attrs
 
-from pistachioseam.forwarding import residency
 from pistachioseam.forwarding import prompts
+from pistachioseam.forwarding import residency
 from pistachioseam import links
 
 REGION_FACTOR = 2.0
--- a/packages/pistachioseam/src/pistachioseam/quarantine.py
+++ b/packages/pistachioseam/src/pistachioseam/quarantine.py
@@ -47,8 +47,13 @@
 class Quarantine:
     """Suspected and quarantined requests by digest."""
 
-    def __init__(self, runtime: interfaces.Runtime) -> None:
+    def __init__(
+        self,
+        runtime: interfaces.Runtime,
+        crashes_to_quarantine: int = CRASHES_TO_QUARANTINE,
+    ) -> None:
         self._runtime = runtime
+        self._limit = crashes_to_quarantine
         self._records: dict[str, _Record] = {}
         self._suspects: dict[str, str] = {}
         self._listeners: list[abc.Callable[[], None]] = []
@@ -66,7 +71,7 @@
         record = self._get(digest)
         if record is None:
             return False
-        return record.crashes >= CRASHES_TO_QUARANTINE
+        return record.crashes >= self._limit
 
     def get_retry_seconds(self, digest: str) -> float:
         """Return the seconds until the request may be tried again."""
@@ -98,7 +103,7 @@
         self._expire(now)
         record = self._records.get(digest)
         crashes = record.crashes + 1 if record else 1
-        is_over = crashes >= CRASHES_TO_QUARANTINE
+        is_over = crashes >= self._limit
         seconds = QUARANTINE_SECONDS if is_over else SUSPICION_SECONDS
         self._records[digest] = _Record(crashes, now + seconds)
         for listener in self._listeners:
--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -23,6 +23,7 @@
 from pistachioseam import health
 from pistachioseam import interfaces
 from pistachioseam import links
+from pistachioseam import quarantine
 from pistachioseam_entry import runtime
 
 Kind = interfaces.FailureKind
@@ -134,17 +135,28 @@
 
 
 class Link:
-    """Targets that answer by a script, in the order of the sends."""
+    """Targets that answer by a script, in the order of the sends.
+
+    With `reading_seconds` they are one engine that reads prompts in turn.
+    """
 
     def __init__(self) -> None:
         self.script: list[abc.Sequence[Step]] = []
         self.sent: list[tuple[str, ports.OutgoingCall]] = []
+        self.refusing: set[str] = set()
+        self.reading_seconds = 0.0
+        self._free_at = 0.0
 
     async def send(
         self, address: str, call: ports.OutgoingCall
     ) -> ports.SendResult:
         """Answer with the next part of the script."""
         self.sent.append((address, call))
+        if self.reading_seconds:
+            now = asyncio.get_running_loop().time()
+            self._free_at = max(self._free_at, now) + self.reading_seconds
+            await asyncio.sleep(self._free_at - now)
+            return result.Success(answer(chunks=(event(1),)))
         steps_ = self.script.pop(0)
         for step in steps_:
             if isinstance(step, float):
@@ -155,6 +167,10 @@
                 return result.Success(step)
         raise AssertionError('script without an end')
 
+    async def is_refused(self, address: str) -> bool:
+        """Tell whether a test lets the address refuse channels."""
+        return address in self.refusing
+
     def forget(self, address: str) -> None:
         """Do nothing."""
 
@@ -186,7 +202,9 @@
 
 
 def create_state(
-    version: int = 1, accounts: tuple[desired.Account, ...] | None = None
+    version: int = 1,
+    accounts: tuple[desired.Account, ...] | None = None,
+    slots: int = 8,
 ) -> desired.DesiredState:
     """Return a desired state with a route of each kind."""
     routes = tuple(
@@ -211,7 +229,7 @@
         for prefix, repetition in ROUTES.items()
     )
     engine = desired.Engine(
-        slots=8,
+        slots=slots,
         cache_tokens=50_000,
         token_bytes=262_144,
         bytes_per_second=1e11,
@@ -278,6 +296,7 @@
             loads=loads.LoadBoard(),
             budget=budgets.FleetBudget(budgets.BudgetTerms(), lambda: 1),
             health=health.HealthBoard(self.runtime, self.sink),
+            quarantine=quarantine.Quarantine(self.runtime, 3),
         )
 
     def set_state(
