Watch the stores of cached parts; bound the volume of logs

One host waits at each store for its epoch and tells the others, so a store that came back empty is filled again and one that is down is not asked. Log lines have a budget for each event, lines of good calls first to go, and a writer that drops and counts instead of waiting. Tests: test_log_writer.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -13,6 +13,7 @@
 from pistachioseam.forwarding import residency
 from pistachioseam.forwarding import rollouts
 from pistachioseam.forwarding import router as routers
+from pistachioseam.forwarding import store_watches
 from pistachioseam import membership
 from pistachioseam_entry import peer_messages
 from pistachioseam_peer import clients
@@ -247,6 +248,9 @@
         peer_messages.add_suspects(
             status, self._router.quarantine.list_suspects()
         )
+        if self.get_standby_rank() < store_watches.WATCHERS:
+            for address, epoch in self._router.store_epochs.items():
+                status.store_epochs.add(address=address, epoch=epoch)
         for name, born_ms in self._rollout.loading:
             status.engines.add(target=name, born_ms=born_ms, is_loading=True)
         return message
@@ -277,6 +281,11 @@
         )
         for engine in status.engines:
             self._hear_engine(engine)
+        if self.get_standby_rank() >= store_watches.WATCHERS:
+            for store in status.store_epochs:
+                store_watches.note_epoch(
+                    self._router, store.address, store.epoch
+                )
         for suspect in peer_messages.decode_suspects(status):
             self._router.quarantine.merge(suspect)
         for named in status.named:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -19,6 +19,7 @@
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import rollouts
 from pistachioseam.forwarding import router as routers
+from pistachioseam.forwarding import store_watches
 from pistachioseam.forwarding import watches
 from pistachioseam import health
 from pistachioseam import links
@@ -29,6 +30,7 @@
 from pistachioseam_entry import call_peers
 from pistachioseam_entry import call_settings
 from pistachioseam_entry import lifecycle
+from pistachioseam_entry import log_writer
 from pistachioseam_entry import logs
 from pistachioseam_entry import metrics
 from pistachioseam_entry import reactors
@@ -40,6 +42,10 @@
 LAST_SECONDS = 0.4
 """Part of the shutdown time that is left for the end of the process."""
 DRAIN_CHECK_SECONDS = 0.05
+LOG_FLUSH_SECONDS = 0.5
+"""Pause between two tries at a log whose reader does not keep up."""
+LOG_REPORT_STEPS = 10
+"""Tries between two reports of lines that were left out."""
 CRASHES_TO_QUARANTINE = 3
 """Crashes after which the users' rules end the retries of a request."""
 MS = 1000.0
@@ -82,9 +88,13 @@
     """One host; a context manager that owns its ports and tasks."""
 
     def __init__(
-        self, options: call_settings.CallSettings, adapter: Adapter
+        self,
+        options: call_settings.CallSettings,
+        adapter: Adapter,
+        writer: log_writer.LogWriter,
     ) -> None:
         self.settings = options
+        self._writer = writer
         self.metrics = metrics.Metrics()
         self.sink = logs.LogSink(options.host.name, self.metrics)
         self.runtime = runtime.AsyncioRuntime(self.sink)
@@ -103,6 +113,9 @@
             self._create_lease(),
             lambda: self.peers.get_standby_rank(),
         )
+        self.store_watch = store_watches.StoreWatch(
+            self.router, adapter.engines, lambda: self.peers.get_standby_rank()
+        )
         self.peers = call_peers.CallPeers(
             self._create_own_peer(), self.router, self.rollout, adapter.store
         )
@@ -173,6 +186,8 @@
         self.runtime.start(self.desired_watch.run())
         self.runtime.start(self.targets_watch.run())
         self.runtime.start(self.rollout.run())
+        self.runtime.start(self._tend_logs())
+        self.runtime.start(self.store_watch.run())
         self.peers.__enter__()
         return self
 
@@ -182,6 +197,14 @@
         self.runtime.__exit__()
         self.channels.__exit__()
 
+    async def _tend_logs(self) -> None:
+        """Write what waits for the log's reader, and say what was lost."""
+        while True:
+            for _ in range(LOG_REPORT_STEPS):
+                await asyncio.sleep(LOG_FLUSH_SECONDS)
+                self._writer.flush()
+            self.sink.report_omitted(self._writer.take_dropped())
+
     def _listen(self, site: typing.Any, address: str) -> None:
         host, _, port = address.rpartition(':')
         site.displayTracebacks = False
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/log_writer.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/log_writer.py
@@ -27,6 +27,11 @@
         self._waiting_bytes += len(data)
         self.flush()
 
+    def take_dropped(self) -> int:
+        """Return how many lines were dropped since the last time."""
+        dropped, self.dropped = self.dropped, 0
+        return dropped
+
     def flush(self) -> None:
         """Write what the reader takes now."""
         while self._waiting:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/logs.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/logs.py
@@ -2,11 +2,13 @@
 
 import json
 import sys
+import time
 import typing
 
 import loguru
 
 from pistachioseam import events
+from pistachioseam_entry import log_budget
 from pistachioseam_entry import log_writer
 from pistachioseam_entry import metrics
 from pistachioseam_entry import settings
@@ -55,16 +57,19 @@
 
 
 class LogSink:
-    """Event sink that writes the log and counts events."""
+    """Event sink that writes the log within a budget and counts events."""
 
     def __init__(self, host: str, measures: metrics.Metrics) -> None:
         self._logger = loguru.logger.bind(host=host)
         self._metrics = measures
+        self._budget = log_budget.LineBudget()
 
     def emit(self, event: events.Event, **fields: object) -> None:
         """Record one event with its fields."""
         kind = event.value
         self._metrics.count_event(kind.number)
+        if not self._budget.take(event, time.monotonic()):
+            return
         logger = self._logger.bind(
             event=kind.number, message=kind.message, **fields
         )
@@ -72,3 +77,13 @@
         logger.log(
             kind.level.value, '{} {} {}', kind.number, kind.message, details
         )
+
+    def report_omitted(self, dropped: int = 0) -> None:
+        """Say how many lines were left out or dropped since the last time."""
+        omitted = self._budget.take_omitted()
+        if omitted or dropped:
+            self.emit(
+                events.Event.LOG_LINES_OMITTED,
+                by_event=omitted,
+                dropped=dropped,
+            )
--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -37,6 +37,9 @@
     PROCESS_DRAINING = EventKind(103, Level.INFO, 'graceful shutdown began')
     PROCESS_STOPPED = EventKind(104, Level.INFO, 'graceful shutdown ended')
     PROCESS_RELOADED = EventKind(105, Level.INFO, 'settings read again')
+    LOG_LINES_OMITTED = EventKind(
+        106, Level.WARNING, 'log lines left out or dropped'
+    )
     CONFIGURATION_IN_FORCE = EventKind(
         201, Level.INFO, 'configuration in force'
     )
@@ -85,6 +88,9 @@
     TARGET_LISTED = EventKind(504, Level.INFO, 'target listed')
     TARGET_LEAVING = EventKind(505, Level.INFO, 'target leaving')
     TARGET_GONE = EventKind(506, Level.INFO, 'target gone')
+    CACHE_STORE_CHANGED = EventKind(
+        507, Level.WARNING, 'store of cached parts restarted or down'
+    )
     PEER_ALIVE = EventKind(601, Level.INFO, 'peer alive')
     PEER_LOST = EventKind(602, Level.WARNING, 'peer lost')
     PEER_REJECTED = EventKind(603, Level.WARNING, 'peer message rejected')
--- a/packages/pistachioseam/src/pistachioseam/forwarding/plans.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/plans.py
@@ -8,6 +8,7 @@
 from pistachioseam.forwarding import prompts
 from pistachioseam.forwarding import residency
 from pistachioseam.forwarding import router as routers
+from pistachioseam.forwarding import store_watches
 from pistachioseam.forwarding import transfers
 
 CACHE_SHARE = 0.9
@@ -126,20 +127,29 @@
             bytes_per_second=store.bytes_per_second,
             wait_seconds=router.loads.get(store.address, now).transfer_ms / MS,
         )
-        for store in router.desired.state.list_cache_stores()
+        for store in _list_stores(router)
     ]
     return holders
 
 
+def _list_stores(router: routers.CallRouter) -> list[desired.CacheStore]:
+    """Return the stores of cached parts that are not known to be down."""
+    state = router.desired.state
+    if state is None:
+        return []
+    return [
+        store
+        for store in state.list_cache_stores()
+        if not store_watches.is_down(router, store.address)
+    ]
+
+
 def find_store(
     router: routers.CallRouter, domain: str
 ) -> desired.CacheStore | None:
     """Return the store of cached parts that is nearest to a domain."""
-    state = router.desired.state
-    if state is None:
-        return None
     return min(
-        state.list_cache_stores(),
+        _list_stores(router),
         key=lambda store: transfers.get_factor(
             router.topology, domain, store.domain
         ),
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -254,3 +254,11 @@
         self, target: catalog.LiveTarget, order: WeightsOrder
     ) -> result.Result[int, interfaces.CallFailure]:
         """Give an order; return the status of its answer."""
+
+    async def read_epoch(
+        self, address: str
+    ) -> result.Result[int, interfaces.CallFailure]:
+        """Wait a second at a store of cached parts; return its epoch.
+
+        The epoch changes when the store restarts.
+        """
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -48,6 +48,7 @@
     caches: residency.ResidencyMap = attrs.field(
         factory=residency.ResidencyMap
     )
+    store_epochs: dict[str, int] = attrs.field(factory=dict)
     fault_board: faults.FaultBoard = attrs.field(factory=faults.FaultBoard)
     pace_board: paces.PaceBoard = attrs.field(factory=paces.PaceBoard)
     first_read_listeners: list[abc.Callable[[], None]] = attrs.field(
--- /dev/null
+++ b/tests/entry/test_log_writer.py
@@ -0,0 +1,79 @@
+"""Logging is bounded and never waits."""
+
+import os
+import time
+
+from pistachioseam import events
+from pistachioseam_entry import log_budget
+from pistachioseam_entry import log_writer
+from tests import support
+
+LINE = 'x' * 199 + '\n'
+
+
+def test_reader_that_stops_delays_nobody(case: support.Case) -> None:
+    """Lines beyond the buffer are dropped and counted, at once."""
+    reader, writer = os.pipe()
+    case.addCleanup(os.close, reader)
+    case.addCleanup(os.close, writer)
+    log = log_writer.LogWriter(writer)
+    started = time.monotonic()
+    for _ in range(10_000):
+        log.write(LINE)
+    case.assertLess(time.monotonic() - started, 1.0)
+    dropped = log.take_dropped()
+    case.assertGreater(dropped, 0)
+    case.assertEqual(0, log.take_dropped())
+    kept = 0
+    os.set_blocking(reader, False)
+    while True:
+        try:
+            kept += os.read(reader, 65_536).count(b'\n')
+        except BlockingIOError:
+            log.flush()
+            try:
+                kept += os.read(reader, 65_536).count(b'\n')
+            except BlockingIOError:
+                break
+    case.assertEqual(10_000, kept + dropped)
+
+
+def test_closed_reader_ends_nothing(case: support.Case) -> None:
+    """A log that nobody will ever read costs only its lines."""
+    reader, writer = os.pipe()
+    case.addCleanup(os.close, writer)
+    os.close(reader)
+    log = log_writer.LogWriter(writer)
+    log.write(LINE)
+    case.assertEqual(1, log.take_dropped())
+
+
+def test_volume_is_bounded_and_errors_pass(case: support.Case) -> None:
+    """Lines of calls that go well are left out first, errors never."""
+    budget = log_budget.LineBudget()
+    seconds, per_second = 10, 1000
+    written = {event: 0 for event in events.Event}
+    watched = (
+        events.Event.REQUEST_ENDED,
+        events.Event.REQUEST_REFUSED,
+        events.Event.INTERNAL_ERROR,
+    )
+    for number in range(seconds * per_second):
+        for event in watched:
+            written[event] += budget.take(event, number / per_second)
+    ended, refused, errors = (written[event] for event in watched)
+    most = log_budget.ROUTINE_LINES_PER_SECOND * (
+        seconds + log_budget.BURST_SECONDS
+    )
+    case.assertLessEqual(ended, most + 1)
+    case.assertGreater(refused, ended)
+    case.assertEqual(seconds * per_second, errors)
+    omitted = budget.take_omitted()
+    number = events.Event.REQUEST_ENDED.value.number
+    case.assertEqual(seconds * per_second - ended, omitted[number])
+    case.assertEqual({}, budget.take_omitted())
+
+
+def load_tests(*_: object) -> object:
+    """Load the functions of this module."""
+    return support.load_functions(globals())
