--- a/packages/pistachioseam-operator/src/pistachioseam_operator/command.py
+++ b/packages/pistachioseam-operator/src/pistachioseam_operator/command.py
@@ -17,6 +17,7 @@
 from pistachioseam import history
 from pistachioseam.history import checkers
 from pistachioseam.history import records
+from pistachioseam_entry import call_settings
 from pistachioseam_entry import reactors
 from pistachioseam_entry import settings as entry_settings
 from pistachioseam_operator import edits
@@ -25,6 +26,7 @@
 from pistachioseam_operator.experiments import summaries
 from pistachioseam_operator import files
 from pistachioseam_operator import reference
+from pistachioseam_operator import stories
 
 EXIT_FINDINGS = 1
 EXIT_LOST_RACE = 3
@@ -109,11 +111,29 @@
             _fail(f'no host of "{listed}" knows {request}')
         print(page.text)
 
+    def story(self, request: str, *paths: str) -> None:
+        """Tell a request's story from log files, or from standard input.
+
+        Exit 1 if no line of the request is there.
+        """
+        lines = _read_lines(paths)
+        found = stories.find_story(lines, str(request))
+        for line in found:
+            print(line.format())
+        if not found:
+            print(f'no line of {request}', file=sys.stderr)
+            sys.exit(EXIT_FINDINGS)
+
     def settings(self) -> None:
         """Print the reference of all settings of `pistachioseamd`."""
         for line in reference.list_settings(entry_settings.Settings):
             print(line)
 
+    def call_settings(self) -> None:
+        """Print the reference of settings of hosts that forward calls."""
+        for line in reference.list_settings(call_settings.CallSettings):
+            print(line)
+
     def events(self) -> None:
         """Print the catalogue of the log's numbered events."""
         for line in reference.list_events():
@@ -173,6 +193,15 @@
             sys.exit(EXIT_FINDINGS)
 
 
+def _read_lines(paths: abc.Sequence[str]) -> abc.Iterator[str]:
+    """Yield the lines of files, of standard input where none is given."""
+    if not paths:
+        yield from sys.stdin
+    for path in paths:
+        with pathlib.Path(path).open(errors='replace') as file:
+            yield from file
+
+
 def _create_store(platform: str) -> typing.Any:
     # The client needs the reactor that `_run` installs.
     from pistachioseam_entry import platform as platforms
--- a/tests/operator/test_command.py
+++ b/tests/operator/test_command.py
@@ -130,7 +130,11 @@
 
 def test_reference_pages_match_the_code(case: support.Case) -> None:
     """Settings and events in docs/ are those of the code."""
-    for page in (Page('settings', 'settings.md'), Page('events', 'events.md')):
+    for page in (
+        Page('settings', 'settings.md'),
+        Page('call_settings', 'call-settings.md'),
+        Page('events', 'events.md'),
+    ):
         text = (REFERENCE / page.name).read_text()
         for line in _run(page.command).stdout.splitlines():
             case.assertIn(f'\n    {line}\n', text)
