End a channel on which bytes follow a whole answer

Cause: twisted's client drops such bytes without a word and keeps the channel, so the rest of them could be taken for the next answer's begin.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_channels.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_channels.py
@@ -80,6 +80,15 @@
         super().connectionLost(reason)
         self._on_lost(self)
 
+    def _finishResponse_WAITING(self, rest: bytes) -> None:  # noqa: N802
+        """End a channel on which bytes follow a whole answer.
+
+        Twisted drops such bytes and would go on with what comes after them.
+        """
+        if rest and self._currentRequest is not None:
+            self._currentRequest.persistent = False
+        super()._finishResponse_WAITING(rest)
+
     def is_quiet(self) -> bool:
         """Tell whether a request may be sent."""
         return self.state == 'QUIESCENT'
