Take an answer without length as whole only if its channel ended cleanly

The channel now remembers how it ended. Ruled out: answers with a length or in chunks (twisted checks these). Test: test_reset_inside_an_answer_without_length_is_a_failure failed first.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_bodies.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_bodies.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections import abc
 import typing
 
 from returns import result
@@ -47,9 +48,14 @@
 
 
 class BytesReader(protocol.Protocol):
-    """Reader of one answer's body, in the pieces that arrive."""
+    """Reader of one answer's body, in the pieces that arrive.
 
-    def __init__(self) -> None:
+    A body without a length ends with its connection: it is whole only if
+    `is_reset` tells that the connection was not reset.
+    """
+
+    def __init__(self, is_reset: abc.Callable[[], bool]) -> None:
+        self._is_reset = is_reset
         self._chunks: collections.deque[bytes] = collections.deque()
         self._waiting_bytes = 0
         self._is_paused = False
@@ -73,7 +79,10 @@
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
         """Note the end of the body, whole or broken."""
-        if reason.check(client.ResponseDone, http.PotentialDataLoss):
+        is_whole = reason.check(client.ResponseDone) is not None
+        if reason.check(http.PotentialDataLoss):
+            is_whole = not self._is_reset()
+        if is_whole:
             self._ending = result.Success(b'')
         else:
             kind = interfaces.FailureKind.BROKEN
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_channels.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_channels.py
@@ -66,6 +66,7 @@
         super().__init__(on_quiet)
         self.address = address
         self.quiet_since = 0.0
+        self.is_reset = False
         self._on_lost = on_lost
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -77,6 +78,7 @@
         self, reason: failures.Failure = protocol.connectionDone
     ) -> None:
         """Tell the pool that this channel is no longer there."""
+        self.is_reset = reason.check(error.ConnectionDone) is None
         super().connectionLost(reason)
         self._on_lost(self)
 
@@ -287,7 +289,7 @@
     ) -> None:
         self.head = head
         self._channel = channel
-        self._reader = call_bodies.BytesReader()
+        self._reader = call_bodies.BytesReader(lambda: channel.is_reset)
         response.deliverBody(self._reader)
 
     async def read(self) -> call_bodies.ReadResult:
--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -70,6 +70,9 @@
     )
     CALL_PLACED = EventKind(309, Level.INFO, 'call placed on a target')
     ATTEMPT_FAILED = EventKind(310, Level.WARNING, 'attempt failed')
+    CALL_TURNED_AWAY = EventKind(
+        311, Level.INFO, 'call turned away: its first token would come late'
+    )
     INTERNAL_ERROR = EventKind(399, Level.ERROR, 'internal error')
     CLAIM_UNRESOLVED = EventKind(
         401, Level.WARNING, 'claim dropped because the store did not confirm'
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -26,6 +26,8 @@
 """Less time than this is not worth another send."""
 BUSY_SECONDS = 0.25
 """Time for which a target that refused a call is passed over."""
+LOGGED_CANDIDATES = 3
+"""Candidates whose costs are logged with a decision."""
 RETRY_AFTER_SECONDS = 0.4
 """Return of callers whose call no target took."""
 
@@ -69,6 +71,13 @@
             await router.runtime.sleep(verdict.seconds)
             continue
         if isinstance(verdict, admission.Refuse):
+            router.sink.emit(
+                events.Event.CALL_TURNED_AWAY,
+                request_id=call.request_id,
+                costs=_describe_costs(choice),
+                loads=_describe_loads(router, choice),
+                retry_after=round(verdict.retry_after_seconds, 2),
+            )
             return result.Failure(refuse_overloaded(choice, verdict))
         failure = await _attempt(call, router, choice, answer)
         if failure is None:
@@ -124,12 +133,7 @@
         events.Event.CALL_PLACED,
         request_id=call.request_id,
         target=target.name,
-        costs=[
-            f'{c.target}={c.expected:.3f}+{c.lateness:.3f}+{c.waste:.3f}'
-            f'+{c.other:.3f}'
-            for c in choice.candidates[:3]
-        ],
-        configuration=call.desired_version,
+        costs=_describe_costs(choice),
         plan=answer.describe_plan(target),
         age=round(router.freshness.get_age(router.read_boot_clock()), 3),
     )
@@ -140,6 +144,30 @@
     return failure
 
 
+def _describe_costs(choice: selection.Choice) -> list[str]:
+    """Return the terms of the best candidates' costs, in seconds."""
+    return [
+        f'{c.target}={c.expected:.3f}+{c.lateness:.3f}+{c.waste:.3f}'
+        f'+{c.other:.3f}'
+        for c in choice.candidates[:LOGGED_CANDIDATES]
+    ]
+
+
+def _describe_loads(
+    router: routers.CallRouter, choice: selection.Choice
+) -> list[str]:
+    """Return runs, tokens in memory and tokens to read of candidates."""
+    now = router.runtime.now()
+    described = []
+    for candidate in choice.candidates[:LOGGED_CANDIDATES]:
+        load = router.loads.get(candidate.target, now)
+        described.append(
+            f'{candidate.target}={load.runs}/{load.tokens}'
+            f'/{load.prefill_tokens}'
+        )
+    return described
+
+
 def note_result(
     call: calls.Call,
     router: routers.CallRouter,
--- a/tests/entry/test_target_channels.py
+++ b/tests/entry/test_target_channels.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections import abc
 import contextlib
+import socket
+import struct
 import typing
 
 from returns import pipeline
@@ -165,6 +167,34 @@
     run(work)
 
 
+def test_reset_inside_an_answer_without_length_is_a_failure(
+    case: support.Case,
+) -> None:
+    """Only a clean end of the channel completes such a body."""
+
+    async def work() -> None:
+        async def tear(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b'\r\n\r\n')
+            writer.write(HEAD + b'\r\nhalf')
+            await writer.drain()
+            await asyncio.sleep(0.05)
+            raw = writer.get_extra_info('socket')
+            linger = struct.pack('ii', 1, 0)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+
+        server = await asyncio.start_server(tear, '127.0.0.1')
+        port = server.sockets[0].getsockname()[1]
+        with target_channels.ChannelPool(headers.HeaderCodec()) as pool:
+            kind = await fetch(pool, f'127.0.0.1:{port}')
+            case.assertIs(Kind.BROKEN, kind)
+        server.close()
+
+    run(work)
+
+
 def test_refused_channel_is_not_sent(case: support.Case) -> None:
     """A port that nobody listens on got nothing."""
 
