--- /dev/null
+++ b/tests/core/forwarding/test_budgets.py
@@ -0,0 +1,48 @@
+"""All hosts together stay within the retry budget."""
+
+import random
+
+from pistachioseam.forwarding import budgets
+from tests import support
+
+TERMS = budgets.BudgetTerms(ratio=0.2, window_seconds=10.0, slack=58.0)
+HOSTS = 9
+SECONDS = 60
+
+
+def test_fleet_stays_within_the_budget_in_any_window(
+    case: support.Case,
+) -> None:
+    """Uneven hosts that all want to retry everything, over a minute."""
+    random_ = random.Random(1)
+    fleet = [budgets.FleetBudget(TERMS, lambda: HOSTS) for _ in range(HOSTS)]
+    calls: list[float] = []
+    retries: list[float] = []
+    for step in range(SECONDS * 40):
+        now = step / 40
+        host = fleet[min(HOSTS - 1, int(random_.expovariate(0.5)))]
+        host.note_call('s', now)
+        calls.append(now)
+        for _ in range(3):
+            if host.take('s', now):
+                retries.append(now)
+    for start in range(SECONDS - 10):
+        end = start + TERMS.window_seconds
+        counted = sum(start <= at < end for at in calls)
+        spent = sum(start <= at < end for at in retries)
+        case.assertLessEqual(spent, TERMS.ratio * counted + TERMS.slack)
+    case.assertGreater(len(retries), 0)
+
+
+def test_services_have_budgets_of_their_own(case: support.Case) -> None:
+    """What one service spends is not taken from another."""
+    budget = budgets.FleetBudget(TERMS, lambda: 1)
+    while budget.take('a', 1.0):
+        pass
+    case.assertTrue(budget.take('b', 1.0))
+    case.assertTrue(budget.take('a', 1.0 + TERMS.window_seconds))
+
+
+def load_tests(*_: object) -> object:
+    """Load the functions of this module."""
+    return support.load_functions(globals())
--- /dev/null
+++ b/tests/core/forwarding/test_store_watches.py
@@ -0,0 +1,90 @@
+"""A store of cached parts that restarts is believed to be empty."""
+
+import asyncio
+import typing
+
+from returns import result
+
+from pistachioseam.forwarding import plans
+from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import residency
+from pistachioseam.forwarding import store_watches
+from pistachioseam import interfaces
+from tests import call_fakes
+from tests import clocks
+from tests.core.forwarding import test_caches
+from tests import support
+
+STORE = test_caches.STORE.address
+
+
+class Control:
+    """Control whose store has the epoch that the test sets."""
+
+    def __init__(self) -> None:
+        self.epoch: int | None = 1
+
+    async def read_epoch(
+        self, address: str
+    ) -> result.Result[int, interfaces.CallFailure]:
+        """Return the epoch, or fail while there is none."""
+        await asyncio.sleep(0.1)
+        if self.epoch is None:
+            return result.Failure(call_fakes.fail(call_fakes.Kind.NOT_SENT))
+        return result.Success(self.epoch)
+
+
+def test_restart_and_outage_are_noticed(case: support.Case) -> None:
+    """Parts are saved again after a restart; a dead store is not asked."""
+
+    async def run() -> None:
+        fleet = test_caches.create_fleet(2)
+        router = fleet.router
+        control = Control()
+        watch = store_watches.StoreWatch(
+            router, typing.cast(ports.EngineControl, control), lambda: 0
+        )
+        fleet.runtime.start(watch.run())
+        await asyncio.sleep(0.5)
+        sighting = residency.Sighting(STORE, 's', test_caches.PARTS)
+        plans.note_sighting(router, sighting, is_own=True)
+
+        def count() -> int:
+            return router.caches.count_leading(STORE, 's', test_caches.PARTS)
+
+        case.assertEqual(6000, count())
+        control.epoch = 2
+        await asyncio.sleep(0.5)
+        case.assertEqual(0, count())
+        case.assertIsNotNone(plans.find_store(router, 'd1'))
+        control.epoch = None
+        await asyncio.sleep(0.5)
+        case.assertIsNone(plans.find_store(router, 'd1'))
+        control.epoch = 3
+        await asyncio.sleep(1.5)
+        case.assertIsNotNone(plans.find_store(router, 'd1'))
+
+    clocks.run(run())
+
+
+def test_other_hosts_leave_the_watch_alone(case: support.Case) -> None:
+    """A host that is not the first in the succession asks no store."""
+
+    async def run() -> None:
+        fleet = test_caches.create_fleet(2)
+        control = Control()
+        watch = store_watches.StoreWatch(
+            fleet.router,
+            typing.cast(ports.EngineControl, control),
+            lambda: store_watches.WATCHERS,
+        )
+        fleet.runtime.start(watch.run())
+        await asyncio.sleep(2.0)
+        case.assertEqual({}, fleet.router.store_epochs)
+
+    clocks.run(run())
+
+
+def load_tests(*_: object) -> object:
+    """Load the functions of this module."""
+    return support.load_functions(globals())
--- /dev/null
+++ b/tests/core/forwarding/test_watches.py
@@ -0,0 +1,147 @@
+"""Watches of the store go on through every trouble, at a bounded price."""
+
+import asyncio
+import typing
+
+from returns import result
+
+from pistachioseam import events
+from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import watches
+from tests import call_fakes
+from tests import clocks
+from tests import support
+
+Script = list[typing.Any]
+
+
+class Store:
+    """Store that answers by a script, then with no change, after a wait."""
+
+    def __init__(self, *script: typing.Any) -> None:
+        self.script: Script = list(script)
+        self.asked: list[int | None] = []
+
+    async def read_desired(
+        self, after: int | None, wait_seconds: float
+    ) -> result.Result[ports.DesiredChange, ports.StoreTrouble]:
+        """Answer with the next step."""
+        self.asked.append(after)
+        await asyncio.sleep(wait_seconds if after is not None else 0.01)
+        step = self.script.pop(0) if self.script else _create_change(None, 9)
+        return _wrap(step)
+
+    async def read_targets(
+        self, after: int | None
+    ) -> result.Result[ports.TargetsRead, ports.StoreTrouble]:
+        """Answer with the next step."""
+        self.asked.append(after)
+        await asyncio.sleep(0.01)
+        step = self.script.pop(0) if self.script else _create_read([], 9)
+        return _wrap(step)
+
+
+def _wrap(step: typing.Any) -> typing.Any:
+    if isinstance(step, ports.StoreTrouble):
+        return result.Failure(step)
+    return result.Success(step)
+
+
+def _create_change(version: int | None, cursor: int) -> ports.DesiredChange:
+    state = None if version is None else call_fakes.create_state(version)
+    return ports.DesiredChange(state=state, weights={}, cursor=cursor)
+
+
+def _create_read(
+    numbers: list[int], cursor: int, is_whole: bool = False
+) -> ports.TargetsRead:
+    change = catalog.TargetChange(
+        entries=tuple(call_fakes.create_target(n) for n in numbers),
+        removed=(),
+        is_whole=is_whole,
+    )
+    return ports.TargetsRead(change=change, cursor=cursor)
+
+
+TROUBLE = ports.StoreTrouble(detail='status 503')
+LOST = ports.StoreTrouble(detail='status 410', is_history_lost=True)
+
+
+def test_freshness_counts_from_the_question(case: support.Case) -> None:
+    """A watch that was silent for long confirms only its beginning."""
+
+    async def run() -> None:
+        fleet = call_fakes.Fleet()
+        fleet.router.freshness.confirmed_at = None
+        watch = watches.DesiredWatch(fleet.router, _cast(Store()))
+        await watch.read()
+        asked_at = fleet.runtime.now()
+        await watch.read()
+        case.assertAlmostEqual(
+            asked_at, fleet.router.freshness.confirmed_at or 0.0, places=5
+        )
+
+    clocks.run(run())
+
+
+def test_lost_history_means_all_is_read_again(case: support.Case) -> None:
+    """The next question has no cursor; changes in between arrive."""
+
+    async def run() -> None:
+        fleet = call_fakes.Fleet()
+        store = Store(_create_change(3, 5), LOST, _create_change(7, 20))
+        watch = watches.DesiredWatch(fleet.router, _cast(store))
+        for _ in range(3):
+            await watch.read()
+        case.assertEqual([None, 5, None], store.asked)
+        assert fleet.router.desired.state is not None
+        case.assertEqual(7, fleet.router.desired.state.version)
+        case.assertIn(events.Event.HISTORY_LOST, fleet.sink.list_kinds())
+
+    clocks.run(run())
+
+
+def test_outage_costs_about_a_call_a_second(case: support.Case) -> None:
+    """Failed calls are spread out; lost and regained are told once."""
+
+    async def run() -> None:
+        fleet = call_fakes.Fleet()
+        store = Store(
+            _create_change(3, 5), *[TROUBLE] * 25, _create_change(None, 6)
+        )
+        watch = watches.DesiredWatch(fleet.router, _cast(store))
+        fleet.runtime.start(watch.run())
+        await asyncio.sleep(30.0)
+        case.assertLess(len(store.asked), 25)
+        await asyncio.sleep(60.0)
+        kinds = fleet.sink.list_kinds()
+        case.assertEqual(1, kinds.count(events.Event.STORE_LOST))
+        case.assertEqual(1, kinds.count(events.Event.STORE_REGAINED))
+
+    clocks.run(run())
+
+
+def test_targets_are_read_once_a_second(case: support.Case) -> None:
+    """The first read brings all, the others what changed."""
+
+    async def run() -> None:
+        fleet = call_fakes.Fleet()
+        store = Store(_create_read([1, 2], 4, True), _create_read([3], 6))
+        watch = watches.TargetsWatch(fleet.router, _cast(store))
+        fleet.runtime.start(watch.run())
+        await asyncio.sleep(10.0)
+        case.assertEqual([None, 4, 6], store.asked[:3])
+        case.assertLessEqual(len(store.asked), 11)
+        case.assertEqual(3, len(fleet.router.catalog.list_all()))
+
+    clocks.run(run())
+
+
+def _cast(store: Store) -> ports.Platform:
+    return typing.cast(ports.Platform, store)
+
+
+def load_tests(*_: object) -> object:
+    """Load the functions of this module."""
+    return support.load_functions(globals())
