--- a/packages/pistachioseam/src/pistachioseam/forwarding/selection.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/selection.py
@@ -26,9 +26,6 @@
 """Share of the objective up to which a call is surely in time."""
 LATENESS_WEIGHT = 8.0
 """Weight of time beyond that against reading parts again."""
-DISTURBANCE_WEIGHT = 0.2
-"""Weight of the delay of each running stream. Long prompts gather at engines
-with few streams, so that the streams of others end sooner."""
 MAX_FILL = 0.9
 """Part of an engine's memory that runs may take before others wait."""
 
@@ -39,26 +36,18 @@
 
     `expected` is the time to the first byte of the answer, `lateness` a
     penalty where that is close to the objective or beyond it, `waste` the
-    cost of reading again what other targets have, `disturbance` the delay of
-    the streams that the target generates while it reads this prompt.
+    cost of reading again what other targets have.
     """
 
     target: str
     expected: float
     lateness: float = 0.0
     waste: float = 0.0
-    disturbance: float = 0.0
     other: float = 0.0
 
     def get_cost(self) -> float:
         """Return the sum of the terms."""
-        return (
-            self.expected
-            + self.lateness
-            + self.waste
-            + self.disturbance
-            + self.other
-        )
+        return self.expected + self.lateness + self.waste + self.other
 
 
 def rate_lateness(expected: float, objective: float) -> float:
@@ -155,6 +144,5 @@
         expected=expected,
         lateness=rate_lateness(expected, objective),
         waste=plan.read_tokens * transfers.READ_SECONDS_PER_TOKEN,
-        disturbance=DISTURBANCE_WEIGHT * load.runs * reading,
         other=target.cold_seconds * COLD_FACTOR,
     )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -148,7 +148,7 @@
     """Return the terms of the best candidates' costs, in seconds."""
     return [
         f'{c.target}={c.expected:.3f}+{c.lateness:.3f}+{c.waste:.3f}'
-        f'+{c.disturbance:.3f}+{c.other:.3f}'
+        f'+{c.other:.3f}'
         for c in choice.candidates[:LOGGED_CANDIDATES]
     ]
 
