Ask a store for its epoch once a second, from the last cursor, from nearby

The watch asked behind a number that never comes, which the store answers at once with all events it holds, so the watcher asked without pause, across regions.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -6,6 +6,7 @@
 
 from pistachioseam import events
 from pistachioseam.forwarding import beliefs
+from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import loads
 from pistachioseam.forwarding import plans
 from pistachioseam.forwarding import ports
@@ -33,6 +34,8 @@
 """Pause between tries at a silent peer."""
 MESSAGE_SECONDS = 1.0
 """Longest wait for a peer's answer."""
+SUSPECT_SECONDS = 1.0
+"""Age up to which suspected requests are told again."""
 SECRET_BYTES = 16
 UNKNOWN_HOSTS = 16
 """Hosts assumed before any list was read; budgets are shared by as many."""
@@ -91,6 +94,22 @@
         order = self._router.home_order.rank(DUTY_PREFIX, names, len(names))
         return order.index(own)
 
+    def is_first_near(self, domain: str) -> bool:
+        """Tell whether this host is the first of a domain's region."""
+        topology = self._router.topology
+        if topology.is_remote(domain):
+            return False
+        names = [
+            peer.name
+            for peer in self.members.list_alive()
+            if not topology.is_remote(peer.domain)
+        ]
+        own = self.members.own.name
+        ranked = self._router.home_order.rank(
+            DUTY_PREFIX, sorted([*names, own]), 1
+        )
+        return ranked == (own,)
+
     async def _run(self) -> None:
         """Join the fleet, then talk for ever."""
         secret = await self._agree_on_secret()
@@ -200,7 +219,7 @@
     async def _greet(self, address: str) -> None:
         assert self._client is not None
         answered = await self._client.exchange(
-            address, self._create_message(), MESSAGE_SECONDS
+            address, self._create_message(is_greeting=True), MESSAGE_SECONDS
         )
         if pipeline.is_successful(answered):
             self._hear(answered.unwrap())
@@ -210,7 +229,7 @@
     def _answer(self, message: messages_pb2.Message) -> messages_pb2.Message:
         """Return the answer to a peer's greeting."""
         self._hear(message)
-        return self._create_message()
+        return self._create_message(is_greeting=True)
 
     def _create_empty_message(self) -> messages_pb2.Message:
         message = messages_pb2.Message(
@@ -219,7 +238,10 @@
         message.host_status.SetInParent()
         return message
 
-    def _create_message(self) -> messages_pb2.Message:
+    def _create_message(
+        self, is_greeting: bool = False
+    ) -> messages_pb2.Message:
+        """Return the status; a greeting tells older suspects too."""
         message = self._create_empty_message()
         status = message.host_status
         now = self._router.runtime.now()
@@ -246,11 +268,15 @@
                 weights_version=seen.version,
             )
         peer_messages.add_suspects(
-            status, self._router.quarantine.list_suspects()
+            status,
+            self._router.quarantine.list_suspects(
+                float('inf') if is_greeting else SUSPECT_SECONDS
+            ),
         )
-        if self.get_standby_rank() < store_watches.WATCHERS:
-            for address, epoch in self._router.store_epochs.items():
-                status.store_epochs.add(address=address, epoch=epoch)
+        for store in self._list_watched_stores():
+            epoch = self._router.store_epochs.get(store.address)
+            if epoch is not None:
+                status.store_epochs.add(address=store.address, epoch=epoch)
         for name, born_ms in self._rollout.loading:
             status.engines.add(target=name, born_ms=born_ms, is_loading=True)
         return message
@@ -281,10 +307,11 @@
         )
         for engine in status.engines:
             self._hear_engine(engine)
-        if self.get_standby_rank() >= store_watches.WATCHERS:
-            for store in status.store_epochs:
+        watched = {store.address for store in self._list_watched_stores()}
+        for told in status.store_epochs:
+            if told.address not in watched:
                 store_watches.note_epoch(
-                    self._router, store.address, store.epoch
+                    self._router, told.address, told.epoch
                 )
         for suspect in peer_messages.decode_suspects(status):
             self._router.quarantine.merge(suspect)
@@ -298,6 +325,16 @@
                 now,
             )
 
+    def _list_watched_stores(self) -> list[desired.CacheStore]:
+        state = self._router.desired.state
+        if state is None:
+            return []
+        return [
+            store
+            for store in state.list_cache_stores()
+            if self.is_first_near(store.domain)
+        ]
+
     def _hear_sighting(self, sighting: messages_pb2.CacheSighting) -> None:
         parts = tuple(
             prompts.Part(name, tokens)
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -114,7 +114,9 @@
             lambda: self.peers.get_standby_rank(),
         )
         self.store_watch = store_watches.StoreWatch(
-            self.router, adapter.engines, lambda: self.peers.get_standby_rank()
+            self.router,
+            adapter.engines,
+            lambda domain: self.peers.is_first_near(domain),
         )
         self.peers = call_peers.CallPeers(
             self._create_own_peer(), self.router, self.rollout, adapter.store
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -242,6 +242,17 @@
         """Return the fleet's secret, the proposal if there was none."""
 
 
+@attrs.frozen
+class StoreEpoch:
+    """Run of a store of cached parts; `cursor` is for the next question.
+
+    `epoch` changes when the store restarts.
+    """
+
+    epoch: int
+    cursor: int
+
+
 class EngineControl(typing.Protocol):
     """Control of model engines."""
 
@@ -256,9 +267,9 @@
         """Give an order; return the status of its answer."""
 
     async def read_epoch(
-        self, address: str
-    ) -> result.Result[int, interfaces.CallFailure]:
-        """Wait a second at a store of cached parts; return its epoch.
+        self, address: str, after: int
+    ) -> result.Result[StoreEpoch, interfaces.CallFailure]:
+        """Return which run of a store of cached parts answers.
 
-        The epoch changes when the store restarts.
+        `after` is the cursor of the last answer, 0 at first.
         """
--- a/packages/pistachioseam/src/pistachioseam/forwarding/store_watches.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/store_watches.py
@@ -9,54 +9,61 @@
 from returns import pipeline as railway
 
 from pistachioseam import events
+from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import router as routers
 
-WATCHERS = 1
-"""Hosts that watch a store; two could disagree, and places are few."""
-RETRY_SECONDS = 0.5
-"""Pause after a watch that failed."""
+WATCH_SECONDS = 1.0
+"""Pause between two questions to a store; quick ones are priced."""
 
 
 class StoreWatch:
-    """Notes the epochs of all stores while this host is a watcher."""
+    """Notes the epochs of the stores that this host watches.
+
+    `is_watcher` tells whether it watches a store in a domain. One host in
+    the store's region does: two could disagree, and bytes between regions
+    are dear.
+    """
 
     def __init__(
         self,
         router: routers.CallRouter,
         control: ports.EngineControl,
-        get_standby_rank: abc.Callable[[], int],
+        is_watcher: abc.Callable[[str], bool],
     ) -> None:
         self._router = router
         self._control = control
-        self._get_standby_rank = get_standby_rank
+        self._is_watcher = is_watcher
+        self._cursors: dict[str, int] = {}
 
     async def run(self) -> None:
         """Watch for ever."""
         while True:
-            stores = self._list_addresses()
-            if not stores or self._get_standby_rank() >= WATCHERS:
-                await self._router.runtime.sleep(RETRY_SECONDS)
-                continue
-            for address in stores:
-                if not await self._watch(address):
-                    await self._router.runtime.sleep(RETRY_SECONDS)
-
-    def _list_addresses(self) -> list[str]:
+            for store in self._list_stores():
+                await self._watch(store.address)
+            await self._router.runtime.sleep(WATCH_SECONDS)
+
+    def _list_stores(self) -> list[desired.CacheStore]:
         state = self._router.desired.state
         if state is None:
             return []
-        return [store.address for store in state.list_cache_stores()]
-
-    async def _watch(self, address: str) -> bool:
-        """Read a store's epoch once; tell whether it answered."""
-        read = await self._control.read_epoch(address)
+        return [
+            store
+            for store in state.list_cache_stores()
+            if self._is_watcher(store.domain)
+        ]
+
+    async def _watch(self, address: str) -> None:
+        """Read a store's epoch once."""
+        cursor = self._cursors.get(address, 0)
+        read = await self._control.read_epoch(address, cursor)
         if railway.is_successful(read):
-            note_epoch(self._router, address, read.unwrap())
-            return True
-        if self._router.store_epochs.get(address) != DOWN:
+            found = read.unwrap()
+            self._cursors[address] = found.cursor
+            note_epoch(self._router, address, found.epoch)
+        else:
+            self._cursors.pop(address, None)
             note_epoch(self._router, address, DOWN)
-        return False
 
 
 DOWN = -1
--- a/packages/pistachioseam/src/pistachioseam/quarantine.py
+++ b/packages/pistachioseam/src/pistachioseam/quarantine.py
@@ -21,6 +21,7 @@
 class _Record:
     crashes: int
     expires_at: float
+    changed_at: float
 
 
 @attrs.frozen
@@ -105,7 +106,7 @@
         crashes = record.crashes + 1 if record else 1
         is_over = crashes >= self._limit
         seconds = QUARANTINE_SECONDS if is_over else SUSPICION_SECONDS
-        self._records[digest] = _Record(crashes, now + seconds)
+        self._records[digest] = _Record(crashes, now + seconds, now)
         for listener in self._listeners:
             listener()
         return is_over
@@ -116,19 +117,23 @@
         own = self._records.get(suspect.digest)
         expires_at = now + min(suspect.seconds_left, QUARANTINE_SECONDS)
         if own is None or own.expires_at <= now:
-            record = _Record(suspect.crashes, expires_at)
+            record = _Record(suspect.crashes, expires_at, now)
             self._records[suspect.digest] = record
         elif suspect.crashes > own.crashes:
             own.crashes = suspect.crashes
+            own.changed_at = now
             own.expires_at = max(own.expires_at, expires_at)
 
-    def list_suspects(self) -> tuple[Suspect, ...]:
-        """Return what peers should know."""
+    def list_suspects(
+        self, within_seconds: float = float('inf')
+    ) -> tuple[Suspect, ...]:
+        """Return what peers should know, or what of it is new."""
         now = self._runtime.now()
         return tuple(
             Suspect(digest, record.crashes, record.expires_at - now)
             for digest, record in self._records.items()
             if record.expires_at > now
+            and now - record.changed_at < within_seconds
         )
 
     def note_completion(self, digest: str) -> None:
