Load all engines at once whose weights may soon not be used

The holder of the rollout froze right after it had renewed its lease, the successor had to wait until 25.4 s, and then it spared six of nine engines for serving whose weights could not be used any more. Ruled out: refusing engines (462 refused sends came from the same rollout). Test: test_late_successor_loads_all_engines_at_once failed first.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -49,7 +49,7 @@
 CRASHES_TO_QUARANTINE = 3
 """Crashes after which the users' rules end the retries of a request."""
 MS = 1000.0
-WEIGHTS_MARGIN_SECONDS = 1.5
+WEIGHTS_MARGIN_SECONDS = 1.0
 """Time that a call may wait at its engine before it begins to run."""
 
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -30,6 +30,8 @@
 """Time that loading takes an engine; users' sheets."""
 RECHECK_SECONDS = 0.3
 """Pause between two looks at an engine that was ordered to load."""
+URGENT_SECONDS = 1.0
+"""Time before the use of old weights ends in which all engines load."""
 UNREACHABLE_SECONDS = 0.5
 """Pause before another try at an engine that did not answer."""
 
@@ -212,10 +214,10 @@
         now = self._router.read_boot_clock()
         for engine in order_by_need(outdated, self._router):
             incarnation = engine.target.get_incarnation()
-            if room <= 0:
-                break
             if incarnation in self.loading:
                 continue
+            if room <= 0 and not self._is_urgent(engine):
+                continue
             if self._retry_at.get(incarnation, now) > now:
                 continue
             room -= 1
@@ -226,6 +228,20 @@
             for listener in self._listeners:
                 listener()
 
+    def _is_urgent(self, engine: OutdatedEngine) -> bool:
+        """Tell whether an engine gets no more calls until it has loaded.
+
+        Load pattern: the holder of the lease vanished right after a naming.
+        Its successor finds all engines with weights that soon may not be
+        used, so to spare some for serving would serve nobody.
+        """
+        desired = self._router.desired
+        loaded = self._router.weights.get(engine.target, engine.model)
+        behind = desired.get_behind_seconds(
+            engine.model, loaded, self._router.runtime.now()
+        )
+        return behind > self._router.max_behind_seconds - URGENT_SECONDS
+
     async def _bring_up(self, engine: OutdatedEngine) -> None:
         """Order one engine to load, and look until it has."""
         incarnation = engine.target.get_incarnation()
--- a/tests/core/forwarding/test_rollouts.py
+++ b/tests/core/forwarding/test_rollouts.py
@@ -207,6 +207,28 @@
     clocks.run(run())
 
 
+def test_late_successor_loads_all_engines_at_once(
+    case: support.Case,
+) -> None:
+    """Engines that may soon not be used are not spared for serving."""
+
+    async def run() -> None:
+        fleet = create_fleet(9)
+        fleet.router.max_behind_seconds = 7.0
+        engines = Engines(fleet)
+        fleet.set_state(None, {MODEL: 1})
+        fleet.set_state(None, {MODEL: 2})
+        await asyncio.sleep(6.5)
+        started = fleet.runtime.now()
+        start(fleet, Store(), engines)
+        await asyncio.sleep(1.0)
+        case.assertEqual(9, len(engines.acts))
+        last = max(at for at, _, _, _ in engines.acts)
+        case.assertLess(last - started, 0.5)
+
+    clocks.run(run())
+
+
 def test_unreachable_engine_holds_nobody_up(case: support.Case) -> None:
     """The others load while it does not answer."""
 
