Spread out renewals of the lease that the store refuses

A host whose calls the store turned away tried to renew the rollout's lease up to 28 times a second (event 702), as each engine's task tried for itself without a pause. Ruled out: a race of hosts (one host's lines only). Test: test_refused_renewals_are_spread_out, 89 calls in 10 s before. Also: a host that is about to stop tells callers to come back at once, as any other host serves them.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
@@ -172,7 +172,7 @@
                 'the headers are too large',
             )
         if self.is_closing:
-            return inform.refuse_uninformed('this host is about to stop')
+            return inform.refuse_stopping()
         if not call.request_id:
             return refusals.Refusal(
                 400, refusals.Reason.BAD_REQUEST, 'the request has no id'
--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -32,6 +32,8 @@
 """Pause between two looks at an engine that was ordered to load."""
 URGENT_SECONDS = 1.0
 """Time before the use of old weights ends in which all engines load."""
+RENEW_RETRY_SECONDS = 0.5
+"""Pause after a renewal that failed; refused calls to the store are priced."""
 UNREACHABLE_SECONDS = 0.5
 """Pause before another try at an engine that did not answer."""
 
@@ -105,6 +107,7 @@
         self.loading: set[tuple[str, int]] = set()
         self._retry_at: dict[tuple[str, int], float] = {}
         self._renewing = asyncio.Lock()
+        self._renew_after = 0.0
         self._outdated_since: float | None = None
         self._observed_at = 0.0
 
@@ -176,7 +179,14 @@
         async with self._renewing:
             if not self.lease.needs_renewal():
                 return True
-            return await self._write_lease()
+            now = self._router.read_boot_clock()
+            if now < self._renew_after:
+                return False
+            is_held = await self._write_lease()
+            if not is_held:
+                now = self._router.read_boot_clock()
+                self._renew_after = now + RENEW_RETRY_SECONDS
+            return is_held
 
     async def _write_lease(self) -> bool:
         if not self.lease.may_write():
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/inform.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/inform.py
@@ -9,6 +9,8 @@
 
 RETRY_AFTER_SECONDS = 0.3
 """Another host is likely to know; come back almost at once."""
+OTHER_HOST_SECONDS = 0.05
+"""Any other host serves the call; come back at once."""
 
 
 @routers.register('inform')
@@ -31,3 +33,13 @@
         message,
         retry_after_seconds=RETRY_AFTER_SECONDS,
     )
+
+
+def refuse_stopping() -> refusals.Refusal:
+    """Return the refusal of a host that is about to stop."""
+    return refusals.Refusal(
+        503,
+        refusals.Reason.NOT_READY,
+        'this host is about to stop',
+        retry_after_seconds=OTHER_HOST_SECONDS,
+    )
--- a/tests/core/forwarding/test_rollouts.py
+++ b/tests/core/forwarding/test_rollouts.py
@@ -24,19 +24,27 @@
     def __init__(self) -> None:
         self.row = ports.LeaseRow(holder='', version=0)
         self.is_losing = False
+        self.is_down = False
+        self.calls = 0
 
     async def read_lease(
         self, duty: str
     ) -> result.Result[ports.LeaseRow, ports.StoreTrouble]:
         """Return the row."""
+        self.calls += 1
         await asyncio.sleep(0.01)
+        if self.is_down:
+            return result.Failure(ports.StoreTrouble(detail='status 503'))
         return result.Success(self.row)
 
     async def write_lease(
         self, duty: str, holder: str, version: int
     ) -> result.Result[ports.LeaseRow, ports.StoreTrouble]:
         """Replace the row if it still has the version."""
+        self.calls += 1
         await asyncio.sleep(0.01)
+        if self.is_down:
+            return result.Failure(ports.StoreTrouble(detail='status 503'))
         if version != self.row.version:
             trouble = ports.StoreTrouble(detail='412', is_conflict=True)
             return result.Failure(trouble)
@@ -287,6 +295,28 @@
     clocks.run(run())
 
 
+def test_refused_renewals_are_spread_out(case: support.Case) -> None:
+    """A holder that the store turns away asks a few times a second."""
+
+    async def run() -> None:
+        fleet = create_fleet(9)
+        engines = Engines(fleet)
+        store = Store()
+        start(fleet, store, engines)
+        await asyncio.sleep(0.5)
+        fleet.set_state(None, {MODEL: 2})
+        await asyncio.sleep(0.3)
+        store.is_down = True
+        store.calls = 0
+        await asyncio.sleep(10.0)
+        case.assertLess(store.calls, 45)
+        store.is_down = False
+        await asyncio.sleep(5.0)
+        case.assertEqual(9, len(engines.acts))
+
+    clocks.run(run())
+
+
 def test_lost_answer_of_the_store_is_read_back(case: support.Case) -> None:
     """A renewal that took effect unseen is found, and the work goes on."""
 
