Put changed settings in force on SIGHUP; log broken streams as such

SIGHUP logged that the settings were read again and did not read them. Event 306 was written for refusals too, and 309 had lost the configuration. Tests: test_reload_signal_puts_bounds_in_force, test_log_tells_refusals, test_decision_is_logged failed first.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -1,10 +1,12 @@
 """The process of a host that forwards calls: wiring, timers, shutdown."""
 
 import asyncio
+import pathlib
 import time
 import typing
 
 import attrs
+from returns import pipeline
 from twisted.internet import defer
 from twisted.web import resource
 from twisted.web import server
@@ -92,8 +94,10 @@
         options: call_settings.CallSettings,
         adapter: Adapter,
         writer: log_writer.LogWriter,
+        settings_path: pathlib.Path,
     ) -> None:
         self.settings = options
+        self._settings_path = settings_path
         self._writer = writer
         self.metrics = metrics.Metrics()
         self.sink = logs.LogSink(options.host.name, self.metrics)
@@ -146,9 +150,7 @@
             quarantine=quarantine.Quarantine(
                 self.runtime, CRASHES_TO_QUARANTINE
             ),
-            max_behind_seconds=(
-                options.bounds.weights_ms / MS - WEIGHTS_MARGIN_SECONDS
-            ),
+            max_behind_seconds=_get_max_behind(options.bounds),
         )
 
     def _create_lease(self) -> leases.Lease:
@@ -235,8 +237,27 @@
         return is_informed and self.lifecycle.get_state() == 'ready'
 
     def reload(self) -> None:
-        """Note that the settings may have changed."""
-        self.sink.emit(events.Event.PROCESS_RELOADED)
+        """Read the settings again; put bounds and budgets in force.
+
+        Addresses stay as they were at the start. Settings with a defect
+        change nothing.
+        """
+        loaded = call_settings.load_call_settings(self._settings_path)
+        if not pipeline.is_successful(loaded):
+            for finding in loaded.failure():
+                self.sink.emit(
+                    events.Event.SETTINGS_REJECTED, finding=finding.format()
+                )
+            return
+        self.settings = loaded.unwrap()
+        bounds = self.settings.bounds
+        self.router.freshness.bound_seconds = bounds.revocation_ms / MS
+        self.router.max_behind_seconds = _get_max_behind(bounds)
+        self.router.budget.terms = self.settings.retries
+        self.rollout.lease.lease_seconds = bounds.lease_ms / MS
+        self.sink.emit(
+            events.Event.PROCESS_RELOADED, bounds=attrs.asdict(bounds)
+        )
 
     def shut_down(self) -> defer.Deferred[None]:
         """Return a Deferred that fires when a graceful shutdown has ended."""
@@ -262,3 +283,7 @@
                 active=self.listener.active,
             )
         self.lifecycle.stop()
+
+
+def _get_max_behind(bounds: call_settings.Bounds) -> float:
+    return bounds.weights_ms / MS - WEIGHTS_MARGIN_SECONDS
--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -40,6 +40,9 @@
     LOG_LINES_OMITTED = EventKind(
         106, Level.WARNING, 'log lines left out or dropped'
     )
+    SETTINGS_REJECTED = EventKind(
+        107, Level.ERROR, 'settings with a defect; the former stay in force'
+    )
     CONFIGURATION_IN_FORCE = EventKind(
         201, Level.INFO, 'configuration in force'
     )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/budgets.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/budgets.py
@@ -24,7 +24,7 @@
     def __init__(
         self, terms: BudgetTerms, count_hosts: abc.Callable[[], int]
     ) -> None:
-        self._terms = terms
+        self.terms = terms
         self._count_hosts = count_hosts
         self._calls: dict[str, collections.deque[float]] = {}
         self._retries: dict[str, collections.deque[float]] = {}
@@ -37,8 +37,8 @@
         """Spend one retry; return False when the budget is empty."""
         calls = self._count(self._calls, service, now)
         retries = self._count(self._retries, service, now)
-        slack = self._terms.slack / max(1, self._count_hosts())
-        if retries + 1 > SAFETY * (self._terms.ratio * calls + slack):
+        slack = self.terms.slack / max(1, self._count_hosts())
+        if retries + 1 > SAFETY * (self.terms.ratio * calls + slack):
             return False
         self._retries.setdefault(service, collections.deque()).append(now)
         return True
@@ -56,6 +56,6 @@
         kept = moments.get(service)
         if kept is None:
             return 0
-        while kept and kept[0] <= now - self._terms.window_seconds:
+        while kept and kept[0] <= now - self.terms.window_seconds:
             kept.popleft()
         return len(kept)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -316,7 +316,7 @@
     event = events.Event.REQUEST_ENDED
     if caller_left:
         event = events.Event.CALLER_LEFT
-    elif refusal is not None and call.reply.is_begun():
+    elif refusal is not None and call.status:
         event = events.Event.STREAM_FAILED
     elif refusal is not None:
         event = events.Event.REQUEST_REFUSED
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -135,6 +135,7 @@
         target=target.name,
         costs=_describe_costs(choice),
         plan=answer.describe_plan(target),
+        configuration=call.desired_version,
         age=round(router.freshness.get_age(router.read_boot_clock()), 3),
     )
     router.health.note_sent(target.name)
--- a/tests/core/forwarding/test_forward.py
+++ b/tests/core/forwarding/test_forward.py
@@ -2,6 +2,8 @@
 
 import asyncio
 
+from pistachioseam import events
+from pistachioseam.forwarding import delivery
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import prompts
 from pistachioseam.forwarding import router as routers
@@ -233,6 +235,46 @@
     clocks.run(run())
 
 
+def test_log_tells_refusals_from_broken_streams(case: support.Case) -> None:
+    """Only an answer that had begun is logged as a broken stream."""
+
+    async def run() -> None:
+        for script, expected in (
+            ([fail(Kind.NOT_SENT)] * 9, events.Event.REQUEST_REFUSED),
+            (
+                [answer(chunks=(event(1), fail(Kind.BROKEN)))],
+                events.Event.STREAM_FAILED,
+            ),
+        ):
+            fleet = create_engine_fleet()
+            call, reply = await fleet.serve(
+                '/stream/', *[[step] for step in script]
+            )
+            if not reply.is_begun():
+                await reply.begin(503, ())
+            delivery.emit_end(call, fleet.router, caller_left=False)
+            case.assertIs(expected, fleet.sink.list_kinds()[-1])
+
+    clocks.run(run())
+
+
+def test_decision_is_logged_with_its_inputs(case: support.Case) -> None:
+    """The line of a placed call names costs, configuration and age."""
+
+    async def run() -> None:
+        fleet = create_plain_fleet()
+        await fleet.serve('/once/', [answer()])
+        placed = [
+            fields
+            for kind, fields in fleet.sink.events
+            if kind is events.Event.CALL_PLACED
+        ]
+        for name in ('request_id', 'target', 'costs', 'configuration', 'age'):
+            case.assertIn(name, placed[0])
+
+    clocks.run(run())
+
+
 def test_stream_that_ends_inside_an_event_is_not_complete(
     case: support.Case,
 ) -> None:
--- a/tests/failures/test_forwarding.py
+++ b/tests/failures/test_forwarding.py
@@ -243,13 +243,24 @@
     case.assertEqual(0, member.process.wait(8.0))
 
 
-def test_reload_signal_does_not_end_the_process(case: support.Case) -> None:
-    """SIGHUP is taken as a change of the settings."""
+def test_reload_signal_puts_bounds_in_force(case: support.Case) -> None:
+    """Changed bounds hold after SIGHUP; defects change nothing."""
     running = start_fleet(case, hosts=1)
     member = running.entries[0]
+    path = running.folder / 'host-1.yaml'
+    sound = path.read_text()
+    path.write_text(sound.replace('revocation_ms: 5000', 'revocation_ms: -1'))
     member.process.send_signal(signal.SIGHUP)
     time.sleep(0.3)
     case.assertEqual(200, send(member.address, '/once/a').status)
+    log = (running.folder / 'host-1.log').read_text()
+    case.assertIn('bounds.revocation_ms', log)
+    path.write_text(sound.replace('revocation_ms: 5000', 'revocation_ms: 401'))
+    member.process.send_signal(signal.SIGHUP)
+    deployment.wait_until(
+        lambda: send(member.address, '/once/a').status == 503,
+        'the former bound still holds',
+    )
 
 
 def load_tests(*_: object) -> object:
