--- a/packages/pistachioseam-standins/src/pistachioseam_standins/fleet.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/fleet.py
@@ -13,6 +13,7 @@
 import yaml
 
 from pistachioseam_standins import deployment
+from pistachioseam_standins import fleet_server
 
 HOST_NAME = 'host.example'
 MODEL = 'model-1'
@@ -68,9 +69,11 @@
             self.wait_ready(member)
         self.wait_targets()
 
-    def start_server(self, name: str, service: str, model: str) -> typing.Any:
+    def start_server(
+        self, name: str, service: str, model: str, address: str = ''
+    ) -> deployment.Member:
         """Start a server, registered under its name."""
-        address = deployment.find_free_address()
+        address = address or deployment.find_free_address()
         arguments = ['-m', 'pistachioseam_standins.fleet_server', name]
         arguments += [service, address, self.platform.address]
         if model:
@@ -107,7 +110,7 @@
                 'admin_address': admin,
                 'peer_address': self.peer_addresses[number],
             },
-            'store_address': self.platform.address,
+            'store_address': self.get_store_address(number),
             'regions': [{'name': 'region-1', 'domains': ['zone-1']}],
             'bounds': {
                 'revocation_ms': 5000,
@@ -117,6 +120,10 @@
             },
         }
 
+    def get_store_address(self, number: int) -> str:
+        """Return where a host reaches the store."""
+        return self.platform.address
+
     def wait_ready(self, member: deployment.Member) -> None:
         """Return once a host knows a desired state."""
         deployment.wait_until(
@@ -165,6 +172,15 @@
             'POST', self.platform.address, '/standin/faults', {'mode': mode}
         )
 
+    def list_logged_runs(self) -> list[str]:
+        """Return the ids of all requests that ever ran, crashes included."""
+        return [
+            line.removeprefix(fleet_server.RUN_MARK)
+            for path in self.folder.glob('*.log')
+            for line in path.read_text(errors='replace').splitlines()
+            if line.startswith(fleet_server.RUN_MARK)
+        ]
+
     def list_runs(self, members: list[deployment.Member]) -> list[str]:
         """Return the ids of the requests that servers ran."""
         runs: list[str] = []
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
@@ -23,6 +23,7 @@
 EVENT_SECONDS = 0.01
 EVENTS = 8
 LOAD_SECONDS = 0.1
+RUN_MARK = 'ran '
 FORBIDDEN = ('authorization', 'x-pistachioseam-hold', 'kv-from')
 
 _REACTOR: typing.Any = reactor
@@ -148,6 +149,8 @@
     async def _run(self, request: typing.Any, word: str) -> bytes:
         request_id = request.getHeader('x-pistachioseam-request-id') or ''
         self.runs.append(request_id)
+        # A crash must not lose what has run.
+        print(f'{RUN_MARK}{request_id}', flush=True)
         if word == 'crash':
             os.abort()
         if word == 'silent':
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of the real programs under faults from outside."""
