--- a/tests/clocks.py
+++ b/tests/clocks.py
@@ -45,14 +45,12 @@
 def run(work: abc.Coroutine[typing.Any, typing.Any, T]) -> T:
     """Run a coroutine in virtual time and return its result."""
     loop = VirtualLoop()
-    asyncio.set_event_loop(loop)
     try:
         return loop.run_until_complete(asyncio.wait_for(work, RUN_SECONDS))
     finally:
         for task in asyncio.all_tasks(loop):
             task.cancel()
         loop.run_until_complete(asyncio.sleep(0))
-        asyncio.set_event_loop(None)
         loop.close()
 
 
--- a/tests/entry/test_target_channels.py
+++ b/tests/entry/test_target_channels.py
@@ -71,7 +71,7 @@
     work: abc.Callable[[], abc.Coroutine[typing.Any, typing.Any, None]],
 ) -> None:
     """Run a test on the reactor's loop."""
-    loop = asyncio.get_event_loop_policy().get_event_loop()
+    loop = reactors.get_reactor()._asyncioEventloop
     loop.run_until_complete(asyncio.wait_for(work(), LOOP_SECONDS))
 
 
