Answer requests that arrive too slowly 408; measure the store, sends, tokens and retries

Cause: the header bound of the configuration was read and never used, so a caller that dripped its header was cut by the idle timeout without an answer. The metrics said nothing of store calls, repeated sends, prompt tokens read again, the retry budget, the lease, or lost log lines. Ruled out: a bound on the whole request in the filters, which run only once a request has arrived.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_admin.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_admin.py
@@ -7,11 +7,25 @@
 import klein
 from twisted.web import server
 
+from pistachioseam.forwarding import rollouts
 from pistachioseam_entry import admin
 
 if typing.TYPE_CHECKING:
     from pistachioseam_entry import call_process
 
+STATE_NAMES = (
+    'active_requests',
+    'open_channels',
+    'opened_channels',
+    'live_targets',
+    'configuration_number',
+    'configuration_age_seconds',
+    'lease_held',
+    'engines_loading',
+    'engines_behind',
+)
+"""Sizes of state in the order in which they are measured."""
+
 
 class CallAdmin:
     """HTTP application on the admin address."""
@@ -43,15 +57,30 @@
         router = process.router
         age = router.freshness.get_age(router.read_boot_clock())
         state = router.desired.state
-        for name, value in (
-            ('active_requests', process.listener.active),
-            ('open_channels', process.channels.count_open()),
-            ('opened_channels', process.channels.opened),
-            ('live_targets', len(router.catalog.list_all())),
-            ('configuration_number', state.version if state else 0),
-            ('configuration_age_seconds', age),
-        ):
+        values = (
+            process.listener.active,
+            process.channels.count_open(),
+            process.channels.opened,
+            len(router.catalog.list_all()),
+            state.version if state else 0,
+            age,
+            int(process.rollout.lease.may_act()),
+            len(process.rollout.loading),
+            len(rollouts.list_outdated(router)),
+        )
+        for name, value in zip(STATE_NAMES, values, strict=True):
             process.metrics.set_state(name, value)
+        self._measure_retries()
+
+    def _measure_retries(self) -> None:
+        budget = self._process.router.budget
+        now = self._process.runtime.now()
+        for service in budget.list_services():
+            self._process.metrics.set_retry_budget(
+                service,
+                budget.count_retries(service, now),
+                budget.get_allowed(service, now),
+            )
 
     def _create_dump(self) -> dict[str, typing.Any]:
         process = self._process
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
@@ -62,6 +62,7 @@
         """Return the protocol factory of the listening port."""
         site = listener.BoundedSite(self, requestFactory=CallRequest)
         site.displayTracebacks = False
+        site.note_slow = self._note_slow
         self._site = site
         self._apply_limits()
         return site
@@ -76,11 +77,16 @@
             return
         limits = self._get_limits()
         self._site.timeOut = limits.idle_seconds
+        self._site.header_seconds = limits.header_seconds
         self._site.header_room = (
             listener.HEADER_ROOM_FACTOR * limits.header_bytes
         )
         CallRequest.max_body_bytes = limits.body_bytes
 
+    def _note_slow(self) -> None:
+        """Count and log a request that was answered before it had arrived."""
+        self._router.sink.emit(events.Event.CALLER_SLOW)
+
     def render(self, request: typing.Any) -> int:
         """Answer any request of a caller."""
         work = asyncio.ensure_future(self._handle(request))
@@ -189,12 +195,25 @@
             outcome = call.refusal.outcome.value
             reason = call.refusal.reason.value
         self._metrics.observe_request(
+            call.route.repetition.value if call.route else 'unknown',
             outcome,
             reason,
             now - call.received_at,
             None if first is None else first - call.received_at,
             0,
         )
+        self._record_attempts(call)
+
+    def _record_attempts(self, call: calls.Call) -> None:
+        for index, attempt in enumerate(call.attempts):
+            self._metrics.observe_attempt(
+                attempt.failure or 'ok', index > 0, attempt.expected
+            )
+            self._metrics.add_prompt_tokens(attempt.prompt_tokens)
+        if call.attempts:
+            self._metrics.observe_held(
+                call.attempts[0].started_at - call.received_at
+            )
 
 
 _WORK: set[asyncio.Future[None]] = set()
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -34,6 +34,7 @@
 from pistachioseam_entry import lifecycle
 from pistachioseam_entry import log_writer
 from pistachioseam_entry import logs
+from pistachioseam_entry import measured_store
 from pistachioseam_entry import metrics
 from pistachioseam_entry import reactors
 from pistachioseam_entry import runtime
@@ -104,15 +105,18 @@
         self.runtime = runtime.AsyncioRuntime(self.sink)
         self.lifecycle = lifecycle.create_lifecycle(self.sink)
         self.channels = adapter.channels
+        store = measured_store.MeasuredStore(
+            adapter.store, self.metrics, self.runtime
+        )
         self.router = self._create_router()
         self.listener = call_listener.CallListener(
             self.router, adapter.codec, self.metrics
         )
-        self.desired_watch = watches.DesiredWatch(self.router, adapter.store)
-        self.targets_watch = watches.TargetsWatch(self.router, adapter.store)
+        self.desired_watch = watches.DesiredWatch(self.router, store)
+        self.targets_watch = watches.TargetsWatch(self.router, store)
         self.rollout = rollouts.Rollout(
             self.router,
-            adapter.store,
+            store,
             adapter.engines,
             self._create_lease(),
             lambda: self.peers.get_standby_rank(),
@@ -123,7 +127,7 @@
             lambda domain: self.peers.is_first_near(domain),
         )
         self.peers = call_peers.CallPeers(
-            self._create_own_peer(), self.router, self.rollout, adapter.store
+            self._create_own_peer(), self.router, self.rollout, store
         )
         self._ports: list[typing.Any] = []
 
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/listener.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/listener.py
@@ -1,11 +1,13 @@
 """Listener for callers: reads requests and runs them through the filters."""
 
 import asyncio
+from collections import abc
 import json
 import typing
 
 import klein
 from twisted.internet import defer
+from twisted.web import http
 from twisted.web import server
 
 from pistachioseam import chats
@@ -17,6 +19,7 @@
 from pistachioseam import pipeline
 from pistachioseam import refusals
 from pistachioseam import router as routers
+from pistachioseam_entry import caller_channels
 from pistachioseam_entry import metrics
 from pistachioseam_entry import reply as replies
 from pistachioseam_entry import settings
@@ -52,13 +55,24 @@
     """Site whose connections read headers somewhat beyond the bound."""
 
     header_room = 0
+    header_seconds = 0.0
+    note_slow: abc.Callable[[], None] = staticmethod(lambda: None)
+
+    def protocol(self) -> typing.Any:
+        """Return the protocol of a connection whose requests are timed."""
+        return http._GenericHTTPChannelProtocol(
+            caller_channels.CallerChannel()
+        )
 
     def buildProtocol(self, addr: typing.Any) -> typing.Any:  # noqa: N802
         """Return the protocol of a new connection."""
-        channel: typing.Any = super().buildProtocol(addr)
-        channel._channel.totalHeadersSize = self.header_room
-        channel._channel.MAX_LENGTH = self.header_room
-        return channel
+        protocol: typing.Any = super().buildProtocol(addr)
+        channel = protocol._channel
+        channel.totalHeadersSize = self.header_room
+        channel.MAX_LENGTH = self.header_room
+        channel.header_seconds = self.header_seconds
+        channel.note_slow = self.note_slow
+        return protocol
 
 
 def measure_headers(request: typing.Any) -> int:
@@ -98,6 +112,7 @@
             requestFactory=_Request,
         )
         site.header_room = HEADER_ROOM_FACTOR * self._options.max_header_bytes
+        site.header_seconds = self._options.idle_timeout_seconds
         site.displayTracebacks = False
         return site
 
@@ -229,6 +244,7 @@
         first = exchange.first_token_at
         seconds = now - exchange.received_at
         self._metrics.observe_request(
+            'chat' if exchange.chat else 'call',
             outcome,
             reason,
             seconds,
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/logs.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/logs.py
@@ -81,6 +81,8 @@
     def report_omitted(self, dropped: int = 0) -> None:
         """Say how many lines were left out or dropped since the last time."""
         omitted = self._budget.take_omitted()
+        self._metrics.count_lost_lines('budget', sum(omitted.values()))
+        self._metrics.count_lost_lines('reader', dropped)
         if omitted or dropped:
             self.emit(
                 events.Event.LOG_LINES_OMITTED,
--- /dev/null
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/measured_store.py
@@ -0,0 +1,95 @@
+"""The platform's store with a measurement of each call."""
+
+from collections import abc
+import typing
+
+from returns import pipeline
+from returns import result
+
+from pistachioseam.forwarding import ports
+from pistachioseam import interfaces
+from pistachioseam_entry import metrics
+
+Value = typing.TypeVar('Value')
+StoreResult = result.Result[Value, ports.StoreTrouble]
+
+
+class MeasuredStore:
+    """Passes calls on and records their outcomes and times."""
+
+    def __init__(
+        self,
+        store: ports.Platform,
+        measures: metrics.Metrics,
+        runtime: interfaces.Runtime,
+    ) -> None:
+        self._store = store
+        self._metrics = measures
+        self._runtime = runtime
+
+    async def _measure(
+        self, name: str, call: abc.Awaitable[StoreResult[Value]]
+    ) -> StoreResult[Value]:
+        started_at = self._runtime.now()
+        answer = await call
+        seconds = self._runtime.now() - started_at
+        self._metrics.observe_store_call(
+            name, _describe_outcome(answer), seconds
+        )
+        return answer
+
+    async def read_desired(
+        self, after: int | None, wait_seconds: float
+    ) -> StoreResult[ports.DesiredChange]:
+        """Return what changed behind `after`, waiting for a change."""
+        call = self._store.read_desired(after, wait_seconds)
+        return await self._measure('read_desired', call)
+
+    async def read_targets(
+        self, after: int | None
+    ) -> StoreResult[ports.TargetsRead]:
+        """Return what changed behind `after`, or all entries."""
+        call = self._store.read_targets(after)
+        return await self._measure('read_targets', call)
+
+    async def read_lease(self, duty: str) -> StoreResult[ports.LeaseRow]:
+        """Return the row of a duty; version 0 while there is none."""
+        call = self._store.read_lease(duty)
+        return await self._measure('read_lease', call)
+
+    async def write_lease(
+        self, duty: str, holder: str, version: int
+    ) -> StoreResult[ports.LeaseRow]:
+        """Replace the row if it still has the version."""
+        call = self._store.write_lease(duty, holder, version)
+        return await self._measure('write_lease', call)
+
+    async def write_host(self, entry: ports.HostEntry) -> StoreResult[None]:
+        """Announce this host to its peers."""
+        call = self._store.write_host(entry)
+        return await self._measure('write_host', call)
+
+    async def remove_host(self, name: str) -> StoreResult[None]:
+        """Take this host off the list."""
+        call = self._store.remove_host(name)
+        return await self._measure('remove_host', call)
+
+    async def list_hosts(self) -> StoreResult[tuple[ports.HostEntry, ...]]:
+        """Return the hosts that have announced themselves."""
+        return await self._measure('list_hosts', self._store.list_hosts())
+
+    async def share_secret(self, proposal: bytes) -> StoreResult[bytes]:
+        """Return the fleet's secret, the proposal if there was none."""
+        call = self._store.share_secret(proposal)
+        return await self._measure('share_secret', call)
+
+
+def _describe_outcome(answer: StoreResult[Value]) -> str:
+    if pipeline.is_successful(answer):
+        return 'ok'
+    trouble = answer.failure()
+    if trouble.is_conflict:
+        return 'conflict'
+    if trouble.is_history_lost:
+        return 'history_lost'
+    return 'unknown' if trouble.is_unknown else 'failed'
--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -76,6 +76,9 @@
     CALL_TURNED_AWAY = EventKind(
         311, Level.INFO, 'call turned away: its first token would come late'
     )
+    CALLER_SLOW = EventKind(
+        312, Level.INFO, 'request did not arrive whole in time; answered 408'
+    )
     INTERNAL_ERROR = EventKind(399, Level.ERROR, 'internal error')
     CLAIM_UNRESOLVED = EventKind(
         401, Level.WARNING, 'claim dropped because the store did not confirm'
--- a/packages/pistachioseam/src/pistachioseam/forwarding/budgets.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/budgets.py
@@ -35,14 +35,22 @@
 
     def take(self, service: str, now: float) -> bool:
         """Spend one retry; return False when the budget is empty."""
-        calls = self._count(self._calls, service, now)
-        retries = self._count(self._retries, service, now)
-        slack = self.terms.slack / max(1, self._count_hosts())
-        if retries + 1 > SAFETY * (self.terms.ratio * calls + slack):
+        retries = self.count_retries(service, now)
+        if retries + 1 > self.get_allowed(service, now):
             return False
         self._retries.setdefault(service, collections.deque()).append(now)
         return True
 
+    def get_allowed(self, service: str, now: float) -> float:
+        """Return the retries that this host may spend in a window."""
+        calls = self._count(self._calls, service, now)
+        slack = self.terms.slack / max(1, self._count_hosts())
+        return SAFETY * (self.terms.ratio * calls + slack)
+
+    def list_services(self) -> list[str]:
+        """Return the services that had calls."""
+        return list(self._calls)
+
     def count_retries(self, service: str, now: float) -> int:
         """Return the retries in the current window."""
         return self._count(self._retries, service, now)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
@@ -1,5 +1,7 @@
 """One forwarded call on its way through the filters."""
 
+from collections import abc
+
 import attrs
 
 from pistachioseam import exchanges
@@ -14,13 +16,15 @@
 class CallAttempt:
     """One send to a target; `failure` is empty unless it failed.
 
-    `expected` is the expected time to the first byte, in seconds.
+    `expected` is the expected time to the first byte, in seconds;
+    `prompt_tokens` says where the tokens of a prompt were to come from.
     """
 
     target: catalog.LiveTarget
     started_at: float
     expected: float = 0.0
     failure: str = ''
+    prompt_tokens: abc.Mapping[str, int] = attrs.field(factory=dict)
 
 
 @attrs.define(kw_only=True)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -90,6 +90,8 @@
             return self._router.loads.begin(target.name, 0, 0, now=now)
         self._plan = plans.plan_run(self._call, self._router, target)
         plan = self._plan
+        if self._call.attempts:
+            self._call.attempts[-1].prompt_tokens = plan.count_tokens()
         plans.note_sent(self._router, target, plan)
         transfer_ms = int(plan.source.seconds * plans.MS)
         if plan.source.name:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/plans.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/plans.py
@@ -36,6 +36,18 @@
     source: transfers.Source
     save_to: str
 
+    def count_tokens(self) -> dict[str, int]:
+        """Return the prompt's tokens by where they are to come from."""
+        total = sum(part.tokens for part in self.parts)
+        fetched = self.source.tokens
+        kept = total - self.own_tokens - self.read_tokens - fetched
+        return {
+            'kept': max(0, kept),
+            'fetched': fetched,
+            'read_again': self.read_tokens,
+            'own': self.own_tokens,
+        }
+
 
 def plan_run(
     call: calls.Call,
--- /dev/null
+++ b/tests/entry/test_metrics.py
@@ -0,0 +1,91 @@
+"""The metrics page names all metrics, and no others."""
+
+import asyncio
+import pathlib
+import re
+import typing
+
+from returns import result
+
+from pistachioseam.forwarding import ports
+from pistachioseam_entry import call_admin
+from pistachioseam_entry import measured_store
+from pistachioseam_entry import metrics
+from pistachioseam_entry import runtime
+from tests import call_fakes
+from tests import clocks
+from tests import support
+
+PAGE = pathlib.Path('docs/reference/metrics.md')
+
+
+def list_documented() -> set[str]:
+    """Return the metrics that the page has in its tables."""
+    return set(
+        re.findall(r'^\| `(pistachioseam_\w+)` \|', PAGE.read_text(), re.M)
+    )
+
+
+def test_page_lists_all_metrics(case: support.Case) -> None:
+    """A metric without its line on the page is found, and the reverse."""
+    served = metrics.Metrics().render().decode()
+    named = set(re.findall(r'^# HELP (\w+) ', served, re.M))
+    case.assertEqual(named, list_documented())
+
+
+def test_page_lists_all_state_names(case: support.Case) -> None:
+    """Sizes of state on hosts that forward calls have a line each."""
+    lines = re.findall(r'^\| (`[a-z_`, ]+) \|', PAGE.read_text(), re.M)
+    documented = set(re.findall(r'`(\w+)`', ' '.join(lines)))
+    case.assertEqual(
+        set(call_admin.STATE_NAMES),
+        {name for name in documented if not name.startswith('pistachioseam')},
+    )
+
+
+class Store:
+    """Store that answers reads of the lease by a script."""
+
+    def __init__(self) -> None:
+        self.troubles = [
+            None,
+            ports.StoreTrouble(detail='busy'),
+            ports.StoreTrouble(detail='cut', is_unknown=True),
+            ports.StoreTrouble(detail='newer', is_conflict=True),
+        ]
+
+    async def read_lease(
+        self, _: str
+    ) -> result.Result[ports.LeaseRow, ports.StoreTrouble]:
+        """Answer after a quarter of a second."""
+        await asyncio.sleep(0.25)
+        trouble = self.troubles.pop(0)
+        if trouble is not None:
+            return result.Failure(trouble)
+        return result.Success(ports.LeaseRow(holder='a', version=1))
+
+
+def test_store_calls_are_measured(case: support.Case) -> None:
+    """Each outcome of a call has a series, and the answer is passed on."""
+    measures = metrics.Metrics()
+
+    async def work() -> None:
+        clock = runtime.AsyncioRuntime(call_fakes.Sink())
+        store = measured_store.MeasuredStore(
+            typing.cast(ports.Platform, Store()), measures, clock
+        )
+        for _ in range(4):
+            await store.read_lease('duty')
+
+    clocks.run(work())
+    served = measures.render().decode()
+    for outcome in ('ok', 'failed', 'unknown', 'conflict'):
+        labels = f'{{call="read_lease",outcome="{outcome}"}}'
+        case.assertIn(f'store_call_seconds_count{labels} 1', served)
+    case.assertIn('le="0.1",outcome="ok"} 0', served)
+    case.assertIn('le="0.3",outcome="ok"} 1', served)
+
+
+def load_tests(*_: object) -> object:
+    """Load the functions of this module."""
+    return support.load_functions(globals())
--- a/tests/entry/test_target_channels.py
+++ b/tests/entry/test_target_channels.py
@@ -13,12 +13,9 @@
 from pistachioseam.forwarding import ports
 from pistachioseam import interfaces
 from pistachioseam_entry import reactors
-
-reactors.ensure_reactor()
-
-from pistachioseam_entry import target_channels  # noqa: E402
-from pistachioseam_platform import headers  # noqa: E402
-from tests import support  # noqa: E402
+from pistachioseam_entry import target_channels
+from pistachioseam_platform import headers
+from tests import support
 
 Kind = interfaces.FailureKind
 HEAD = b'HTTP/1.1 200 OK\r\nX-Pistachioseam-Request-Id: 1\r\n'
