Ask the store by one host a domain; let domains of large fleets talk through one host

Each host watched the store and told every other host by itself. Ruled out: fewer messages at the same fan-out (they still grow with the square of the hosts), documents passed on between hosts (a second copy of the truth). Change: hosts of a domain ask its first host whether the store has changed, with the age of that word; they read the store only for changes.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -1,22 +1,21 @@
-"""Gossip between hosts that forward calls: loads, weights, suspects."""
+"""Talk between hosts that forward calls: who is told what, and when."""
 
+from collections import abc
 import secrets
 
 from returns import pipeline
 
 from pistachioseam import events
-from pistachioseam.forwarding import beliefs
+from pistachioseam.forwarding import confirmations
+from pistachioseam.forwarding import contacts
 from pistachioseam.forwarding import desired
-from pistachioseam.forwarding import loads
-from pistachioseam.forwarding import plans
 from pistachioseam.forwarding import ports
-from pistachioseam.forwarding import prompts
-from pistachioseam.forwarding import residency
 from pistachioseam.forwarding import rollouts
 from pistachioseam.forwarding import router as routers
-from pistachioseam.forwarding import store_watches
+from pistachioseam import interfaces
 from pistachioseam import membership
 from pistachioseam_entry import peer_messages
+from pistachioseam_entry import status_messages
 from pistachioseam_peer import clients
 from pistachioseam_peer import envelopes
 from pistachioseam_peer.generated import messages_pb2
@@ -26,21 +25,47 @@
 """Pause between two messages to each peer; bytes between zones are dear."""
 SIGHTING_SECONDS = 0.02
 """Time for which parts that begin to be read are gathered for peers."""
-HOSTS_SECONDS = 5.0
-"""Pause between reads of the list of hosts."""
+RELAY_SECONDS = 0.1
+"""Time for which news of one domain is gathered for another."""
+HOSTS_SECONDS = 10.0
+"""Pause between reads of the list of hosts; new ones greet their peers."""
 RETRY_SECONDS = 0.5
 """Pause before another try at the store."""
 RETRY_SILENT_SECONDS = 1.0
 """Pause between tries at a silent peer."""
 MESSAGE_SECONDS = 1.0
 """Longest wait for a peer's answer."""
-SUSPECT_SECONDS = 1.0
-"""Age up to which suspected requests are told again."""
+CONFIRM_SECONDS = confirmations.HOLD_SECONDS + 0.3
+"""Longest wait for a peer's word on the store."""
 SECRET_BYTES = 16
 UNKNOWN_HOSTS = 16
 """Hosts assumed before any list was read; budgets are shared by as many."""
-DUTY_PREFIX = 2
-"""Seed of the order in which hosts stand by for duties."""
+
+
+class Soon:
+    """Something to do after a while, once for all requests till then."""
+
+    def __init__(
+        self,
+        runtime: interfaces.Runtime,
+        seconds: float,
+        act: abc.Callable[[], None],
+    ) -> None:
+        self._runtime = runtime
+        self._seconds = seconds
+        self._act = act
+        self._is_waiting = False
+
+    def request(self) -> None:
+        """Ask for the act."""
+        if not self._is_waiting:
+            self._is_waiting = True
+            self._runtime.start(self._wait())
+
+    async def _wait(self) -> None:
+        await self._runtime.sleep(self._seconds)
+        self._is_waiting = False
+        self._act()
 
 
 class CallPeers:
@@ -52,24 +77,33 @@
         router: routers.CallRouter,
         rollout: rollouts.Rollout,
         store: ports.Platform,
+        confirmer: confirmations.Confirmer,
     ) -> None:
         self.members = membership.Members(own, router.runtime, router.sink)
         self.rejected = 0
         self._router = router
         self._rollout = rollout
         self._store = store
+        self._confirmer = confirmer
+        self._statuses = status_messages.StatusMessages(
+            router, rollout, self._list_watched_stores
+        )
+        runtime = router.runtime
+        self._near_soon = Soon(runtime, SIGHTING_SECONDS, self._tell_near)
+        self._pass_on_soon = Soon(runtime, RELAY_SECONDS, self._tell_near)
+        self._distant_soon = Soon(runtime, RELAY_SECONDS, self._tell_distant)
         self._is_listed = False
-        self._is_telling = False
         self._client: clients.PeerClient | None = None
         self._server: servers.PeerServer | None = None
         self._tried_at: dict[str, float] = {}
+        self._contacts = contacts.Contacts(near=())
 
     def __enter__(self) -> 'CallPeers':
         """Start to look for peers."""
         self._router.runtime.start(self._run())
         self._rollout.add_listener(self.tell)
         self._router.quarantine.add_listener(self.tell)
-        self._router.first_read_listeners.append(self._tell_sightings_soon)
+        self._router.first_read_listeners.append(self._near_soon.request)
         return self
 
     def __exit__(self, *_: object) -> None:
@@ -86,29 +120,59 @@
         return 1 + len(self.members.list_known())
 
     def get_standby_rank(self) -> int:
-        """Return this host's place in the succession of duties."""
-        own = self.members.own.name
-        names = sorted(
-            [peer.name for peer in self.members.list_alive()] + [own]
+        """Return this host's place in the succession of duties.
+
+        In a large fleet a host sees only its own domain, so hosts of several
+        domains may have the same place; the lease decides between them.
+        """
+        own = self.members.own
+        ranked = contacts.rank_peers(
+            [*self.members.list_alive(), own], self._router.home_order
         )
-        order = self._router.home_order.rank(DUTY_PREFIX, names, len(names))
-        return order.index(own)
+        return [peer.name for peer in ranked].index(own.name)
 
     def is_first_near(self, domain: str) -> bool:
         """Tell whether this host is the first of a domain's region."""
         topology = self._router.topology
         if topology.is_remote(domain):
             return False
-        names = [
-            peer.name
+        near = [
+            peer
             for peer in self.members.list_alive()
             if not topology.is_remote(peer.domain)
         ]
-        own = self.members.own.name
-        ranked = self._router.home_order.rank(
-            DUTY_PREFIX, sorted([*names, own]), 1
+        own = self.members.own
+        ranked = contacts.rank_peers([*near, own], self._router.home_order)
+        return ranked[0].name == own.name
+
+    def find(self) -> str | None:
+        """Return the address of the host that asks the store for others."""
+        speaker = contacts.find_speaker(
+            self.members.own,
+            self.members.list_alive(),
+            self._router.home_order,
         )
-        return ranked == (own,)
+        if self._client is None or speaker.name == self.members.own.name:
+            return None
+        return speaker.address
+
+    async def ask(
+        self, address: str, question: confirmations.StoreQuestion
+    ) -> confirmations.StoreWord | None:
+        """Return a peer's word on the store, None if there is none."""
+        assert self._client is not None
+        message = self._create_message()
+        message.store_question.desired_cursor = question.desired_cursor
+        message.store_question.targets_cursor = question.targets_cursor
+        answered = await self._client.exchange(
+            address, message, CONFIRM_SECONDS
+        )
+        if not pipeline.is_successful(answered):
+            return None
+        answer = answered.unwrap()
+        if answer.WhichOneof('content') != 'store_word':
+            return None
+        return peer_messages.decode_store_word(answer.store_word)
 
     async def _run(self) -> None:
         """Join the fleet, then talk for ever."""
@@ -122,6 +186,7 @@
         self._router.runtime.start(self._follow_hosts())
         while True:
             await self._router.runtime.sleep(GOSSIP_SECONDS)
+            self._contacts = self._choose_contacts()
             self.tell()
             self._greet_silent()
             self.members.note_silence()
@@ -167,47 +232,58 @@
         """Take this host off the list."""
         await self._store.remove_host(self.members.own.name)
 
+    def _choose_contacts(self) -> contacts.Contacts:
+        return contacts.choose_contacts(
+            self.members.own,
+            self.members.list_known(),
+            self.members.list_alive(),
+            self._router.home_order,
+        )
+
     def tell(self) -> None:
         """Tell the live peers what this host knows."""
-        message = self._create_message()
-        self._add_sightings(message.host_status)
-        self._send(message)
-
-    def _tell_sightings_soon(self) -> None:
-        """Tell of parts that are being read, before others read them too."""
-        if self._is_telling:
+        chosen = self._contacts
+        status = self._statuses.create_own()
+        self._statuses.add_news(status, bool(chosen.distant))
+        self._send(chosen.near, status)
+        if chosen.distant:
+            near = {peer.name for peer in chosen.near}
+            self._send(chosen.distant, self._statuses.create_domain(near))
+
+    def _tell_near(self) -> None:
+        """Tell the domain what is new, before others read the same parts."""
+        chosen = self._contacts
+        status = self._statuses.create_partial()
+        self._statuses.add_news(status, bool(chosen.distant))
+        self._send(chosen.near, status)
+        if chosen.distant and self._statuses.has_news_for_distant():
+            self._distant_soon.request()
+
+    def _tell_distant(self) -> None:
+        """Tell other domains what is new in this one."""
+        chosen = self._contacts
+        status = self._statuses.create_partial(is_domain=True)
+        self._send(chosen.distant, status)
+
+    def _send(
+        self,
+        peers: abc.Iterable[membership.Peer],
+        status: messages_pb2.HostStatus,
+    ) -> None:
+        if self._client is None:
             return
-        self._is_telling = True
-        self._router.runtime.start(self._tell_sightings())
-
-    async def _tell_sightings(self) -> None:
-        await self._router.runtime.sleep(SIGHTING_SECONDS)
-        self._is_telling = False
-        message = self._create_empty_message()
-        message.host_status.is_partial = True
-        self._add_sightings(message.host_status)
-        self._send(message)
-
-    def _send(self, message: messages_pb2.Message) -> None:
-        if self._client is not None:
-            alive = [peer.address for peer in self.members.list_alive()]
-            self._client.tell(alive, message)
-
-    def _add_sightings(self, status: messages_pb2.HostStatus) -> None:
-        for sighting in self._router.caches.take_sightings():
-            status.sightings.add(
-                holder=sighting.holder,
-                salt=sighting.salt,
-                names=[part.name for part in sighting.parts],
-                tokens=[part.tokens for part in sighting.parts],
-                ready_ms=int(sighting.ready_seconds * plans.MS),
-            )
+        alive = {peer.name for peer in self.members.list_alive()}
+        message = self._create_message()
+        message.host_status.CopyFrom(status)
+        self._client.tell(
+            [peer.address for peer in peers if peer.name in alive], message
+        )
 
     def _greet_silent(self) -> None:
-        """Try the peers that are silent, each once in a while."""
+        """Try the contacts that are silent, each once in a while."""
         now = self._router.runtime.now()
         alive = {peer.address for peer in self.members.list_alive()}
-        for peer in self.members.list_known():
+        for peer in self._contacts.list_all():
             if peer.address in alive:
                 continue
             if now - self._tried_at.get(peer.address, 0.0) > (
@@ -219,66 +295,43 @@
     async def _greet(self, address: str) -> None:
         assert self._client is not None
         answered = await self._client.exchange(
-            address, self._create_message(is_greeting=True), MESSAGE_SECONDS
+            address, self._create_greeting(), MESSAGE_SECONDS
         )
         if pipeline.is_successful(answered):
             self._hear(answered.unwrap())
         else:
             self._client.forget(address)
 
-    def _answer(self, message: messages_pb2.Message) -> messages_pb2.Message:
-        """Return the answer to a peer's greeting."""
-        self._hear(message)
-        return self._create_message(is_greeting=True)
+    async def _answer(
+        self, message: messages_pb2.Message
+    ) -> messages_pb2.Message:
+        """Return the answer to a peer's greeting or question."""
+        if message.WhichOneof('content') != 'store_question':
+            self._hear(message)
+            return self._create_greeting()
+        asked = message.store_question
+        word = await self._confirmer.answer(
+            confirmations.StoreQuestion(
+                desired_cursor=asked.desired_cursor,
+                targets_cursor=asked.targets_cursor,
+            )
+        )
+        answer = self._create_message()
+        if word is not None:
+            answer.store_word.CopyFrom(peer_messages.encode_store_word(word))
+        return answer
 
-    def _create_empty_message(self) -> messages_pb2.Message:
-        message = messages_pb2.Message(
+    def _create_message(self) -> messages_pb2.Message:
+        return messages_pb2.Message(
             sender=peer_messages.encode_peer(self.members.own)
         )
-        message.host_status.SetInParent()
-        return message
 
-    def _create_message(
-        self, is_greeting: bool = False
-    ) -> messages_pb2.Message:
-        """Return the status; a greeting tells older suspects too."""
-        message = self._create_empty_message()
-        status = message.host_status
-        now = self._router.runtime.now()
-        for named in self._router.desired.list_ages(now):
-            status.named.add(
-                model=named.model,
-                weights_version=named.version,
-                age_ms=int(named.age_seconds * plans.MS),
-            )
-        for name, load in self._router.loads.get_own().items():
-            status.loads.add(
-                target=name,
-                runs=load.runs,
-                tokens=load.tokens,
-                prefill_tokens=load.prefill_tokens,
-                transfer_ms=load.transfer_ms,
-                urgent_tokens=load.urgent_tokens,
-            )
-        for seen in self._router.weights.list_recent():
-            status.engines.add(
-                target=seen.target,
-                born_ms=seen.born_ms,
-                model=seen.model,
-                weights_version=seen.version,
-            )
-        peer_messages.add_suspects(
-            status,
-            self._router.quarantine.list_suspects(
-                float('inf') if is_greeting else SUSPECT_SECONDS
-            ),
+    def _create_greeting(self) -> messages_pb2.Message:
+        """Return what a peer is told that may know nothing yet."""
+        message = self._create_message()
+        message.host_status.CopyFrom(
+            self._statuses.create_own(is_greeting=True)
         )
-        for store in self._list_watched_stores():
-            epoch = self._router.store_epochs.get(store.address)
-            if epoch is not None:
-                status.store_epochs.add(address=store.address, epoch=epoch)
-        for name, born_ms in self._rollout.loading:
-            status.engines.add(target=name, born_ms=born_ms, is_loading=True)
         return message
 
     def _hear(self, message: messages_pb2.Message) -> None:
@@ -286,44 +339,15 @@
         sender = peer_messages.decode_peer(message.sender)
         self.members.note_heard(sender)
         status = message.host_status
-        for sighting in status.sightings:
-            self._hear_sighting(sighting)
-        if status.is_partial:
+        if status.is_domain:
+            self._statuses.hear_domain(sender.domain, status)
+            self._pass_on_soon.request()
             return
-        now = self._router.runtime.now()
-        self._router.loads.note_peer(
-            sender.name,
-            {
-                load.target: loads.Load(
-                    load.runs,
-                    load.tokens,
-                    load.prefill_tokens,
-                    load.transfer_ms,
-                    load.urgent_tokens,
-                )
-                for load in status.loads
-            },
-            now,
-        )
-        for engine in status.engines:
-            self._hear_engine(engine)
-        watched = {store.address for store in self._list_watched_stores()}
-        for told in status.store_epochs:
-            if told.address not in watched:
-                store_watches.note_epoch(
-                    self._router, told.address, told.epoch
-                )
-        for suspect in peer_messages.decode_suspects(status):
-            self._router.quarantine.merge(suspect)
-        for named in status.named:
-            self._router.desired.merge_age(
-                beliefs.NamedWeights(
-                    named.model,
-                    named.weights_version,
-                    named.age_ms / plans.MS,
-                ),
-                now,
-            )
+        self._statuses.hear_near(sender.name, status)
+        if self._contacts.distant:
+            self._statuses.keep_for_distant(status)
+            if self._statuses.has_news_for_distant():
+                self._distant_soon.request()
 
     def _list_watched_stores(self) -> list[desired.CacheStore]:
         state = self._router.desired.state
@@ -335,38 +359,6 @@
             if self.is_first_near(store.domain)
         ]
 
-    def _hear_sighting(self, sighting: messages_pb2.CacheSighting) -> None:
-        parts = tuple(
-            prompts.Part(name, tokens)
-            for name, tokens in zip(
-                sighting.names, sighting.tokens, strict=True
-            )
-        )
-        plans.note_sighting(
-            self._router,
-            residency.Sighting(
-                sighting.holder,
-                sighting.salt,
-                parts,
-                sighting.ready_ms / plans.MS,
-            ),
-            is_own=False,
-        )
-
-    def _hear_engine(self, engine: messages_pb2.EngineState) -> None:
-        if engine.is_loading:
-            incarnation = (engine.target, engine.born_ms)
-            self._router.weights.note_loading(incarnation)
-            return
-        self._router.weights.merge(
-            beliefs.SeenWeights(
-                engine.target,
-                engine.born_ms,
-                engine.model,
-                engine.weights_version,
-            )
-        )
-
     def _reject(self, rejection: envelopes.Rejection) -> None:
         self.rejected += 1
         self._router.sink.emit(
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -15,6 +15,7 @@
 from pistachioseam.forwarding import beliefs
 from pistachioseam.forwarding import budgets
 from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import confirmations
 from pistachioseam.forwarding import freshness
 from pistachioseam.forwarding import leases
 from pistachioseam.forwarding import loads
@@ -127,7 +128,22 @@
             lambda domain: self.peers.is_first_near(domain),
         )
         self.peers = call_peers.CallPeers(
-            self._create_own_peer(), self.router, self.rollout, store
+            self._create_own_peer(),
+            self.router,
+            self.rollout,
+            store,
+            confirmations.Confirmer(
+                self.desired_watch.mark,
+                self.targets_watch.mark,
+                read_boot_clock,
+            ),
+        )
+        self.follower = confirmations.Follower(
+            self.desired_watch,
+            self.targets_watch,
+            self.peers,
+            read_boot_clock,
+            self.runtime.sleep,
         )
         self._ports: list[typing.Any] = []
 
@@ -193,6 +209,7 @@
         )
         self.runtime.start(self.desired_watch.run())
         self.runtime.start(self.targets_watch.run())
+        self.runtime.start(self.follower.run())
         self.runtime.start(self.rollout.run())
         self.runtime.start(self._tend_logs())
         self.runtime.start(self.store_watch.run())
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/peer_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/peer_messages.py
@@ -2,12 +2,15 @@
 
 from collections import abc
 
+from pistachioseam.forwarding import confirmations
 from pistachioseam import membership
 from pistachioseam.placement import loads
 from pistachioseam.placement import placer
 from pistachioseam import quarantine
 from pistachioseam_peer.generated import messages_pb2
 
+MS = 1000.0
+
 
 def add_digest(gossip: messages_pb2.Gossip, digest: placer.Digest) -> None:
     """Add sightings and outstanding work to gossip."""
@@ -74,3 +77,41 @@
         address=host.address,
         is_leaving=host.is_leaving,
     )
+
+
+def encode_store_word(
+    word: confirmations.StoreWord,
+) -> messages_pb2.StoreWord:
+    """Return a word on the store as a message; ages are rounded up."""
+    return messages_pb2.StoreWord(
+        desired=_encode_table(word.desired),
+        targets=_encode_table(word.targets),
+        held_ms=int(word.held_seconds * MS),
+    )
+
+
+def _encode_table(word: confirmations.TableWord) -> messages_pb2.TableWord:
+    return messages_pb2.TableWord(
+        cursor=word.cursor,
+        changed=word.changed,
+        age_ms=int(word.age_seconds * MS) + 1,
+    )
+
+
+def decode_store_word(
+    message: messages_pb2.StoreWord,
+) -> confirmations.StoreWord:
+    """Return the word on the store of a message."""
+    return confirmations.StoreWord(
+        desired=_decode_table(message.desired),
+        targets=_decode_table(message.targets),
+        held_seconds=message.held_ms / MS,
+    )
+
+
+def _decode_table(message: messages_pb2.TableWord) -> confirmations.TableWord:
+    return confirmations.TableWord(
+        cursor=message.cursor,
+        changed=message.changed,
+        age_seconds=message.age_ms / MS,
+    )
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/peers.py
@@ -181,7 +181,9 @@
         message.gossip.snapshot = json.dumps(content).encode()
         return message
 
-    def _answer(self, message: messages_pb2.Message) -> messages_pb2.Message:
+    async def _answer(
+        self, message: messages_pb2.Message
+    ) -> messages_pb2.Message:
         """Return the answer to a peer's message."""
         assert self._router is not None
         self._take_in(message)
--- a/packages/pistachioseam-peer/src/pistachioseam_peer/servers.py
+++ b/packages/pistachioseam-peer/src/pistachioseam_peer/servers.py
@@ -14,7 +14,7 @@
 from pistachioseam_peer.generated import messages_pb2
 
 Answerer: typing.TypeAlias = abc.Callable[
-    [messages_pb2.Message], messages_pb2.Message
+    [messages_pb2.Message], abc.Awaitable[messages_pb2.Message]
 ]
 Hearer: typing.TypeAlias = abc.Callable[[messages_pb2.Message], None]
 Rejecter: typing.TypeAlias = abc.Callable[[envelopes.Rejection], None]
@@ -52,7 +52,7 @@
     async def Exchange(self, stream: typing.Any) -> None:  # noqa: N802
         """Answer one message."""
         message = self._open(await stream.recv_message())
-        answer = self._answer(message)
+        answer = await self._answer(message)
         envelope = envelopes.seal(self._secret, answer, get_now_ms())
         await stream.send_message(envelope)
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/beliefs.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/beliefs.py
@@ -40,8 +40,8 @@
         """Call `listener` after each change."""
         self._listeners.append(listener)
 
-    def apply(self, change: ports.DesiredChange, now: float) -> None:
-        """Move forward to what was read; never back."""
+    def apply(self, change: ports.DesiredChange, now: float) -> bool:
+        """Move forward to what was read, never back; tell if it was new."""
         is_changed = self._apply_state(change.state)
         for model, version in change.weights.items():
             if version > self.get_named(model):
@@ -58,6 +58,7 @@
         if is_changed:
             for listener in self._listeners:
                 listener()
+        return is_changed
 
     def _apply_state(self, state: desired.DesiredState | None) -> bool:
         known = self.state.version if self.state else 0
@@ -194,8 +195,11 @@
 
     def is_loading(self, target: catalog.LiveTarget) -> bool:
         """Tell whether an engine was lately said to load."""
-        until = self._loading.get(target.get_incarnation(), 0.0)
-        return self._runtime.now() < until
+        return self.is_loading_incarnation(target.get_incarnation())
+
+    def is_loading_incarnation(self, incarnation: tuple[str, int]) -> bool:
+        """Tell whether an incarnation was lately said to load."""
+        return self._runtime.now() < self._loading.get(incarnation, 0.0)
 
     def forget(self, target: catalog.LiveTarget) -> None:
         """Drop an incarnation that has ended."""
--- a/packages/pistachioseam/src/pistachioseam/forwarding/catalog.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/catalog.py
@@ -48,6 +48,9 @@
     is_whole: bool
 
 
+NO_CHANGE = TargetChange(entries=(), removed=(), is_whole=False)
+
+
 class TargetCatalog:
     """Live targets by name, as last read."""
 
@@ -67,18 +70,28 @@
         """Tell whether the entries were read at all."""
         return self._read_at is not None
 
-    def apply(self, change: TargetChange, now: float) -> None:
-        """Take in what was read at `now` (monotonic seconds)."""
+    def apply(self, change: TargetChange, now: float) -> bool:
+        """Take in what was read at `now` (monotonic seconds).
+
+        Return whether it tells anything new; targets repeat their entries.
+        """
         self._note_read(now)
-        removed = set(change.removed)
+        removed = set(change.removed) & self._targets.keys()
         if change.is_whole:
             listed = {entry.name for entry in change.entries}
             removed |= self._targets.keys() - listed
-        for entry in change.entries:
+        new = [
+            entry
+            for entry in change.entries
+            if entry != self._targets.get(entry.name)
+            or entry.name in self._lapsed
+        ]
+        for entry in new:
             self._update(entry)
         for name in removed:
             self._remove(name, now)
         self.expire(now)
+        return bool(new or removed)
 
     def _note_read(self, now: float) -> None:
         last = self._read_at
--- a/packages/pistachioseam/src/pistachioseam/forwarding/loads.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/loads.py
@@ -36,6 +36,17 @@
 NO_LOAD = Load()
 
 
+def add_loads(
+    parts: abc.Iterable[abc.Mapping[str, Load]],
+) -> dict[str, Load]:
+    """Return the sums of loads by target."""
+    sums: dict[str, Load] = {}
+    for part in parts:
+        for target, load in part.items():
+            sums[target] = sums.get(target, NO_LOAD).add(load)
+    return sums
+
+
 @attrs.define(eq=False)
 class Ticket:
     """Work that this host has at a target until it ends."""
@@ -62,6 +73,8 @@
     def __init__(self) -> None:
         self._tickets: dict[str, set[Ticket]] = {}
         self._peers: dict[str, _PeerLoads] = {}
+        self._peer_sums: dict[str, Load] = {}
+        self._peer_sums_until = 0.0
 
     def begin(
         self,
@@ -106,8 +119,9 @@
     def note_peer(
         self, peer: str, loads: abc.Mapping[str, Load], now: float
     ) -> None:
-        """Replace what a peer has said."""
+        """Replace what a peer, or the host that speaks for others, says."""
         self._peers[peer] = _PeerLoads(now, loads)
+        self._peer_sums_until = now
 
     def count_overdue(self, target: str, begun_before: float) -> int:
         """Return this host's calls there that are still unanswered."""
@@ -127,11 +141,31 @@
 
     def get(self, target: str, now: float) -> Load:
         """Return the load of a target."""
-        load = self._sum(self._tickets.get(target, ()))
-        for peer in self._peers.values():
-            if now - peer.heard_at < PEER_SECONDS:
-                load = load.add(peer.loads.get(target, NO_LOAD))
-        return load
+        if now >= self._peer_sums_until:
+            self._add_up_peers(now)
+        own = self._sum(self._tickets.get(target, ()))
+        return own.add(self._peer_sums.get(target, NO_LOAD))
+
+    def _add_up_peers(self, now: float) -> None:
+        """Sum the peers' loads; valid until one of their words is too old."""
+        self._peers = {
+            name: peer
+            for name, peer in self._peers.items()
+            if now - peer.heard_at < PEER_SECONDS
+        }
+        self._peer_sums = add_loads(p.loads for p in self._peers.values())
+        self._peer_sums_until = PEER_SECONDS + min(
+            (peer.heard_at for peer in self._peers.values()), default=now
+        )
+
+    def add_up(self, peers: abc.Container[str], now: float) -> dict[str, Load]:
+        """Return the loads that this host and some peers have caused."""
+        told = [
+            peer.loads
+            for name, peer in self._peers.items()
+            if name in peers and now - peer.heard_at < PEER_SECONDS
+        ]
+        return add_loads([self.get_own(), *told])
 
     def _sum(self, tickets: abc.Iterable[Ticket]) -> Load:
         load = NO_LOAD
--- a/packages/pistachioseam/src/pistachioseam/forwarding/watches.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/watches.py
@@ -1,13 +1,19 @@
 """Watches that keep this host's knowledge of the store up to date."""
 
+import abc
+import typing
+
 from returns import pipeline as railway
+from returns import result
 
 from pistachioseam import events
+from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import confirmations
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import router as routers
 
-DESIRED_WAIT_SECONDS = 1.2
-"""Longest silence of the watch; keys need a confirmation in time."""
+DESIRED_WAIT_SECONDS = 0.8
+"""Longest silence of the watch; other hosts of the domain rely on it too."""
 TARGETS_SECONDS = 1.0
 """Pause between reads of the targets' entries, within the drain bound."""
 FIRST_RETRY_SECONDS = 0.2
@@ -61,88 +67,118 @@
             )
 
 
-class DesiredWatch:
-    """Follows the operators' documents."""
+Value = typing.TypeVar('Value', ports.DesiredChange, ports.TargetsRead)
+
+
+class TableWatch(abc.ABC, typing.Generic[Value]):
+    """Follows one table of the store, by a cursor."""
+
+    name: str
+    pause_seconds = 0.0
+    wait_seconds = 0.0
 
     def __init__(
         self, router: routers.CallRouter, platform: ports.Platform
     ) -> None:
+        self.mark = confirmations.TableMark()
         self._router = router
         self._platform = platform
-        self._cursor: int | None = None
         self._retry = Retry(router)
-        self._contact = Contact(router, 'desired')
+        self._contact = Contact(router, self.name)
 
     async def run(self) -> None:
-        """Read for ever."""
+        """Read for ever, except while a peer confirms what is known."""
         while True:
+            await self.mark.is_direct.wait()
             if not await self.read():
                 await self._retry.pause()
+            elif self.pause_seconds:
+                await self._router.runtime.sleep(self.pause_seconds)
 
-    async def read(self) -> bool:
+    async def read(self, wait_seconds: float | None = None) -> bool:
         """Read once; tell whether the store answered."""
-        router = self._router
-        sent_at = router.read_boot_clock()
-        read = await self._platform.read_desired(
-            self._cursor, DESIRED_WAIT_SECONDS
-        )
+        if wait_seconds is None:
+            wait_seconds = self.wait_seconds
+        sent_at = self._router.read_boot_clock()
+        read = await self._ask(wait_seconds)
         if not railway.is_successful(read):
-            return self._note_trouble(read.failure())
-        change = read.unwrap()
-        self._cursor = change.cursor
-        router.desired.apply(change, router.runtime.now())
-        if router.desired.state is not None:
-            router.freshness.note_confirmed(sent_at)
+            self._note_trouble(read.failure())
+            return False
+        found = read.unwrap()
+        has_changed = self._take_in(found)
+        self.mark.note_read(found.cursor, has_changed, sent_at)
+        self.note_confirmed(sent_at)
         self._contact.note_regained()
         self._retry.reset()
         return True
 
-    def _note_trouble(self, trouble: ports.StoreTrouble) -> bool:
+    def _note_trouble(self, trouble: ports.StoreTrouble) -> None:
         if trouble.is_history_lost:
-            self._cursor = None
-            self._router.sink.emit(events.Event.HISTORY_LOST, watch='desired')
+            self.mark.forget()
+            self._router.sink.emit(events.Event.HISTORY_LOST, watch=self.name)
         self._contact.note_lost(trouble.detail)
-        return False
 
+    @abc.abstractmethod
+    async def _ask(
+        self, wait_seconds: float
+    ) -> result.Result[Value, ports.StoreTrouble]:
+        """Return what has changed behind the cursor."""
 
-class TargetsWatch:
-    """Follows the targets' entries."""
+    @abc.abstractmethod
+    def _take_in(self, found: Value) -> bool:
+        """Take in what was read; tell whether it changed anything."""
 
-    def __init__(
-        self, router: routers.CallRouter, platform: ports.Platform
-    ) -> None:
-        self._router = router
-        self._platform = platform
-        self._cursor: int | None = None
-        self._retry = Retry(router)
-        self._contact = Contact(router, 'targets')
+    @abc.abstractmethod
+    def note_confirmed(self, confirmed_at: float) -> None:
+        """Note that this host knew all that there was at a time."""
 
-    async def run(self) -> None:
-        """Read for ever, at most once a second."""
-        while True:
-            if await self.read():
-                await self._router.runtime.sleep(TARGETS_SECONDS)
-            else:
-                await self._retry.pause()
 
-    async def read(self) -> bool:
-        """Read once; tell whether the store answered."""
+class DesiredWatch(TableWatch[ports.DesiredChange]):
+    """Follows the operators' documents."""
+
+    name = 'desired'
+    wait_seconds = DESIRED_WAIT_SECONDS
+
+    async def _ask(
+        self, wait_seconds: float
+    ) -> result.Result[ports.DesiredChange, ports.StoreTrouble]:
+        return await self._platform.read_desired(
+            self.mark.cursor, wait_seconds
+        )
+
+    def _take_in(self, found: ports.DesiredChange) -> bool:
+        router = self._router
+        return router.desired.apply(found, router.runtime.now())
+
+    def note_confirmed(self, confirmed_at: float) -> None:
+        """Note the age of the keys."""
+        if self._router.desired.state is not None:
+            self._router.freshness.note_confirmed(confirmed_at)
+
+
+class TargetsWatch(TableWatch[ports.TargetsRead]):
+    """Follows the targets' entries, at most once a second."""
+
+    name = 'targets'
+    pause_seconds = TARGETS_SECONDS
+
+    async def _ask(
+        self, wait_seconds: float
+    ) -> result.Result[ports.TargetsRead, ports.StoreTrouble]:
+        return await self._platform.read_targets(self.mark.cursor)
+
+    def _take_in(self, found: ports.TargetsRead) -> bool:
         router = self._router
-        read = await self._platform.read_targets(self._cursor)
-        now = router.runtime.now()
-        if not railway.is_successful(read):
-            trouble = read.failure()
-            if trouble.is_history_lost:
-                self._cursor = None
-                router.sink.emit(events.Event.HISTORY_LOST, watch='targets')
-            self._contact.note_lost(trouble.detail)
-            router.catalog.expire(now)
-            return False
-        found = read.unwrap()
-        self._cursor = found.cursor
         for finding in found.findings:
             router.sink.emit(events.Event.DOCUMENT_MALFORMED, finding=finding)
-        router.catalog.apply(found.change, now)
-        self._contact.note_regained()
-        self._retry.reset()
-        return True
+        return router.catalog.apply(found.change, router.runtime.now())
+
+    def _note_trouble(self, trouble: ports.StoreTrouble) -> None:
+        super()._note_trouble(trouble)
+        self._router.catalog.expire(self._router.runtime.now())
+
+    def note_confirmed(self, confirmed_at: float) -> None:
+        """Note that the entries are as they were."""
+        self._router.catalog.apply(
+            catalog.NO_CHANGE, self._router.runtime.now()
+        )
