--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -25,11 +25,8 @@
 """Pause between the successors' reads of an idle lease."""
 OBSERVERS = 2
 """Successors that watch an idle lease."""
-LEAST_LOADING_SHARE = 1 / 3
-MOST_LOADING_SHARE = 2 / 3
-"""Bounds of the part of the engines that load at once."""
-FILL_RESERVE = 1.5
-"""Memory that is kept for serving, as a multiple of what runs use now."""
+LOADING_SHARE = 1 / 3
+"""Part of the engines that load at once; loading slows down with more."""
 LOAD_SECONDS = 0.4
 """Time that loading takes an engine; users' sheets."""
 RECHECK_SECONDS = 0.3
@@ -91,30 +88,6 @@
     return sorted(outdated, key=rate)
 
 
-def measure_fill(router: routers.CallRouter, service: str) -> float:
-    """Return the part of a service's memory that runs use."""
-    state = router.desired.state
-    found = state.find_service(service) if state else None
-    if found is None or found.engine is None:
-        return 1.0
-    now = router.runtime.now()
-    targets = router.catalog.list_service(service)
-    used = sum(router.loads.get(target.name, now).tokens for target in targets)
-    return used / max(1, found.engine.cache_tokens * len(targets))
-
-
-def choose_loading_share(fill: float) -> float:
-    """Return the part of the engines that may load at once.
-
-    Load pattern: newer weights are named while the engines are far from
-    full. The others can carry all calls, and the sooner all have loaded the
-    fewer calls begin on weights that were replaced. Near full load as few
-    load at once as the time allows.
-    """
-    share = 1.0 - FILL_RESERVE * fill
-    return min(MOST_LOADING_SHARE, max(LEAST_LOADING_SHARE, share))
-
-
 class Rollout:
     """Brings engines to the newest weights while this host holds the lease."""
 
@@ -250,8 +223,7 @@
         """Start on as many engines as may load at once."""
         service = outdated[0].target.service
         count = len(self._router.catalog.list_service(service))
-        share = choose_loading_share(measure_fill(self._router, service))
-        room = max(1, int(count * share)) - len(self.loading)
+        room = max(1, int(count * LOADING_SHARE)) - len(self.loading)
         before = len(self.loading)
         now = self._router.read_boot_clock()
         for engine in order_by_need(outdated, self._router):
--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -39,7 +39,6 @@
     '/resumable/': desired.Repetition.RESUMABLE,
 }
 TIMEOUT_SECONDS = 5.0
-CACHE_TOKENS = 50_000
 
 
 class Sink:
@@ -231,7 +230,7 @@
     )
     engine = desired.Engine(
         slots=slots,
-        cache_tokens=CACHE_TOKENS,
+        cache_tokens=50_000,
         token_bytes=262_144,
         bytes_per_second=1e11,
         models=(MODEL,),
--- a/tests/core/forwarding/test_rollouts.py
+++ b/tests/core/forwarding/test_rollouts.py
@@ -127,13 +127,6 @@
     )
 
 
-def fill(fleet: call_fakes.Fleet, share: float) -> None:
-    """Let runs use a share of all engines' memory."""
-    for target in fleet.router.catalog.list_all():
-        tokens = int(share * call_fakes.CACHE_TOKENS)
-        fleet.router.loads.begin(target.name, tokens, 0)
-
-
 def start(
     fleet: call_fakes.Fleet,
     store: Store,
@@ -155,11 +148,10 @@
 
 
 def test_all_engines_load_the_newest_weights(case: support.Case) -> None:
-    """A third at a time while they are half full, all in time."""
+    """A third at a time, within the time that so many loads take."""
 
     async def run() -> None:
         fleet = create_fleet(6)
-        fill(fleet, 0.5)
         engines = Engines(fleet)
         start(fleet, Store(), engines)
         await asyncio.sleep(0.5)
@@ -178,43 +170,11 @@
     clocks.run(run())
 
 
-def test_empty_engines_load_sooner(case: support.Case) -> None:
-    """Two thirds at a time; the others carry what little there is."""
-
-    async def run() -> None:
-        fleet = create_fleet(6)
-        fill(fleet, 0.2)
-        engines = Engines(fleet)
-        start(fleet, Store(), engines)
-        await asyncio.sleep(0.5)
-        fleet.set_state(None, {MODEL: 2})
-        named_at = fleet.runtime.now()
-        await asyncio.sleep(4.0)
-        begun = sorted(at for at, _, _, _ in engines.acts)
-        case.assertEqual(6, len(begun))
-        case.assertLess(begun[3] - begun[0], 0.1)
-        case.assertGreaterEqual(begun[4] - begun[0], 0.5)
-        case.assertLess(begun[5] - named_at, 1.5)
-
-    clocks.run(run())
-
-
-def test_loading_share_follows_the_load(case: support.Case) -> None:
-    """Never below a third, never above two thirds."""
-    shares = [
-        rollouts.choose_loading_share(fill) for fill in (0.0, 0.3, 0.5, 2.0)
-    ]
-    expected = [2 / 3, 0.55, 1 / 3, 1 / 3]
-    for share, wanted in zip(shares, expected, strict=True):
-        case.assertAlmostEqual(wanted, share)
-
-
 def test_replaced_versions_are_skipped(case: support.Case) -> None:
     """An engine that has not begun loads only the newest."""
 
     async def run() -> None:
         fleet = create_fleet(6)
-        fill(fleet, 0.5)
         engines = Engines(fleet)
         start(fleet, Store(), engines)
         await asyncio.sleep(0.5)
