Let streams go on under newer weights after a drain of 0.8 s; place calls in linear time

Engines were ordered at once to let their runs finish, and a few long streams held each of them up for 1.3 to 3.7 s, a third of the engines at a time. On the grown sites placing a call took 16 ms at 70 engines, as each engine was weighed against all others as a source of parts, and each new weights version in the targets' entries made all hosts read them. Change: engines get no new calls for 0.8 s, then load while runs that have begun to answer go on; never while a prompt is being read. Weights in entries are told by gossip. Channels stay open as long as their targets state. Only four hosts stand by for orders.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -21,8 +21,6 @@
 from pistachioseam_peer.generated import messages_pb2
 from pistachioseam_peer import servers
 
-GOSSIP_SECONDS = 0.35
-"""Pause between two messages to each peer; bytes between zones are dear."""
 SIGHTING_SECONDS = 0.02
 """Time for which parts that begin to be read are gathered for peers."""
 RELAY_SECONDS = 0.1
@@ -103,7 +101,7 @@
         self._router.runtime.start(self._run())
         self._rollout.add_listener(self.tell)
         self._router.quarantine.add_listener(self.tell)
-        self._router.first_read_listeners.append(self._near_soon.request)
+        self._router.first_read_listeners.append(self._tell_near_soon)
         return self
 
     def __exit__(self, *_: object) -> None:
@@ -120,16 +118,13 @@
         return 1 + len(self.members.list_known())
 
     def get_standby_rank(self) -> int:
-        """Return this host's place in the succession of duties.
-
-        In a large fleet a host sees only its own domain, so hosts of several
-        domains may have the same place; the lease decides between them.
-        """
-        own = self.members.own
-        ranked = contacts.rank_peers(
-            [*self.members.list_alive(), own], self._router.home_order
+        """Return this host's place in the succession of duties."""
+        return contacts.get_standby_rank(
+            self.members.own,
+            self.members.list_known(),
+            self.members.list_alive(),
+            self._router.home_order,
         )
-        return [peer.name for peer in ranked].index(own.name)
 
     def is_first_near(self, domain: str) -> bool:
         """Tell whether this host is the first of a domain's region."""
@@ -185,7 +180,7 @@
         await self._server.start(host, int(port))
         self._router.runtime.start(self._follow_hosts())
         while True:
-            await self._router.runtime.sleep(GOSSIP_SECONDS)
+            await self._router.runtime.sleep(self._contacts.get_pause())
             self._contacts = self._choose_contacts()
             self.tell()
             self._greet_silent()
@@ -250,6 +245,13 @@
             near = {peer.name for peer in chosen.near}
             self._send(chosen.distant, self._statuses.create_domain(near))
 
+    def _tell_near_soon(self) -> None:
+        """Tell of parts that begin to be read, in a large fleet together."""
+        if contacts.is_relayed(self.members.list_known()):
+            self._pass_on_soon.request()
+        else:
+            self._near_soon.request()
+
     def _tell_near(self) -> None:
         """Tell the domain what is new, before others read the same parts."""
         chosen = self._contacts
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_channels.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_channels.py
@@ -8,6 +8,7 @@
 import asyncio
 import collections
 from collections import abc
+import re
 import socket
 import typing
 
@@ -28,8 +29,13 @@
 
 CONNECT_SECONDS = 1.0
 """A target that does not take a channel within this is passed over."""
-MAX_IDLE_SECONDS = 4.0
-"""Targets close idle channels after a few seconds."""
+IDLE_SECONDS = 4.0
+"""Idle time after which a channel of a target that states none is closed."""
+IDLE_MARGIN_SECONDS = 1.0
+"""Part of a stated idle time that is not used; it is in whole seconds."""
+MOST_IDLE_SECONDS = 12.0
+"""Longest idle time of a channel; it takes a place at its target."""
+IDLE_PATTERN = re.compile(rb'timeout\s*=\s*(\d+)', re.IGNORECASE)
 MAX_IDLE_CHANNELS = 16
 """Kept channels to one target; each takes one of its places."""
 UNACKNOWLEDGED_MS = 2_500
@@ -66,6 +72,7 @@
         super().__init__(on_quiet)
         self.address = address
         self.quiet_since = 0.0
+        self.max_idle_seconds = IDLE_SECONDS
         self.is_reset = False
         self._on_lost = on_lost
 
@@ -89,6 +96,9 @@
         """
         if rest and self._currentRequest is not None:
             self._currentRequest.persistent = False
+        if self._parser is not None:
+            stated = self._parser.connHeaders.getRawHeaders(b'keep-alive', [])
+            self.max_idle_seconds = choose_idle_seconds(stated)
         super()._finishResponse_WAITING(rest)
 
     def is_quiet(self) -> bool:
@@ -101,6 +111,16 @@
             self.transport.abortConnection()
 
 
+def choose_idle_seconds(stated: abc.Sequence[bytes]) -> float:
+    """Return how long a channel may be idle by what its target states."""
+    for value in stated:
+        found = IDLE_PATTERN.search(value)
+        if found:
+            seconds = float(found[1]) - IDLE_MARGIN_SECONDS
+            return min(MOST_IDLE_SECONDS, max(0.0, seconds))
+    return IDLE_SECONDS
+
+
 def set_socket_limits(transport: typing.Any) -> None:
     """Make the system end a connection whose other side has vanished."""
     transport.setTcpNoDelay(True)
@@ -195,9 +215,10 @@
         while idle:
             channel = idle.pop()
             age = now - channel.quiet_since
-            if channel.is_quiet() and age < min(max_idle, MAX_IDLE_SECONDS):
+            longest = channel.max_idle_seconds
+            if channel.is_quiet() and age < min(max_idle, longest):
                 return channel
-            if not channel.is_quiet() or age >= MAX_IDLE_SECONDS:
+            if not channel.is_quiet() or age >= longest:
                 channel.drop()
                 continue
             idle.append(channel)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/catalog.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/catalog.py
@@ -73,25 +73,28 @@
     def apply(self, change: TargetChange, now: float) -> bool:
         """Take in what was read at `now` (monotonic seconds).
 
-        Return whether it tells anything new; targets repeat their entries.
+        Return whether it tells anything new but weights, which hosts tell
+        each other; targets repeat their entries.
         """
         self._note_read(now)
         removed = set(change.removed) & self._targets.keys()
         if change.is_whole:
             listed = {entry.name for entry in change.entries}
             removed |= self._targets.keys() - listed
-        new = [
-            entry
-            for entry in change.entries
-            if entry != self._targets.get(entry.name)
-            or entry.name in self._lapsed
-        ]
-        for entry in new:
+        is_new = any(self._is_new(entry) for entry in change.entries)
+        for entry in change.entries:
             self._update(entry)
         for name in removed:
             self._remove(name, now)
         self.expire(now)
-        return bool(new or removed)
+        return is_new or bool(removed)
+
+    def _is_new(self, entry: LiveTarget) -> bool:
+        """Tell whether an entry differs from the last one but in weights."""
+        known = self._targets.get(entry.name)
+        if known is None or entry.name in self._lapsed:
+            return True
+        return attrs.evolve(entry, weights=known.weights) != known
 
     def _note_read(self, now: float) -> None:
         last = self._read_at
--- a/packages/pistachioseam/src/pistachioseam/forwarding/contacts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/contacts.py
@@ -15,6 +15,13 @@
 RELAYED_HOSTS = 24
 """Size from which domains talk through one host each. Up to here all pairs
 exchange fewer than 1,600 messages a second."""
+LEAST_PAUSE_SECONDS = 0.35
+"""Least pause between two messages to each peer; bytes are dear."""
+MOST_PAUSE_SECONDS = 0.6
+"""A word that an engine is loading is repeated before 0.8 s have passed."""
+PAUSE_PER_PEER_SECONDS = 0.04
+"""Pause for each peer that is told; 25 messages a second take a percent of a
+processor."""
 CANDIDATES = 2
 """Hosts of a silent domain that are tried at a time."""
 DUTY_PREFIX = 2
@@ -36,6 +43,11 @@
         """Return all of them."""
         return (*self.near, *self.distant)
 
+    def get_pause(self) -> float:
+        """Return the seconds between two rounds of messages."""
+        pause = PAUSE_PER_PEER_SECONDS * len(self.near)
+        return min(MOST_PAUSE_SECONDS, max(LEAST_PAUSE_SECONDS, pause))
+
 
 def rank_peers(
     peers: abc.Iterable[membership.Peer], order: homes.HomeOrder
@@ -57,6 +69,29 @@
     return rank_peers([*near, own], order)[0]
 
 
+def is_relayed(known: abc.Collection[membership.Peer]) -> bool:
+    """Tell whether domains talk through one host each."""
+    return 1 + len(known) >= RELAYED_HOSTS
+
+
+def get_standby_rank(
+    own: membership.Peer,
+    known: abc.Collection[membership.Peer],
+    alive: abc.Collection[membership.Peer],
+    order: homes.HomeOrder,
+) -> int:
+    """Return a host's place in the succession of duties.
+
+    In a large fleet the hosts that speak for domains come first, as the
+    others see only their own domain.
+    """
+    ranked = rank_peers([*alive, own], order)
+    rank = [peer.name for peer in ranked].index(own.name)
+    if is_relayed(known) and find_speaker(own, alive, order) is not own:
+        rank += len({peer.domain for peer in known})
+    return rank
+
+
 def choose_contacts(
     own: membership.Peer,
     known: abc.Collection[membership.Peer],
@@ -64,7 +99,7 @@
     order: homes.HomeOrder,
 ) -> Contacts:
     """Return the peers to talk to, silent ones that should be tried too."""
-    if 1 + len(known) < RELAYED_HOSTS:
+    if not is_relayed(known):
         return Contacts(near=tuple(known))
     near = tuple(peer for peer in known if peer.domain == own.domain)
     if find_speaker(own, alive, order).name != own.name:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -16,6 +16,9 @@
 
 MAX_ANSWER_BYTES = 8_388_608
 """Whole answers are held in memory until they are complete."""
+ONCE_IDLE_SECONDS = 2.0
+"""Idle time of a channel for calls that may run once only. A target may have
+dropped it silently, and such a call is lost then."""
 MAX_URGENCY = 9
 """Least urgent class that engines know."""
 
@@ -71,7 +74,11 @@
         plan = plans.plan_run(self._call, self._router, target)
         source = plan.source
         return (
-            f'version {plan.version}, read {plan.read_tokens}'
+            f'version {plan.version}, part {plan.parts[-2].name}'
+            if len(plan.parts) > 1
+            else f'version {plan.version}'
+        ) + (
+            f', read {plan.read_tokens}'
             f'+{plan.own_tokens}, fetch {source.tokens}'
             f' of {source.name or "nobody"} in {source.wait_seconds:.3f}'
             f'+{source.seconds:.3f} s, save {bool(plan.save_to)}'
@@ -290,6 +297,9 @@
         seconds_left=call.deadline - router.runtime.now(),
         incarnation=target.name,
         account=call.get_account_name(),
+        max_idle_seconds=float('inf')
+        if call.is_repeatable()
+        else ONCE_IDLE_SECONDS,
         after_event=call.head.after_event
         if last_event is None
         else (str(last_event)),
--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -32,9 +32,10 @@
             router.random.random(),
         )
     ranks = _rank_homes(call.prompt, usable, router)
+    survey = plans.Survey(call, router)
     return selection.choose(
         usable,
-        lambda target: _weigh_engine(call, router, target, ranks),
+        lambda target: _weigh_engine(call, router, target, ranks, survey),
         router.random.random(),
     )
 
@@ -127,13 +128,14 @@
     router: routers.CallRouter,
     target: catalog.LiveTarget,
     ranks: dict[str, int],
+    survey: plans.Survey,
 ) -> selection.Candidate:
     assert call.service is not None and call.prompt is not None
     engine = call.service.engine
     if engine is None:
         return _weigh_service(router, target)
     load = router.loads.get(target.name, router.runtime.now())
-    plan = plans.plan_run(call, router, target)
+    plan = plans.plan_run(call, router, target, survey)
     weighed = selection.weigh_engine(
         target,
         engine,
--- a/packages/pistachioseam/src/pistachioseam/forwarding/plans.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/plans.py
@@ -1,5 +1,7 @@
 """Plan of a model call at one engine: what it reads, fetches and saves."""
 
+from collections import abc
+
 import attrs
 
 from pistachioseam.forwarding import calls
@@ -49,12 +51,77 @@
         }
 
 
+class Survey:
+    """Who holds parts of one call's prompt, found once for all targets.
+
+    Load pattern: dozens of engines, of which a few hold a part. Weighing each
+    engine against all others would cost more time than the call itself.
+    """
+
+    def __init__(self, call: calls.Call, router: routers.CallRouter) -> None:
+        self._call = call
+        self._router = router
+        self._holders: dict[str, tuple[transfers.Holder, ...]] = {}
+        self._stores: list[desired.CacheStore] | None = None
+
+    def list_holders(
+        self, salt: str, shared: tuple[prompts.Part, ...]
+    ) -> tuple[transfers.Holder, ...]:
+        """Return the engines and stores that hold the first shared part."""
+        holders = self._holders.get(salt)
+        if holders is None:
+            caches = self._router.caches
+            holders = self._holders[salt] = tuple(
+                holder
+                for holder in self._find_holders()
+                if caches.count_leading(holder.name, salt, shared[:1]) > 0
+            )
+        return tuple(
+            attrs.evolve(holder, wait_seconds=self._get_wait(holder.name))
+            for holder in holders
+        )
+
+    def _get_wait(self, name: str) -> float:
+        now = self._router.runtime.now()
+        return self._router.loads.get(name, now).transfer_ms / MS
+
+    def _find_holders(self) -> abc.Iterator[transfers.Holder]:
+        """Yield the engines and stores that may be asked for parts."""
+        service = self._call.service
+        assert service is not None and service.engine is not None
+        for other in self._router.catalog.list_service(service.name):
+            if not self._router.health.is_suspected(other.name):
+                yield transfers.Holder(
+                    name=other.name,
+                    address=other.address,
+                    domain=other.domain,
+                    bytes_per_second=service.engine.bytes_per_second,
+                    wait_seconds=0.0,
+                )
+        for store in self.list_stores():
+            yield transfers.Holder(
+                name=store.address,
+                address=store.address,
+                domain=store.domain,
+                bytes_per_second=store.bytes_per_second,
+                wait_seconds=0.0,
+            )
+
+    def list_stores(self) -> list[desired.CacheStore]:
+        """Return the stores of cached parts that are not down."""
+        if self._stores is None:
+            self._stores = list_stores(self._router)
+        return self._stores
+
+
 def plan_run(
     call: calls.Call,
     router: routers.CallRouter,
     target: catalog.LiveTarget,
+    survey: Survey | None = None,
 ) -> RunPlan:
     """Return the plan of a model call at a target."""
+    survey = survey or Survey(call, router)
     prompt = call.prompt
     service = call.service
     assert prompt is not None and service is not None
@@ -65,10 +132,10 @@
     shared = prompt.parts[:-1]
     shared_tokens = sum(part.tokens for part in shared)
     cached = router.caches.count_leading(target.name, salt, shared)
-    store = find_store(router, target.domain)
+    store = find_nearest(router, survey.list_stores(), target.domain)
     source = transfers.NO_SOURCE
     if cached < shared_tokens and service.engine is not None:
-        source = _choose_source(router, target, service, salt, shared, cached)
+        source = _choose_source(router, target, survey, salt, shared, cached)
     save_to = ''
     if store is not None:
         known = router.caches.count_leading(store.address, salt, shared)
@@ -87,22 +154,24 @@
 def _choose_source(
     router: routers.CallRouter,
     target: catalog.LiveTarget,
-    service: desired.Service,
+    survey: Survey,
     salt: str,
     shared: tuple[prompts.Part, ...],
     cached: int,
 ) -> transfers.Source:
-    assert service.engine is not None and router.desired.state is not None
-    engine = service.engine
+    state = router.desired.state
+    service = state.find_service(target.service) if state else None
+    assert service is not None and service.engine is not None
     receiver = transfers.Receiver(
         domain=target.domain,
         own_tokens=cached,
-        token_bytes=engine.token_bytes,
-        bytes_per_second=engine.bytes_per_second,
+        token_bytes=service.engine.token_bytes,
+        bytes_per_second=service.engine.bytes_per_second,
     )
+    holders = survey.list_holders(salt, shared)
     return transfers.choose_source(
         receiver,
-        _list_holders(router, target, service),
+        (holder for holder in holders if holder.name != target.name),
         shared,
         salt,
         router.topology,
@@ -111,40 +180,7 @@
     )
 
 
-def _list_holders(
-    router: routers.CallRouter,
-    receiver: catalog.LiveTarget,
-    service: desired.Service,
-) -> list[transfers.Holder]:
-    """Return the other engines and the stores, with their queues."""
-    assert service.engine is not None and router.desired.state is not None
-    now = router.runtime.now()
-    holders = [
-        transfers.Holder(
-            name=other.name,
-            address=other.address,
-            domain=other.domain,
-            bytes_per_second=service.engine.bytes_per_second,
-            wait_seconds=router.loads.get(other.name, now).transfer_ms / MS,
-        )
-        for other in router.catalog.list_service(service.name)
-        if other.name != receiver.name
-        and not router.health.is_suspected(other.name)
-    ]
-    holders += [
-        transfers.Holder(
-            name=store.address,
-            address=store.address,
-            domain=store.domain,
-            bytes_per_second=store.bytes_per_second,
-            wait_seconds=router.loads.get(store.address, now).transfer_ms / MS,
-        )
-        for store in _list_stores(router)
-    ]
-    return holders
-
-
-def _list_stores(router: routers.CallRouter) -> list[desired.CacheStore]:
+def list_stores(router: routers.CallRouter) -> list[desired.CacheStore]:
     """Return the stores of cached parts that are not known to be down."""
     state = router.desired.state
     if state is None:
@@ -156,12 +192,14 @@
     ]
 
 
-def find_store(
-    router: routers.CallRouter, domain: str
+def find_nearest(
+    router: routers.CallRouter,
+    stores: abc.Sequence[desired.CacheStore],
+    domain: str,
 ) -> desired.CacheStore | None:
     """Return the store of cached parts that is nearest to a domain."""
     return min(
-        _list_stores(router),
+        stores,
         key=lambda store: transfers.get_factor(
             router.topology, domain, store.domain
         ),
@@ -169,6 +207,13 @@
     )
 
 
+def find_store(
+    router: routers.CallRouter, domain: str
+) -> desired.CacheStore | None:
+    """Return the nearest store of cached parts that is not down."""
+    return find_nearest(router, list_stores(router), domain)
+
+
 def note_sent(
     router: routers.CallRouter, target: catalog.LiveTarget, plan: RunPlan
 ) -> None:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -8,6 +8,7 @@
 
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import desired
+from pistachioseam.forwarding import drains
 from pistachioseam.forwarding import prompts
 from pistachioseam import interfaces
 
@@ -185,6 +186,7 @@
     orders: int
     is_busy: bool
     weights: abc.Mapping[str, int]
+    runs: drains.EngineRuns
 
 
 @attrs.frozen(kw_only=True)
@@ -196,6 +198,7 @@
     holder: str
     fencing_token: int
     expected_orders: int
+    switch: drains.Switch
 
 
 class Platform(typing.Protocol):
--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -8,7 +8,9 @@
 
 from pistachioseam import events
 from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import drains
 from pistachioseam.forwarding import leases
+from pistachioseam.forwarding import loads
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import router as routers
 from pistachioseam import interfaces
@@ -25,6 +27,8 @@
 """Pause between the successors' reads of an idle lease."""
 OBSERVERS = 2
 """Successors that watch an idle lease."""
+STANDBYS = 4
+"""Hosts that may step in; when these are lost, later ones take their place."""
 LOADING_SHARE = 1 / 3
 """Part of the engines that load at once; loading slows down with more."""
 LOAD_SECONDS = 0.4
@@ -159,6 +163,8 @@
         """Tell whether the last holder has been silent for too long."""
         assert self._outdated_since is not None
         rank = self._get_standby_rank()
+        if rank >= STANDBYS:
+            return False
         delay = STANDBY_SECONDS + rank * STANDBY_STEP_SECONDS
         row = self.lease.row
         if row is not None and row.version == 0:
@@ -249,26 +255,48 @@
         Its successor finds all engines with weights that soon may not be
         used, so to spare some for serving would serve nobody.
         """
-        desired = self._router.desired
-        loaded = self._router.weights.get(engine.target, engine.model)
-        behind = desired.get_behind_seconds(
-            engine.model, loaded, self._router.runtime.now()
-        )
-        return behind > self._router.max_behind_seconds - URGENT_SECONDS
+        bound = self._router.max_behind_seconds - URGENT_SECONDS
+        return self._get_behind(engine) > bound
 
     async def _bring_up(self, engine: OutdatedEngine) -> None:
         """Order one engine to load, and look until it has."""
         incarnation = engine.target.get_incarnation()
+        begun_at = self._router.runtime.now()
         try:
             while self._is_wanted(engine):
                 self._router.weights.note_loading(incarnation)
-                pause = await self._correct(engine)
+                waited = self._router.runtime.now() - begun_at
+                if not self._could_load(engine, waited):
+                    await self._router.runtime.sleep(drains.STEP_SECONDS)
+                    continue
+                pause = await self._correct(engine, waited)
                 if pause is None:
                     break
                 await self._router.runtime.sleep(pause)
         finally:
             self.loading.discard(incarnation)
 
+    def _could_load(self, engine: OutdatedEngine, waited: float) -> bool:
+        """Tell whether to ask if the engine is ready to load."""
+        load = self._get_load(engine)
+        return self._is_late(engine) or drains.is_worth_asking(
+            load.runs, waited
+        )
+
+    def _get_load(self, engine: OutdatedEngine) -> loads.Load:
+        now = self._router.runtime.now()
+        return self._router.loads.get(engine.target.name, now)
+
+    def _get_behind(self, engine: OutdatedEngine) -> float:
+        """Return for how long the engine's weights have been replaced."""
+        loaded = self._router.weights.get(engine.target, engine.model)
+        return self._router.desired.get_behind_seconds(
+            engine.model, loaded, self._router.runtime.now()
+        )
+
+    def _is_late(self, engine: OutdatedEngine) -> bool:
+        return self._get_behind(engine) > drains.LATE_SECONDS
+
     def _is_wanted(self, engine: OutdatedEngine) -> bool:
         """Tell whether the engine is there, still behind, and ours."""
         target = self._router.catalog.get(engine.target.name)
@@ -279,7 +307,9 @@
         loaded = self._router.weights.get(target, engine.model)
         return loaded < self._router.desired.get_named(engine.model)
 
-    async def _correct(self, engine: OutdatedEngine) -> float | None:
+    async def _correct(
+        self, engine: OutdatedEngine, waited: float
+    ) -> float | None:
         """Read an engine's state and order if need be.
 
         Return the seconds to the next look, None if it is to be left alone.
@@ -297,11 +327,16 @@
             return None
         if report.is_busy:
             return RECHECK_SECONDS
+        load = self._get_load(engine)
+        runs = drains.merge(report.runs, load.runs, load.prefill_tokens)
+        switch = drains.judge(runs, waited, self._is_late(engine))
+        if switch is None:
+            return drains.REPORT_SECONDS
         order = attrs.evolve(engine, version=newest)
-        return await self._order(order, report.orders)
+        return await self._order(order, report.orders, switch)
 
     async def _order(
-        self, engine: OutdatedEngine, orders: int
+        self, engine: OutdatedEngine, orders: int, switch: drains.Switch
     ) -> float | None:
         """Give the order if the lease allows it."""
         if self.lease.needs_renewal() and not await self._renew():
@@ -315,6 +350,7 @@
             holder=self.lease.holder,
             fencing_token=self.lease.row.version,
             expected_orders=orders,
+            switch=switch,
         )
         ordered = await self._control.order_weights(engine.target, order)
         if not railway.is_successful(ordered):
@@ -327,6 +363,7 @@
             model=engine.model,
             version=engine.version,
             status=status,
+            switch=switch.value,
             fencing_token=order.fencing_token,
         )
         if status == 200:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/watches.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/watches.py
@@ -171,6 +171,10 @@
         router = self._router
         for finding in found.findings:
             router.sink.emit(events.Event.DOCUMENT_MALFORMED, finding=finding)
+        # Hosts that do not read the entries hear of the weights as peers.
+        for entry in found.change.entries:
+            for model, version in entry.weights.items():
+                router.weights.note(entry, model, version)
         return router.catalog.apply(found.change, router.runtime.now())
 
     def _note_trouble(self, trouble: ports.StoreTrouble) -> None:
--- a/tests/core/forwarding/test_contacts.py
+++ b/tests/core/forwarding/test_contacts.py
@@ -89,6 +89,25 @@
     case.assertIn(lost.name, {peer.name for peer in tried})
 
 
+def test_few_hosts_stand_by_for_duties(case: support.Case) -> None:
+    """In a large fleet those that speak for a domain come first."""
+    for count in (9, 91):
+        peers = create_peers(count)
+        ranks = sorted(rank(own, peers) for own in peers)
+        case.assertEqual(list(range(min(count, DOMAINS))), ranks[:DOMAINS])
+        case.assertGreaterEqual(ranks[DOMAINS], DOMAINS)
+
+
+def rank(own: membership.Peer, peers: abc.Sequence[membership.Peer]) -> int:
+    """Return a host's place, by the peers that it hears of."""
+    known = [peer for peer in peers if peer.name != own.name]
+    heard = known
+    if contacts.is_relayed(known):
+        listed = choose(own, peers).list_all()
+        heard = [peer for peer in known if peer in listed]
+    return contacts.get_standby_rank(own, known, heard, homes.HomeOrder())
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
--- a/tests/core/forwarding/test_rollouts.py
+++ b/tests/core/forwarding/test_rollouts.py
@@ -6,6 +6,7 @@
 from returns import result
 
 from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import drains
 from pistachioseam.forwarding import leases
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import rollouts
@@ -16,6 +17,7 @@
 
 MODEL = call_fakes.MODEL
 LEASE_SECONDS = 3.0
+NO_RUNS = drains.EngineRuns(running=0, reading=0)
 
 
 class Store:
@@ -64,6 +66,8 @@
     orders: int = 0
     busy_until: float = 0.0
     is_unreachable: bool = False
+    runs: drains.EngineRuns = NO_RUNS
+    switches: list[drains.Switch] = attrs.field(factory=list)
 
 
 class Engines:
@@ -101,6 +105,7 @@
                 orders=engine.orders,
                 is_busy=engine.busy_until > 0.0,
                 weights={MODEL: engine.version},
+                runs=engine.runs,
             )
         )
 
@@ -113,6 +118,7 @@
         if engine.busy_until or order.expected_orders != engine.orders:
             return result.Success(409)
         engine.orders += 1
+        engine.switches.append(order.switch)
         engine.busy_until = self._now() + engine.load_seconds
         self.acts.append(
             (self._now(), order.holder, target.name, order.version)
@@ -170,6 +176,50 @@
     clocks.run(run())
 
 
+def test_long_streams_do_not_hold_up_weights(case: support.Case) -> None:
+    """Runs that have begun to answer go on under the newer weights."""
+
+    async def run() -> None:
+        fleet = create_fleet(6)
+        engines = Engines(fleet)
+        for target in fleet.router.catalog.list_all():
+            fleet.router.loads.begin(target.name, 500, 0)
+            streaming = drains.EngineRuns(running=1, reading=0)
+            engines.engines[target.name] = Engine(runs=streaming)
+        start(fleet, Store(), engines)
+        await asyncio.sleep(0.5)
+        fleet.set_state(None, {MODEL: 2})
+        named_at = fleet.runtime.now()
+        await asyncio.sleep(8.0)
+        case.assertEqual(6, len(engines.acts))
+        case.assertLess(max(at for at, _, _, _ in engines.acts) - named_at, 5)
+        for engine in engines.engines.values():
+            case.assertEqual([drains.Switch.CONTINUE], engine.switches)
+
+    clocks.run(run())
+
+
+def test_prompts_are_read_under_one_version(case: support.Case) -> None:
+    """A run whose prompt is still being read never changes its weights."""
+
+    async def run() -> None:
+        fleet = create_fleet(1)
+        engines = Engines(fleet)
+        name = fleet.router.catalog.list_all()[0].name
+        fleet.router.loads.begin(name, 500, 500)
+        reading = drains.EngineRuns(running=3, reading=1)
+        engines.engines[name] = Engine(runs=reading)
+        start(fleet, Store(), engines)
+        await asyncio.sleep(0.5)
+        fleet.set_state(None, {MODEL: 2})
+        await asyncio.sleep(8.0)
+        case.assertEqual(
+            [drains.Switch.FINISH], engines.engines[name].switches
+        )
+
+    clocks.run(run())
+
+
 def test_replaced_versions_are_skipped(case: support.Case) -> None:
     """An engine that has not begun loads only the newest."""
 
--- a/tests/entry/test_target_channels.py
+++ b/tests/entry/test_target_channels.py
@@ -120,6 +120,26 @@
     run(work)
 
 
+def test_stated_idle_time_is_kept_to(case: support.Case) -> None:
+    """A channel is not used when its target may be about to close it."""
+    stated = HEAD + b'Keep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok'
+
+    async def work() -> None:
+        async with Target(stated, WHOLE, WHOLE) as target:
+            with target_channels.ChannelPool(headers.HeaderCodec()) as pool:
+                for channels in (1, 2, 2):
+                    case.assertEqual(b'ok', await fetch(pool, target.address))
+                    case.assertEqual(channels, target.channels)
+
+    run(work)
+    choose = target_channels.choose_idle_seconds
+    case.assertEqual(4.0, choose([b'timeout=5, max=100']))
+    case.assertEqual(
+        target_channels.MOST_IDLE_SECONDS, choose([b'timeout=60'])
+    )
+    case.assertEqual(target_channels.IDLE_SECONDS, choose([]))
+
+
 def test_bytes_behind_an_answer_end_the_channel(case: support.Case) -> None:
     """What follows a whole answer belongs to no request."""
 
