--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/call_refusals.py
@@ -0,0 +1,92 @@
+"""Refusals of forwarded calls; each says truly whether the call has run."""
+
+from pistachioseam.forwarding import admission
+from pistachioseam.forwarding import calls
+from pistachioseam.forwarding import selection
+from pistachioseam import interfaces
+from pistachioseam import refusals
+
+RETRY_AFTER_SECONDS = 0.4
+"""Return of callers whose call no target took."""
+QUARANTINE_RETRY_SECONDS = 2.0
+"""Return of callers whose request crashed targets."""
+
+
+def _refuse(
+    call: calls.Call,
+    reason: refusals.Reason,
+    message: str,
+    retry_after_seconds: float = RETRY_AFTER_SECONDS,
+) -> refusals.Refusal:
+    """Return 503 for a call that has not run, 502 for one that may have."""
+    if call.may_have_run:
+        return refusals.Refusal(502, reason, message, refusals.Outcome.UNKNOWN)
+    return refusals.Refusal(
+        503, reason, message, retry_after_seconds=retry_after_seconds
+    )
+
+
+def refuse_quarantined(call: calls.Call) -> refusals.Refusal:
+    """Return the refusal of a call that crashed the targets that ran it."""
+    return _refuse(
+        call,
+        refusals.Reason.QUARANTINED,
+        'this request crashed the targets that ran it',
+        QUARANTINE_RETRY_SECONDS,
+    )
+
+
+def refuse_failed(
+    call: calls.Call, failure: interfaces.CallFailure
+) -> refusals.Refusal:
+    """Return the refusal of a call whose targets failed."""
+    if call.may_have_run:
+        return refusals.Refusal(
+            502,
+            refusals.Reason.TARGET_FAILED,
+            f'the target failed: {failure.kind.value}, {failure.detail}',
+            refusals.Outcome.UNKNOWN,
+        )
+    return refusals.Refusal(
+        503,
+        refusals.Reason.OVERLOADED,
+        f'no target took the call: {failure.kind.value}, {failure.detail}',
+        retry_after_seconds=RETRY_AFTER_SECONDS,
+    )
+
+
+def refuse_overloaded(
+    choice: selection.Choice, verdict: admission.Refuse
+) -> refusals.Refusal:
+    """Return the refusal of a call that would begin too late."""
+    best = choice.candidates[0]
+    return refusals.Refusal(
+        503,
+        refusals.Reason.OVERLOADED,
+        f'the first token would take {best.expected:.2f} s at {best.target}',
+        retry_after_seconds=verdict.retry_after_seconds,
+    )
+
+
+def refuse_without_target(call: calls.Call) -> refusals.Refusal:
+    """Return the refusal of a call whose service has no ready target."""
+    return _refuse(
+        call, refusals.Reason.NO_TARGET, 'the service has no ready target'
+    )
+
+
+def refuse_late(call: calls.Call) -> refusals.Refusal:
+    """Return the refusal of a call whose deadline has passed."""
+    if call.may_have_run:
+        return refusals.Refusal(
+            504,
+            refusals.Reason.TARGET_FAILED,
+            'the deadline passed',
+            refusals.Outcome.UNKNOWN,
+        )
+    return refusals.Refusal(
+        503,
+        refusals.Reason.OVERLOADED,
+        'the deadline passed before any target took the call',
+        retry_after_seconds=RETRY_AFTER_SECONDS,
+    )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/crashes.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/crashes.py
@@ -9,12 +9,9 @@
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import router as routers
 from pistachioseam import quarantine
-from pistachioseam import refusals
 
 CONFIRM_SECONDS = 0.05
 """Time for the port of a crashed target to close."""
-RETRY_SECONDS = 2.0
-"""Return of callers whose request is quarantined."""
 
 
 def digest_call(call: calls.Call) -> str:
@@ -32,17 +29,3 @@
     if not await router.link.is_refused(target.address):
         return
     router.quarantine.note_crash(digest_call(call))
-
-
-def refuse_quarantined(call: calls.Call) -> refusals.Refusal:
-    """Return the refusal of a call that crashed the targets that ran it."""
-    outcome = refusals.Outcome.NOT_RUN
-    if call.may_have_run:
-        outcome = refusals.Outcome.UNKNOWN
-    return refusals.Refusal(
-        502 if call.may_have_run else 503,
-        refusals.Reason.QUARANTINED,
-        'this request crashed the targets that ran it',
-        outcome,
-        None if call.may_have_run else RETRY_SECONDS,
-    )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -51,7 +51,7 @@
     async def receive_from(
         self, target: catalog.LiveTarget
     ) -> interfaces.CallFailure | None:
-        """Send to a target and deliver what it answers."""
+        """Send to the target of the plan and deliver what it answers."""
         self._ticket = self._begin_load(target)
         ran_before = self._call.may_have_run
         self._call.may_have_run = True
@@ -67,22 +67,12 @@
             self._call.may_have_run = ran_before
         return failure
 
-    def describe_plan(self, target: catalog.LiveTarget) -> str:
-        """Return what a model call would read and fetch at a target."""
+    def plan(self, target: catalog.LiveTarget) -> str:
+        """Plan a run at a target; return what it would read and fetch."""
         if self._call.prompt is None:
             return ''
-        plan = plans.plan_run(self._call, self._router, target)
-        source = plan.source
-        return (
-            f'version {plan.version}, part {plan.parts[-2].name}'
-            if len(plan.parts) > 1
-            else f'version {plan.version}'
-        ) + (
-            f', read {plan.read_tokens}'
-            f'+{plan.own_tokens}, fetch {source.tokens}'
-            f' of {source.name or "nobody"} in {source.wait_seconds:.3f}'
-            f'+{source.seconds:.3f} s, save {bool(plan.save_to)}'
-        )
+        self._plan = plans.plan_run(self._call, self._router, target)
+        return self._plan.describe()
 
     def _end_loads(self) -> None:
         for ticket in (self._ticket, self._source_ticket):
@@ -93,10 +83,9 @@
     def _begin_load(self, target: catalog.LiveTarget) -> loads.Ticket:
         prompt = self._call.prompt
         now = self._router.runtime.now()
-        if prompt is None:
-            return self._router.loads.begin(target.name, 0, 0, now=now)
-        self._plan = plans.plan_run(self._call, self._router, target)
         plan = self._plan
+        if prompt is None or plan is None:
+            return self._router.loads.begin(target.name, 0, 0, now=now)
         if self._call.attempts:
             self._call.attempts[-1].prompt_tokens = plan.count_tokens()
         plans.note_sent(self._router, target, plan)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/plans.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/plans.py
@@ -40,6 +40,18 @@
     fetch_from: str
     save_to: str
 
+    def describe(self) -> str:
+        """Return what a run would read and fetch, for the log."""
+        source = self.source
+        shared = self.parts[-2].name if len(self.parts) > 1 else 'none'
+        return (
+            f'version {self.version}, part {shared}'
+            f', read {self.read_tokens}+{self.own_tokens}'
+            f', fetch {source.tokens} of {source.name or "nobody"}'
+            f' in {source.wait_seconds:.3f}+{source.seconds:.3f} s'
+            f', save {bool(self.save_to)}'
+        )
+
     def count_tokens(self) -> dict[str, int]:
         """Return the prompt's tokens by where they are to come from."""
         total = sum(part.tokens for part in self.parts)
