Send no calls to engines in the last two seconds before their weights' use ends

All 91 hosts were being restarted in turn. Ruled out: a wrong age of the naming (the host counted 9.0 s), an early handover of the lease (orders of two hosts must be a lease apart). Change: a margin of two seconds.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -53,8 +53,9 @@
 CRASHES_TO_QUARANTINE = 3
 """Crashes after which the users' rules end the retries of a request."""
 MS = 1000.0
-WEIGHTS_MARGIN_SECONDS = 1.0
-"""Time that a call may wait at its engine before it begins to run."""
+WEIGHTS_MARGIN_SECONDS = 2.0
+"""Time that a call may wait at its engine before it begins to run; admission
+passes waits of about a second."""
 
 
 @attrs.frozen(kw_only=True)
@@ -170,7 +171,7 @@
             quarantine=quarantine.Quarantine(
                 self.runtime, CRASHES_TO_QUARANTINE
             ),
-            max_behind_seconds=_get_max_behind(options.bounds),
+            max_behind_seconds=get_max_behind(options.bounds),
         )
 
     def _create_lease(self) -> leases.Lease:
@@ -273,7 +274,7 @@
         self.settings = loaded.unwrap()
         bounds = self.settings.bounds
         self.router.freshness.bound_seconds = bounds.revocation_ms / MS
-        self.router.max_behind_seconds = _get_max_behind(bounds)
+        self.router.max_behind_seconds = get_max_behind(bounds)
         self.router.budget.terms = self.settings.retries
         self.rollout.lease.lease_seconds = bounds.lease_ms / MS
         self.sink.emit(
@@ -306,5 +307,6 @@
         self.lifecycle.stop()
 
 
-def _get_max_behind(bounds: call_settings.Bounds) -> float:
+def get_max_behind(bounds: call_settings.Bounds) -> float:
+    """Return for how long calls are sent to engines with replaced weights."""
     return bounds.weights_ms / MS - WEIGHTS_MARGIN_SECONDS
