--- a/packages/pistachioseam-standins/src/pistachioseam_standins/metadata.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/metadata.py
@@ -1,4 +1,4 @@
-"""Stand-in of the users' metadata store: rows, transactions and a feed.
+"""Stand-in of the users' metadata store: rows, transactions, feed, objects.
 
 Operators and servers write by `POST /standin/rows`, which knows no
 conditions. `POST /standin/faults` sets `mode`, one of `none`, `busy` (refuse
@@ -17,6 +17,7 @@
 PROTECTED_TABLES = ('op', 'servers')
 SILENT_SECONDS = 60.0
 FEED_STEP_SECONDS = 0.02
+LISTED_OBJECTS = 1000
 
 
 @attrs.frozen
@@ -41,6 +42,7 @@
         self.calls = 0
         self._rows: dict[tuple[str, str, str], Change] = {}
         self._history: list[Change] = []
+        self._objects: dict[str, bytes] = {}
         self._oldest = 0
 
     @app.route('/standin/faults', methods=['POST'])
@@ -142,6 +144,51 @@
         }
         return list(newest.values())
 
+    @app.route('/-/blob-put/<name>', methods=['PUT'])
+    async def write_object(self, request: typing.Any, name: str) -> bytes:
+        """Write an object, or a new one only if that is asked for."""
+        if await self._fails(request):
+            return b''
+        is_new_only = request.getHeader('if-none-match') == '*'
+        if is_new_only and name in self._objects:
+            return serving.encode_json(request, {}, 412)
+        self._objects[name] = request.content.read()
+        return serving.encode_json(request, {})
+
+    @app.route('/-/blob-get/<name>')
+    async def read_object(self, request: typing.Any, name: str) -> bytes:
+        """Return an object's bytes."""
+        if await self._fails(request):
+            return b''
+        if name not in self._objects:
+            return serving.encode_json(request, {}, 404)
+        return self._objects[name]
+
+    @app.route('/-/blob-drop/<name>', methods=['DELETE'])
+    async def drop_object(self, request: typing.Any, name: str) -> bytes:
+        """Drop an object, whether it is there or not."""
+        if await self._fails(request):
+            return b''
+        self._objects.pop(name, None)
+        return serving.encode_json(request, {})
+
+    @app.route('/-/blob-list')
+    async def list_objects(self, request: typing.Any) -> bytes:
+        """Return the names behind `after` that begin with a prefix."""
+        if await self._fails(request):
+            return b''
+        prefix, after = _get(request, 'prefix'), _get(request, 'after')
+        names = sorted(
+            name
+            for name in self._objects
+            if name.startswith(prefix) and name > after
+        )
+        content = {
+            'names': names[:LISTED_OBJECTS],
+            'hasMore': len(names) > LISTED_OBJECTS,
+        }
+        return serving.encode_json(request, content)
+
     async def _fails(self, request: typing.Any) -> bool:
         self.calls += 1
         if self.mode == 'busy':
