Relay statuses within a domain through its leader

Cause: in a fleet of 24 hosts or more each host sent its status to all hosts of its domain. With 36 hosts that is 35 messages each 0.6 s from each host, 12,600 a second on the large site, and at a start a handshake between all pairs. Change: a host sends to the leader and the deputy of its domain; the leader relays. Hosts that disagree about the leader answer each other and learn of the better one; silent hosts are probed two at a time. The known size of the fleet is sent along, so that hosts with a short list of hosts do not fall back to messages between all pairs.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -32,6 +32,9 @@
 """Pause before a failed call to the store is retried."""
 PROBE_INTERVAL_SECONDS = 1.0
 """Shortest pause between two probes of a silent peer."""
+SENDER_EXPIRY_SECONDS = 1.5
+"""Time for which a peer gets the status of this host after it has sent its own
+in the belief that this host leads the domain."""
 HANDSHAKE_TIMEOUT_SECONDS = 1.0
 """Longest wait for the response to a handshake."""
 LEADER_TIMEOUT_SECONDS = confirmations.LONG_POLL_SECONDS + 0.3
@@ -105,6 +108,8 @@
         self._client: clients.PeerClient | None = None
         self._server: servers.PeerServer | None = None
         self._probed_at: dict[str, float] = {}
+        self._received_at: dict[str, float] = {}
+        self._announced_hosts = 0
         self._contacts = contacts.Contacts(direct_peers=())
 
     def __enter__(self) -> 'CallPeers':
@@ -126,7 +131,7 @@
         """Return the number of hosts in the fleet, lost ones included."""
         if not self._has_host_list:
             return ASSUMED_HOSTS
-        return 1 + len(self.members.list_known())
+        return max(1 + len(self.members.list_known()), self._announced_hosts)
 
     def get_standby_rank(self) -> int:
         """Return this host's rank among the standbys for a lease, 0 first."""
@@ -135,6 +140,7 @@
             self.members.list_known(),
             self.members.list_alive(),
             self._router.rendezvous_hash,
+            self._announced_hosts,
         )
 
     def is_region_leader(self, domain: str) -> bool:
@@ -202,10 +208,14 @@
             await self._router.runtime.sleep(
                 self._contacts.get_pause_seconds()
             )
-            self._contacts = self._choose_contacts()
-            self.send_status()
-            self._probe_silent_peers()
-            self.members.expire_peers()
+            self.run_round()
+
+    def run_round(self) -> None:
+        """Choose the contacts again, send the status and probe lost peers."""
+        self._contacts = self._choose_contacts()
+        self.send_status()
+        self._probe_silent_peers()
+        self.members.expire_peers()
 
     async def _agree_on_secret(self) -> bytes:
         proposal = secrets.token_hex(SECRET_BYTES).encode()
@@ -234,6 +244,7 @@
 
     def _apply_host_list(self, hosts: tuple[ports.HostEntry, ...]) -> None:
         self._has_host_list = True
+        self._announced_hosts = 0
         self.members.add_discovered(
             membership.Peer(
                 name=host.name,
@@ -254,8 +265,23 @@
             self.members.list_known(),
             self.members.list_alive(),
             self._router.rendezvous_hash,
+            self._list_senders(),
+            self._announced_hosts,
         )
 
+    def _list_senders(self) -> list[membership.Peer]:
+        """Return the peers that take this host for their leader or deputy."""
+        now = self._router.runtime.now()
+        for name, received_at in list(self._received_at.items()):
+            if now - received_at > SENDER_EXPIRY_SECONDS:
+                del self._received_at[name]
+        return [
+            peer
+            for peer in self.members.list_alive()
+            if peer.name in self._received_at
+            and peer.domain == self.members.own.domain
+        ]
+
     def send_status(self) -> None:
         """Send this host's status to its direct peers.
 
@@ -263,22 +289,35 @@
         """
         receivers = self._contacts
         status = self._statuses.create_host_status()
+        self._add_membership(status)
         self._statuses.add_updates(status, bool(receivers.remote_peers))
         self._send(receivers.direct_peers, status)
         if receivers.remote_peers:
-            domain_hosts = {peer.name for peer in receivers.direct_peers}
+            domain_hosts = {
+                peer.name
+                for peer in self.members.list_alive()
+                if peer.domain == self.members.own.domain
+            }
             self._send(
                 receivers.remote_peers,
                 self._statuses.create_domain_status(domain_hosts),
             )
 
+    def _add_membership(self, status: messages_pb2.HostStatus) -> None:
+        status.known_hosts = 1 + len(self.members.list_known())
+        status.leaders.extend(
+            peer_messages.encode_peer(peer) for peer in self._contacts.leaders
+        )
+
     def _schedule_cache_update(self) -> None:
         """Send cache updates early, so that peers do not repeat the prefill.
 
         In a large fleet a host rarely gets a prompt part whose prefill another
         host has just started, so the next regular status is early enough.
         """
-        if not contacts.should_relay_statuses(self.members.list_known()):
+        if not contacts.should_relay_statuses(
+            self.members.list_known(), self._announced_hosts
+        ):
             self._cache_update_timer.schedule()
 
     def _send_direct_updates(self) -> None:
@@ -311,10 +350,13 @@
     def _probe_silent_peers(self) -> None:
         """Send handshakes to silent peers, each once per probe interval."""
         now = self._router.runtime.now()
-        alive = {peer.address for peer in self.members.list_alive()}
-        for peer in self._contacts.list_all():
-            if peer.address in alive:
-                continue
+        for peer in contacts.choose_probes(
+            self._contacts,
+            self.members.list_known(),
+            self.members.list_alive(),
+            self._probed_at,
+            self._router.rendezvous_hash,
+        ):
             if now - self._probed_at.get(peer.address, 0.0) > (
                 PROBE_INTERVAL_SECONDS
             ):
@@ -360,9 +402,9 @@
     def _create_handshake(self) -> messages_pb2.Message:
         """Return a full status for a peer that may have no state yet."""
         message = self._create_message()
-        message.host_status.CopyFrom(
-            self._statuses.create_host_status(is_handshake=True)
-        )
+        status = self._statuses.create_host_status(is_handshake=True)
+        self._add_membership(status)
+        message.host_status.CopyFrom(status)
         return message
 
     def _handle_message(self, message: messages_pb2.Message) -> None:
@@ -375,10 +417,40 @@
             if status_messages.is_urgent(status):
                 self._inbound_relay_timer.schedule()
             return
+        if self.members.own.name in [peer.name for peer in status.leaders]:
+            self._received_at[sender.name] = self._router.runtime.now()
         self._statuses.apply_host_status(sender.name, status)
+        self._apply_reports(status)
+        if (
+            self._contacts.is_leader
+            and sender.domain == self.members.own.domain
+        ):
+            self._relay(message)
+
+    def _apply_reports(self, status: messages_pb2.HostStatus) -> None:
+        """Apply the statuses of other hosts that the leader has relayed."""
+        self._announced_hosts = max(self._announced_hosts, status.known_hosts)
+        for report in status.reports:
+            if report.sender.name != self.members.own.name:
+                self.members.record_heartbeat(
+                    peer_messages.decode_peer(report.sender)
+                )
+                self._statuses.apply_host_status(
+                    report.sender.name, report.status
+                )
+        self.members.add_discovered(
+            peer_messages.decode_peer(leader) for leader in status.leaders
+        )
+
+    def _relay(self, message: messages_pb2.Message) -> None:
+        """Queue the status of a host of this domain for all others."""
+        self._statuses.queue_report(message.sender, message.host_status)
+        is_urgent = status_messages.is_urgent(message.host_status)
+        if is_urgent:
+            self._inbound_relay_timer.schedule()
         if self._contacts.remote_peers:
-            self._statuses.queue_for_relay(status)
-            if status_messages.is_urgent(status):
+            self._statuses.queue_for_relay(message.host_status)
+            if is_urgent:
                 self._outbound_relay_timer.schedule()
 
     def _list_watched_cache_stores(self) -> list[desired.CacheStore]:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/status_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/status_messages.py
@@ -22,6 +22,9 @@
 """Time for which a changed suspect is repeated in regular statuses."""
 RELAY_EXPIRY_SECONDS = 0.5
 """Age after which a report by a host of this domain is no longer relayed."""
+MAX_QUEUED_REPORTS = 256
+"""Limit of the statuses of hosts of this domain that wait to be relayed within
+it; the oldest are dropped."""
 MAX_QUEUED_UPDATES = 64
 """Limit for each queue of the relay: statuses of other domains, and cache
 updates of this one. The oldest entries of a full queue are dropped."""
@@ -44,6 +47,7 @@
         self._rollout = rollout
         self._list_watched_cache_stores = list_watched_cache_stores
         self._statuses_to_relay: list[messages_pb2.DomainStatus] = []
+        self._reports_to_relay: list[messages_pb2.HostReport] = []
         self._cache_updates_to_relay: list[messages_pb2.CacheSighting] = []
         self._loading_to_relay: dict[tuple[str, int], float] = {}
         self._epochs_to_relay: dict[str, tuple[int, float]] = {}
@@ -105,6 +109,8 @@
                 self._cache_updates_to_relay.append(message)
         status.domains.extend(self._statuses_to_relay)
         self._statuses_to_relay.clear()
+        status.reports.extend(self._reports_to_relay)
+        self._reports_to_relay.clear()
 
     def _add_relayed(self, status: messages_pb2.HostStatus) -> None:
         """Add the domain's cache updates, loading engines and epochs."""
@@ -163,6 +169,16 @@
         for relayed in status.domains:
             self._apply_status(f'domain {relayed.domain}', relayed.status)
 
+    def queue_report(
+        self, sender: messages_pb2.Host, status: messages_pb2.HostStatus
+    ) -> None:
+        """Queue a host's own status for the other hosts of this domain."""
+        report = messages_pb2.HostReport(sender=sender, status=status)
+        for field in ('reports', 'domains', 'leaders'):
+            report.status.ClearField(field)
+        self._reports_to_relay.append(report)
+        del self._reports_to_relay[:-MAX_QUEUED_REPORTS]
+
     def queue_for_relay(self, status: messages_pb2.HostStatus) -> None:
         """Queue reports by a host of this domain for the other domains."""
         now = self._router.runtime.now()
--- a/packages/pistachioseam/src/pistachioseam/forwarding/contacts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/contacts.py
@@ -1,14 +1,17 @@
 """Selection of the peers that a host sends its status to.
 
 Pure functions of the known and the live peers. A small fleet exchanges
-statuses between all pairs of hosts. In a large fleet such messages would fill
-the links between regions. There each host sends its status within its own
-domain only, and the leader of each domain sends the merged status of its
+statuses between all pairs of hosts. In a large fleet that would take most of
+the processors' time and fill the links between regions. There each host sends
+its status only to the leader and the deputy of its own domain. The leader
+relays the statuses within the domain, and sends the merged status of its
 domain to the leaders of the others.
 
-The leader of a domain is its first live host in the order of `rank_peers`.
-It is not elected: hosts that see different live peers may choose different
-leaders.
+The leader of a domain is its first live host in the order of `rank_peers`, the
+deputy is the second, which takes over when the leader is lost. They are not
+elected: hosts that see different live peers may choose different leaders. A
+host also answers the peers that send to it, so two hosts that disagree learn
+of each other.
 """
 
 from collections import abc
@@ -33,6 +36,12 @@
 PROBED_HOSTS = 2
 """Number of hosts that are sent the status in a domain without a live host, in
 case one of them is back."""
+LEADERS_PER_DOMAIN = 2
+"""Number of hosts of a domain that get the statuses of all others: the leader
+and the deputy."""
+PROBES_PER_ROUND = 2
+"""Silent hosts of its own domain that a host probes at a time, in a large
+fleet."""
 STANDBY_ORDER_KEY = 2
 """Arbitrary hash key, equal on all hosts, by which `RendezvousHash` ranks them
 as standbys and domain leaders."""
@@ -45,11 +54,15 @@
     `direct_peers` get the host's own status. `remote_peers`, the leaders or
     probed hosts of the other domains, get the merged status of this host's
     domain; there are none unless statuses are relayed and this host is the
-    leader of its domain.
+    leader of its domain. `leaders` are the leader and the deputy of the
+    domain, `is_leader` says whether this host is that leader; neither is set
+    in a small fleet.
     """
 
     direct_peers: tuple[membership.Peer, ...]
     remote_peers: tuple[membership.Peer, ...] = ()
+    leaders: tuple[membership.Peer, ...] = ()
+    is_leader: bool = False
 
     def list_all(self) -> tuple[membership.Peer, ...]:
         """Return all receivers."""
@@ -57,6 +70,8 @@
 
     def get_pause_seconds(self) -> float:
         """Return the pause between two rounds of messages, in seconds."""
+        if self.leaders:
+            return MIN_PAUSE_SECONDS if self.is_leader else MAX_PAUSE_SECONDS
         pause = PAUSE_SECONDS_PER_PEER * len(self.direct_peers)
         return min(MAX_PAUSE_SECONDS, max(MIN_PAUSE_SECONDS, pause))
 
@@ -78,13 +93,29 @@
     rendezvous_hash: rendezvous.RendezvousHash,
 ) -> membership.Peer:
     """Return the leader of this host's domain."""
+    return find_domain_leaders(own, alive, rendezvous_hash)[0]
+
+
+def find_domain_leaders(
+    own: membership.Peer,
+    alive: abc.Iterable[membership.Peer],
+    rendezvous_hash: rendezvous.RendezvousHash,
+) -> tuple[membership.Peer, ...]:
+    """Return the leader and the deputy of this host's domain."""
     domain_peers = [peer for peer in alive if peer.domain == own.domain]
-    return rank_peers([*domain_peers, own], rendezvous_hash)[0]
+    ranked = rank_peers([*domain_peers, own], rendezvous_hash)
+    return ranked[:LEADERS_PER_DOMAIN]
+
 
+def should_relay_statuses(
+    known: abc.Collection[membership.Peer], announced_hosts: int = 0
+) -> bool:
+    """Return whether the leaders of the domains relay statuses.
 
-def should_relay_statuses(known: abc.Collection[membership.Peer]) -> bool:
-    """Return whether the leaders of the domains relay statuses."""
-    return 1 + len(known) >= MIN_HOSTS_TO_RELAY
+    `announced_hosts` is the size of the fleet as told by peers, which may have
+    read a longer list of hosts.
+    """
+    return max(1 + len(known), announced_hosts) >= MIN_HOSTS_TO_RELAY
 
 
 def get_standby_rank(
@@ -92,6 +123,7 @@
     known: abc.Collection[membership.Peer],
     alive: abc.Collection[membership.Peer],
     rendezvous_hash: rendezvous.RendezvousHash,
+    announced_hosts: int = 0,
 ) -> int:
     """Return a host's rank among the standby hosts for a lease, 0 first.
 
@@ -101,7 +133,7 @@
     ranked = rank_peers([*alive, own], rendezvous_hash)
     rank = [peer.name for peer in ranked].index(own.name)
     if (
-        should_relay_statuses(known)
+        should_relay_statuses(known, announced_hosts)
         and find_domain_leader(own, alive, rendezvous_hash) is not own
     ):
         rank += len({peer.domain for peer in known})
@@ -113,16 +145,23 @@
     known: abc.Collection[membership.Peer],
     alive: abc.Collection[membership.Peer],
     rendezvous_hash: rendezvous.RendezvousHash,
+    senders: abc.Collection[membership.Peer] = (),
+    announced_hosts: int = 0,
 ) -> Contacts:
     """Return the peers to send the status to.
 
-    In a domain without a live host, the first few hosts get it as a probe.
+    `senders` are the live peers of the domain that have recently sent their
+    own status to this host. In a domain without a live host, the first few
+    hosts get the status as a probe.
     """
-    if not should_relay_statuses(known):
+    if not should_relay_statuses(known, announced_hosts):
         return Contacts(direct_peers=tuple(known))
-    direct_peers = tuple(peer for peer in known if peer.domain == own.domain)
-    if find_domain_leader(own, alive, rendezvous_hash).name != own.name:
-        return Contacts(direct_peers=direct_peers)
+    leaders = find_domain_leaders(own, alive, rendezvous_hash)
+    receivers = {peer.name: peer for peer in (*leaders, *senders)}
+    receivers.pop(own.name, None)
+    direct_peers = tuple(receivers.values())
+    if leaders[0].name != own.name:
+        return Contacts(direct_peers=direct_peers, leaders=leaders)
     live = {peer.name for peer in alive}
     remote_peers: list[membership.Peer] = []
     for domain in sorted({peer.domain for peer in known} - {own.domain}):
@@ -132,5 +171,46 @@
         live_leader = [peer for peer in ranked if peer.name in live][:1]
         remote_peers += live_leader or ranked[:PROBED_HOSTS]
     return Contacts(
-        direct_peers=direct_peers, remote_peers=tuple(remote_peers)
+        direct_peers=direct_peers,
+        remote_peers=tuple(remote_peers),
+        leaders=leaders,
+        is_leader=True,
+    )
+
+
+def choose_probes(
+    chosen: Contacts,
+    known: abc.Collection[membership.Peer],
+    alive: abc.Collection[membership.Peer],
+    probed_at: abc.Mapping[str, float],
+    rendezvous_hash: rendezvous.RendezvousHash,
+) -> tuple[membership.Peer, ...]:
+    """Return the silent peers to send a handshake to.
+
+    Load pattern: all hosts start at once, or most hosts of a domain are lost.
+    If each host of a large fleet probed all silent ones, the handshakes would
+    take longer than the start itself. So a host probes only the hosts of its
+    domain that would come before its deputy, a few at a time, those first that
+    it has not probed for the longest time; `probed_at` holds these times by
+    address.
+    """
+    live = {peer.name for peer in alive}
+    if not chosen.leaders:
+        return tuple(p for p in chosen.direct_peers if p.name not in live)
+    own_domain = chosen.leaders[0].domain
+    ranked = rank_peers(
+        (*(p for p in known if p.domain == own_domain), *chosen.leaders),
+        rendezvous_hash,
     )
+    names = [peer.name for peer in ranked]
+    last_rank = names.index(chosen.leaders[-1].name)
+    if len(chosen.leaders) < LEADERS_PER_DOMAIN:
+        last_rank = len(ranked)
+    silent = [
+        peer
+        for peer in ranked[:last_rank]
+        if peer.name not in live and peer not in chosen.leaders
+    ]
+    silent.sort(key=lambda peer: probed_at.get(peer.address, 0.0))
+    remote = [p for p in chosen.remote_peers if p.name not in live]
+    return (*silent[:PROBES_PER_ROUND], *remote)
