Follow what targets say about further requests

Cause: a target says in its responses that it leaves, or for how long it wants nothing from this host. Neither header was read: a rejected call paused the target for 0.25 s as a preference that the lack of others overrode. Change: each response of a target, also rejected ones and those to control calls, goes to TargetNotices. A leaving target gets calls only while there is no other and its drain lasts; a paused one gets none, nor reports or orders; if all are paused, a call waits for a pause within its hold time, else it is refused at once with the time of the first that opens, jittered. Leaving targets are told to peers. New setting bounds.drain_ms.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -20,6 +20,7 @@
 from pistachioseam.forwarding import known_versions
 from pistachioseam.forwarding import leases
 from pistachioseam.forwarding import loads
+from pistachioseam.forwarding import notices
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import rollouts
 from pistachioseam.forwarding import router as routers
@@ -177,6 +178,9 @@
             quarantine=quarantine.Quarantine(
                 self.runtime, CRASHES_TO_QUARANTINE
             ),
+            notices=notices.TargetNotices(
+                self.sink, options.bounds.drain_ms / MS_PER_SECOND
+            ),
             max_weights_lag_seconds=get_max_weights_lag_seconds(
                 options.bounds
             ),
@@ -291,6 +295,7 @@
         self.router.max_weights_lag_seconds = get_max_weights_lag_seconds(
             bounds
         )
+        self.router.notices.drain_seconds = bounds.drain_ms / MS_PER_SECOND
         self.router.budget.terms = self.settings.retries
         self.rollout.lease.min_handover_seconds = (
             bounds.lease_ms / MS_PER_SECOND
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_settings.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_settings.py
@@ -35,13 +35,18 @@
     `revocation_ms` bounds the time for which a revoked key is accepted,
     `weights_ms` that for which weights are used after newer ones have been
     named. `lease_ms` is the minimum time between orders by two hosts to load
-    weights, `shutdown_seconds` the time from a planned stop to its forced end.
+    weights, `shutdown_seconds` the time from a planned stop to its forced end,
+    `drain_ms` the time for which a target accepts calls after it has said that
+    it leaves.
     """
 
     revocation_ms: float = attrs.field(validator=validators.check_positive)
     weights_ms: float = attrs.field(validator=validators.check_positive)
     lease_ms: float = attrs.field(validator=validators.check_positive)
     shutdown_seconds: float = attrs.field(validator=validators.check_positive)
+    drain_ms: float = attrs.field(
+        default=3000.0, validator=validators.check_positive
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/status_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/status_messages.py
@@ -156,6 +156,8 @@
                 float('inf') if is_handshake else SUSPECT_REPEAT_SECONDS
             ),
         )
+        for name, born_ms in self._router.notices.list_recently_leaving(now):
+            status.leaving.add(target=name, born_ms=born_ms)
         for store in self._list_watched_cache_stores():
             epoch = self._router.cache_store_epochs.get(store.address)
             if epoch is not None:
@@ -213,6 +215,10 @@
         for suspect in peer_messages.decode_suspects(status):
             self._router.quarantine.merge(suspect)
         now = self._router.runtime.now()
+        for leaving in status.leaving:
+            self._router.notices.record_leaving(
+                (leaving.target, leaving.born_ms), now
+            )
         for named in status.named:
             self._router.desired.merge_named_weights(
                 known_versions.NamedWeights(
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -158,6 +158,7 @@
         self._codec = codec
         self._idle: dict[str, collections.deque[Connection]] = {}
         self._open: set[Connection] = set()
+        self._listeners: list[ports.ResponseListener] = []
         self.opened_count = 0
 
     def __enter__(self) -> 'ConnectionPool':
@@ -169,6 +170,10 @@
         for connection in list(self._open):
             connection.drop()
 
+    def add_listener(self, listener: ports.ResponseListener) -> None:
+        """Call `listener` with the head of each response."""
+        self._listeners.append(listener)
+
     def count_open(self) -> int:
         """Return the number of open connections, idle and busy."""
         return len(self._open)
@@ -324,6 +329,8 @@
         head = self._codec.decode_response(
             response.code, tuple(_list_headers(response.headers))
         )
+        for listener in self._listeners:
+            listener(connection.address, call.incarnation, head)
         return result.Success(TargetResponse(connection, response, head))
 
 
--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -120,6 +120,15 @@
         Level.WARNING,
         'KV cache store restarted or down; its cache records dropped',
     )
+    TARGET_SAID_LEAVING = EventKind(
+        508, Level.INFO, 'target said in a response that it leaves'
+    )
+    RETRY_AFTER_ODD = EventKind(
+        509,
+        Level.WARNING,
+        'target sent a malformed or very long Retry-After; it was ignored or'
+        ' shortened',
+    )
     PEER_ALIVE = EventKind(
         601, Level.INFO, 'peer joined, returned or restarted'
     )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/cache_store_watches.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/cache_store_watches.py
@@ -57,6 +57,9 @@
 
     async def _poll(self, address: str) -> None:
         """Record the epoch of a cache store, `DOWN_EPOCH` on failure."""
+        now = self._router.runtime.now()
+        if self._router.notices.get_pause_seconds((address, 0), now) > 0:
+            return
         cursor = self._cursors.get(address, 0)
         read = await self._control.read_epoch(address, cursor)
         if returns_pipeline.is_successful(read):
--- a/packages/pistachioseam/src/pistachioseam/forwarding/call_refusals.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/call_refusals.py
@@ -69,10 +69,24 @@
     )
 
 
-def refuse_without_target(call: calls.Call) -> refusals.Refusal:
-    """Refuse a call whose service has no ready target."""
+def refuse_without_target(
+    call: calls.Call, pause_seconds: float | None, jitter: float
+) -> refusals.Refusal:
+    """Refuse a call whose service has no target that accepts calls.
+
+    `pause_seconds` is the time until the first target that has asked for a
+    pause accepts calls again. `jitter` in [0, 1) adds up to half of that, so
+    that callers do not return all at once.
+    """
+    if pause_seconds is None:
+        return _refuse(
+            call, refusals.Reason.NO_TARGET, 'the service has no ready target'
+        )
     return _refuse(
-        call, refusals.Reason.NO_TARGET, 'the service has no ready target'
+        call,
+        refusals.Reason.OVERLOADED,
+        f'all targets want no calls for {pause_seconds:.2f} s',
+        pause_seconds * (1 + jitter / 2),
     )
 
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -47,17 +47,21 @@
 ) -> list[catalog.LiveTarget]:
     """Return the ready targets with weights that calls may start on.
 
-    They are narrowed by each preference that some of them meet, in this order:
-    not tried by this call, healthy, neither busy nor draining or loading.
+    Targets that want no calls are left out. The others are narrowed by each
+    preference that some of them meet, in this order: not leaving, not tried by
+    this call, healthy, neither busy nor draining or loading.
     """
     assert call.service is not None
     now = router.runtime.now()
     ready = [
         target
         for target in router.catalog.list_service(call.service.name)
-        if target.is_ready
+        if target.is_ready and router.notices.accepts_calls(target, now)
     ]
     ready = _filter_by_weights(call, router, ready)
+    ready = [
+        target for target in ready if not router.notices.is_leaving(target)
+    ] or ready
     tried = {attempt.target.name for attempt in call.attempts}
     eligible = [
         target for target in ready if target.name not in tried
@@ -73,6 +77,23 @@
     ] or eligible
 
 
+def get_pause_seconds(
+    call: calls.Call, router: routers.CallRouter
+) -> float | None:
+    """Return the time until a target of the call's service wants calls again.
+
+    None if no target has asked for a pause.
+    """
+    assert call.service is not None
+    now = router.runtime.now()
+    pauses = [
+        router.notices.get_pause_seconds(target.get_incarnation(), now)
+        for target in router.catalog.list_service(call.service.name)
+        if target.is_ready
+    ]
+    return min((pause for pause in pauses if pause > 0), default=None)
+
+
 def _filter_by_weights(
     call: calls.Call,
     router: routers.CallRouter,
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -71,7 +71,10 @@
     own. `is_not_run` is set if the target states that it has not run the call,
     `is_encoded` if the body has a content encoding. `weights_version` is the
     version of the weights that the target runs. `other_incarnation` is the
-    incarnation that responded instead of the expected one.
+    incarnation that responded instead of the expected one. `is_leaving` is set
+    if the target states that it leaves. `retry_after_seconds` is the time for
+    which the target wants no requests: None if it states none, not a number
+    (NaN) if the value is malformed.
     """
 
     status: int
@@ -82,9 +85,17 @@
     is_encoded: bool = False
     weights_version: int | None = None
     other_incarnation: str = ''
+    is_leaving: bool = False
     retry_after_seconds: float | None = None
 
 
+ResponseListener: typing.TypeAlias = abc.Callable[
+    [str, str, ResponseHead], None
+]
+"""Called with the address of a target, the incarnation that a call expected,
+and the head of the response."""
+
+
 class OpenResponse(typing.Protocol):
     """Response of a target whose head has arrived."""
 
@@ -114,6 +125,9 @@
     def close_idle(self, address: str) -> None:
         """Close the idle connections to an address."""
 
+    def add_listener(self, listener: ResponseListener) -> None:
+        """Call `listener` with the head of each response."""
+
 
 class CallReply(typing.Protocol):
     """Response to the caller, with backpressure while the caller is slow."""
--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -77,6 +77,8 @@
             service = state.find_service(target.service)
             if service is None or service.engine is None:
                 continue
+            if router.notices.is_leaving(target):
+                continue
             if model not in service.engine.models or not target.is_ready:
                 continue
             if router.weights.get(target, model) < version:
@@ -374,6 +376,11 @@
 
         Return the seconds until the next check, None to end the upgrade.
         """
+        pause = self._router.notices.get_pause_seconds(
+            engine.target.get_incarnation(), self._router.runtime.now()
+        )
+        if pause > 0:
+            return pause
         read = await self._control.read_report(engine.target)
         if not returns_pipeline.is_successful(read):
             self._schedule_retry(engine, read.failure())
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -11,6 +11,7 @@
 from pistachioseam.forwarding import freshness
 from pistachioseam.forwarding import known_versions
 from pistachioseam.forwarding import loads
+from pistachioseam.forwarding import notices
 from pistachioseam.forwarding import paces
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import residency
@@ -49,6 +50,7 @@
     budget: budgets.RetryBudgetShare
     health: health.HealthTracker
     quarantine: quarantine.Quarantine
+    notices: notices.TargetNotices
     max_weights_lag_seconds: float = float('inf')
     cache_models: residency.CacheModels = attrs.field(
         factory=residency.CacheModels
@@ -66,6 +68,28 @@
     )
     busy_until: dict[str, float] = attrs.field(factory=dict)
 
+    def __attrs_post_init__(self) -> None:
+        """Follow what targets say in their responses."""
+        self.connections.add_listener(self.record_response)
+        self.catalog.add_listener(
+            lambda target: self.notices.forget(target.get_incarnation())
+        )
+
+    def record_response(
+        self, address: str, incarnation: str, head: ports.ResponseHead
+    ) -> None:
+        """Record what the head of a response says about its target.
+
+        A target that is in no list, as a KV cache store, is known by its
+        address.
+        """
+        target = self.catalog.get(head.other_incarnation or incarnation)
+        self.notices.record(
+            target.get_incarnation() if target else (address, 0),
+            notices.read_notice(head),
+            self.runtime.now(),
+        )
+
 
 CALL_FILTER_ORDER = ('inform', 'match', 'authenticate', 'forward')
 filters: pipeline.FilterChain[calls.Call, CallRouter] = pipeline.FilterChain(
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -99,7 +99,15 @@
         ):
             return result.Failure(key_check.failure())
         if choice is None:
-            return result.Failure(call_refusals.refuse_without_target(call))
+            pause = placement.get_pause_seconds(call, router)
+            if pause is not None and _can_wait(call, router, pause):
+                await router.runtime.sleep(pause)
+                continue
+            return result.Failure(
+                call_refusals.refuse_without_target(
+                    call, pause, router.random.random()
+                )
+            )
         decision = decide_admission(call, router, choice)
         if isinstance(decision, admission.Admit):
             return result.Success(choice)
@@ -111,6 +119,16 @@
         await router.runtime.sleep(decision.seconds)
 
 
+def _can_wait(
+    call: calls.Call, router: routers.CallRouter, seconds: float
+) -> bool:
+    """Return whether a call may be held for so long without a target."""
+    assert call.route is not None
+    waited_seconds = router.runtime.now() - call.received_at
+    limit_seconds = call.route.objective_seconds * admission.MAX_HOLD_FRACTION
+    return waited_seconds + seconds <= limit_seconds
+
+
 def _log_overload(
     call: calls.Call,
     router: routers.CallRouter,
--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -16,6 +16,7 @@
 from pistachioseam.forwarding import freshness
 from pistachioseam.forwarding import known_versions
 from pistachioseam.forwarding import loads
+from pistachioseam.forwarding import notices
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import prompts
 from pistachioseam.forwarding import router as routers
@@ -146,6 +147,7 @@
         self.sent: list[tuple[str, ports.OutgoingCall]] = []
         self.crashed_addresses: set[str] = set()
         self.prefill_seconds = 0.0
+        self.listeners: list[ports.ResponseListener] = []
         self._free_at = 0.0
 
     async def send(
@@ -165,6 +167,8 @@
             elif isinstance(step, interfaces.CallFailure):
                 return result.Failure(step)
             else:
+                for listener in self.listeners:
+                    listener(address, call.incarnation, step.head)
                 return result.Success(step)
         raise AssertionError(
             'the script of a send has neither response nor failure'
@@ -177,6 +181,10 @@
     def close_idle(self, address: str) -> None:
         """Do nothing; the fake keeps no connections."""
 
+    def add_listener(self, listener: ports.ResponseListener) -> None:
+        """Call `listener` with the head of each response."""
+        self.listeners.append(listener)
+
 
 def respond(
     status: int = 200,
@@ -301,7 +309,17 @@
             budget=budgets.RetryBudgetShare(budgets.BudgetTerms(), lambda: 1),
             health=health.HealthTracker(self.runtime, self.sink),
             quarantine=quarantine.Quarantine(self.runtime, 3),
+            notices=notices.TargetNotices(self.sink),
+        )
+
+    def restart_target(self, number: int) -> None:
+        """Register the next incarnation of a target under its name."""
+        target = self.router.catalog.list_all()[number]
+        entry = attrs.evolve(target, born_ms=target.born_ms + 1)
+        change = catalog.TargetChange(
+            entries=(entry,), removed=(), is_complete=False
         )
+        self.router.catalog.apply(change, self.runtime.now())
 
     def set_state(
         self,
--- a/tests/entry/test_status_messages.py
+++ b/tests/entry/test_status_messages.py
@@ -119,6 +119,21 @@
     clocks.run(run())
 
 
+def test_leaving_targets_are_known_to_all_domains(case: support.Case) -> None:
+    """All hosts prefer others to a target that has told one that it leaves."""
+
+    async def run() -> None:
+        hosts = [Host(name) for name in 'abcd']
+        hosts[0].router.notices.record_leaving(
+            ENGINE.get_incarnation(), hosts[0].router.runtime.now()
+        )
+        exchange_statuses(*hosts)
+        for host in hosts:
+            case.assertTrue(host.router.notices.is_leaving(ENGINE), host.name)
+
+    clocks.run(run())
+
+
 def test_loading_engines_make_a_status_urgent(case: support.Case) -> None:
     """Loading engines, not loads or cache updates, make a status urgent."""
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -1,5 +1,7 @@
 """Headers are decoded, and callers can't set those that control targets."""
 
+import math
+
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import prompts
 from pistachioseam_platform import headers
@@ -128,6 +130,32 @@
         case.assertIsNone(head.prompt)
 
 
+def test_notices_of_targets_are_decoded(case: support.Case) -> None:
+    """Fractions are valid; everything but a plain number is malformed."""
+    codec = headers.HeaderCodec()
+    for text, expected in (
+        (b'2', 2.0),
+        (b'0.75', 0.75),
+        (b'9' * 300, 1e300),
+        (b'-1', None),
+        (b'1e9', None),
+        (b'nan', None),
+        (b'Fri, 04 Dec 2026 10:00:00 GMT', None),
+    ):
+        head = codec.decode_response(503, ((b'retry-after', text),))
+        seconds = head.retry_after_seconds
+        assert seconds is not None
+        if expected is None:
+            case.assertTrue(math.isnan(seconds), text)
+        else:
+            case.assertAlmostEqual(1.0, seconds / expected)
+    head = codec.decode_response(200, ())
+    case.assertIsNone(head.retry_after_seconds)
+    case.assertFalse(head.is_leaving)
+    head = codec.decode_response(500, ((b'server-leaving', b'1'),))
+    case.assertTrue(head.is_leaving)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
