--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -28,6 +28,9 @@
 HOST_LIST_POLL_SECONDS = 10.0
 """Pause between reads of the host list. It may be long, as new hosts send a
 handshake to their peers themselves."""
+REWRITE_SPREAD_SECONDS = 3.0
+"""Time over which all hosts together write their entries again after the store
+was restored."""
 STORE_RETRY_SECONDS = 0.5
 """Pause before a failed call to the store is retried."""
 PROBE_INTERVAL_SECONDS = 1.0
@@ -118,6 +121,9 @@
         self._rollout.add_listener(self.send_status)
         self._router.quarantine.add_listener(self.send_status)
         self._router.prefill_listeners.append(self._schedule_cache_update)
+        self._router.restore_listeners.append(
+            lambda: self._router.runtime.start(self.rewrite_entries())
+        )
         return self
 
     def __exit__(self, *_: object) -> None:
@@ -179,8 +185,7 @@
         """Return the leader's store status, None on failure or timeout."""
         assert self._client is not None
         message = self._create_message()
-        message.store_question.desired_cursor = query.desired_cursor
-        message.store_question.targets_cursor = query.targets_cursor
+        peer_messages.add_store_query(message, query)
         received = await self._client.exchange(
             address, message, LEADER_TIMEOUT_SECONDS
         )
@@ -193,7 +198,8 @@
 
     async def _run(self) -> None:
         """Join the fleet, then send statuses periodically."""
-        secret = await self._agree_on_secret()
+        proposal = secrets.token_hex(SECRET_BYTES).encode()
+        secret = await self._agree_on_secret(proposal)
         self._client = clients.PeerClient(secret)
         self._server = servers.PeerServer(
             secret,
@@ -217,16 +223,30 @@
         self._probe_silent_peers()
         self.members.expire_peers()
 
-    async def _agree_on_secret(self) -> bytes:
-        proposal = secrets.token_hex(SECRET_BYTES).encode()
+    async def _agree_on_secret(self, proposal: bytes) -> bytes:
         while True:
             agreed = await self._store.share_secret(proposal)
             if pipeline.is_successful(agreed):
                 return agreed.unwrap()
             await self._router.runtime.sleep(STORE_RETRY_SECONDS)
 
-    async def _poll_host_list(self) -> None:
-        """Write this host's entry, then read the host list periodically."""
+    async def rewrite_entries(self) -> None:
+        """Write again what a restored store may have lost of this host.
+
+        Load pattern: all hosts learn at the same moment that the store was
+        restored, so each waits for a random time before it writes.
+        """
+        delay = self._router.random.random() * REWRITE_SPREAD_SECONDS
+        await self._router.runtime.sleep(delay)
+        await self._write_own_entry()
+        if self._client is None or self._server is None:
+            return
+        # A host that has started since then may have stored a new secret.
+        agreed = await self._agree_on_secret(self._client.secret)
+        self._server.add_secret(agreed)
+        self._client.secret = agreed
+
+    async def _write_own_entry(self) -> None:
         own = self.members.own
         entry = ports.HostEntry(
             name=own.name,
@@ -236,6 +256,10 @@
         )
         while not pipeline.is_successful(await self._store.write_host(entry)):
             await self._router.runtime.sleep(STORE_RETRY_SECONDS)
+
+    async def _poll_host_list(self) -> None:
+        """Write this host's entry, then read the host list periodically."""
+        await self._write_own_entry()
         while True:
             listed = await self._store.list_hosts()
             if pipeline.is_successful(listed):
@@ -380,12 +404,8 @@
         if message.WhichOneof('content') != 'store_question':
             self._handle_message(message)
             return self._create_handshake()
-        query = message.store_question
         status = await self._confirmer.respond(
-            confirmations.StoreQuery(
-                desired_cursor=query.desired_cursor,
-                targets_cursor=query.targets_cursor,
-            )
+            peer_messages.decode_store_query(message.store_question)
         )
         response = self._create_message()
         if status is not None:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/measured_store.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/measured_store.py
@@ -7,6 +7,7 @@
 from returns import result
 
 from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import store_versions
 from pistachioseam import interfaces
 from pistachioseam_entry import metrics
 
@@ -39,7 +40,7 @@
         return call_result
 
     async def read_desired(
-        self, after: int | None, wait_seconds: float
+        self, after: store_versions.StoreVersion | None, wait_seconds: float
     ) -> StoreResult[ports.DesiredChange]:
         """Return the changes after the cursor `after`; everything if None.
 
@@ -49,7 +50,7 @@
         return await self._measure('read_desired', call)
 
     async def read_targets(
-        self, after: int | None
+        self, after: store_versions.StoreVersion | None
     ) -> StoreResult[ports.TargetsRead]:
         """Return the changes after a cursor, or all entries if None."""
         call = self._store.read_targets(after)
@@ -61,10 +62,10 @@
         return await self._measure('read_lease', call)
 
     async def write_lease(
-        self, lease_name: str, holder: str, version: int
+        self, lease_name: str, holder: str, previous: ports.LeaseRow
     ) -> StoreResult[ports.LeaseRow]:
-        """Replace the lease; fail with `is_conflict` if not at `version`."""
-        call = self._store.write_lease(lease_name, holder, version)
+        """Replace the lease; fail with `is_conflict` if it has changed."""
+        call = self._store.write_lease(lease_name, holder, previous)
         return await self._measure('write_lease', call)
 
     async def write_host(self, entry: ports.HostEntry) -> StoreResult[None]:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/peer_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/peer_messages.py
@@ -3,6 +3,7 @@
 from collections import abc
 
 from pistachioseam.forwarding import confirmations
+from pistachioseam.forwarding import store_versions
 from pistachioseam import membership
 from pistachioseam.placement import loads
 from pistachioseam.placement import placer
@@ -79,6 +80,31 @@
     )
 
 
+def add_store_query(
+    message: messages_pb2.Message, query: confirmations.StoreQuery
+) -> None:
+    """Add a `StoreQuestion` with the cursors of a query."""
+    question = message.store_question
+    question.desired_cursor = query.desired_cursor.number
+    question.desired_era = query.desired_cursor.era
+    question.targets_cursor = query.targets_cursor.number
+    question.targets_era = query.targets_cursor.era
+
+
+def decode_store_query(
+    question: messages_pb2.StoreQuestion,
+) -> confirmations.StoreQuery:
+    """Return the query of a `StoreQuestion` message."""
+    return confirmations.StoreQuery(
+        desired_cursor=store_versions.StoreVersion(
+            question.desired_era, question.desired_cursor
+        ),
+        targets_cursor=store_versions.StoreVersion(
+            question.targets_era, question.targets_cursor
+        ),
+    )
+
+
 def encode_store_status(
     status: confirmations.StoreStatus,
 ) -> messages_pb2.StoreWord:
@@ -97,8 +123,10 @@
     status: confirmations.TableStatus,
 ) -> messages_pb2.TableWord:
     return messages_pb2.TableWord(
-        cursor=status.cursor,
-        changed=status.last_change_cursor,
+        cursor=status.cursor.number,
+        era=status.cursor.era,
+        changed=status.last_change_cursor.number,
+        changed_era=status.last_change_cursor.era,
         age_ms=int(status.age_seconds * MS_PER_SECOND) + 1,
     )
 
@@ -118,7 +146,9 @@
     message: messages_pb2.TableWord,
 ) -> confirmations.TableStatus:
     return confirmations.TableStatus(
-        cursor=message.cursor,
-        last_change_cursor=message.changed,
+        cursor=store_versions.StoreVersion(message.era, message.cursor),
+        last_change_cursor=store_versions.StoreVersion(
+            message.changed_era, message.changed
+        ),
         age_seconds=message.age_ms / MS_PER_SECOND,
     )
--- a/packages/pistachioseam-peer/src/pistachioseam_peer/clients.py
+++ b/packages/pistachioseam-peer/src/pistachioseam_peer/clients.py
@@ -51,10 +51,13 @@
 
 
 class PeerClient:
-    """Connections to other hosts by address, `IP:port`."""
+    """Connections to other hosts by address, `IP:port`.
+
+    `secret` authenticates the messages; it may be replaced.
+    """
 
     def __init__(self, secret: bytes) -> None:
-        self._secret = secret
+        self.secret = secret
         self._connections: dict[str, client.Channel] = {}
         self._streams: dict[str, _MessageStream] = {}
 
@@ -92,7 +95,7 @@
         The envelope is created once.
         """
         envelope = envelopes.create_envelope(
-            self._secret, message, servers.get_now_ms()
+            self.secret, message, servers.get_now_ms()
         )
         for address in addresses:
             stream = self._streams.get(address)
@@ -115,14 +118,15 @@
         """
         stub = messages_grpc.PeerStub(self._get_connection(address))
         now_ms = servers.get_now_ms()
-        envelope = envelopes.create_envelope(self._secret, message, now_ms)
+        secret = self.secret
+        envelope = envelopes.create_envelope(secret, message, now_ms)
         try:
             async with asyncio.timeout(timeout_seconds):
                 response = await stub.Exchange(envelope)
         except Exception as error:
             return result.Failure(type(error).__name__)
         opened = envelopes.open_envelope(
-            self._secret, response, servers.get_now_ms()
+            secret, response, servers.get_now_ms()
         )
         if not pipeline.is_successful(opened):
             return result.Failure(opened.failure().value)
--- a/packages/pistachioseam-peer/src/pistachioseam_peer/servers.py
+++ b/packages/pistachioseam-peer/src/pistachioseam_peer/servers.py
@@ -13,6 +13,8 @@
 from pistachioseam_peer.generated import messages_grpc
 from pistachioseam_peer.generated import messages_pb2
 
+MAX_SECRETS = 3
+"""Secrets that are accepted, the newest and former ones."""
 RequestHandler: typing.TypeAlias = abc.Callable[
     [messages_pb2.Message], abc.Awaitable[messages_pb2.Message]
 ]
@@ -40,12 +42,19 @@
         handle_message: MessageHandler,
         handle_rejection: RejectionHandler,
     ) -> None:
-        self._secret = secret
+        self._secrets = [secret]
         self._handle_request = handle_request
         self._handle_message = handle_message
         self._handle_rejection = handle_rejection
         self._server = server.Server([self])
 
+    def add_secret(self, secret: bytes) -> None:
+        """Accept also messages with this secret, tried before the others."""
+        if secret in self._secrets:
+            self._secrets.remove(secret)
+        self._secrets.insert(0, secret)
+        del self._secrets[MAX_SECRETS:]
+
     async def start(self, host: str, port: int) -> None:
         """Listen on an IP address and port."""
         await self._server.start(host, port)
@@ -56,26 +65,30 @@
 
     async def Exchange(self, stream: typing.Any) -> None:  # noqa: N802
         """Respond to one message."""
-        message = self._open_envelope(await stream.recv_message())
+        message, secret = self._open_envelope(await stream.recv_message())
         response = await self._handle_request(message)
-        envelope = envelopes.create_envelope(
-            self._secret, response, get_now_ms()
-        )
+        envelope = envelopes.create_envelope(secret, response, get_now_ms())
         await stream.send_message(envelope)
 
     async def Tell(self, stream: typing.Any) -> None:  # noqa: N802
         """Handle one-way messages until the peer ends the stream."""
         async for envelope in stream:
-            self._handle_message(self._open_envelope(envelope))
+            self._handle_message(self._open_envelope(envelope)[0])
         await stream.send_message(messages_pb2.Envelope())
 
     def _open_envelope(
         self, envelope: messages_pb2.Envelope
-    ) -> messages_pb2.Message:
-        """Return the message; raise GRPCError if it is rejected."""
-        opened = envelopes.open_envelope(self._secret, envelope, get_now_ms())
-        if pipeline.is_successful(opened):
-            return opened.unwrap()
+    ) -> tuple[messages_pb2.Message, bytes]:
+        """Return the message and its secret.
+
+        Raise GRPCError if the message is rejected.
+        """
+        for secret in self._secrets:
+            opened = envelopes.open_envelope(secret, envelope, get_now_ms())
+            if pipeline.is_successful(opened):
+                return opened.unwrap(), secret
+            if opened.failure() is not envelopes.Rejection.BAD_TAG:
+                break
         self._handle_rejection(opened.failure())
         raise grpclib.GRPCError(
             const.Status.UNAUTHENTICATED, opened.failure().value
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
@@ -3,6 +3,9 @@
 It registers itself at the stand-in of the metadata store. The last segment
 of a request's path selects its behaviour:
 `shed`: status 503 without execution;
+`pause`: the same with a `Retry-After` of PAUSE_SECONDS;
+`leave`: a complete response; this and all later responses say that the server
+leaves, though it stays registered as ready;
 `fail`: status 500 after execution;
 `cut`: the connection is aborted after execution, before the response;
 `tear`: a stream is aborted in the middle of an event, unless it resumes
@@ -28,6 +31,7 @@
 
 HEARTBEAT_SECONDS = 0.3
 SILENT_SECONDS = 60.0
+PAUSE_SECONDS = 1.5
 EVENT_INTERVAL_SECONDS = 0.01
 EVENTS_PER_STREAM = 8
 WEIGHTS_LOAD_SECONDS = 0.1
@@ -53,6 +57,8 @@
         self.weights_version = 1
         self.load_orders: list[dict[str, typing.Any]] = []
         self.is_loading = False
+        self.is_leaving = False
+        self.received_at: list[float] = []
         self._service = service
         self._address = address
         self._store_address = store
@@ -102,6 +108,8 @@
     def handle_state(self, request: typing.Any) -> bytes:
         """Return executed requests, load orders and weights version.
 
+        `received_at` holds the Unix times at which requests were received.
+
         A POST sets the `state` that the server registers, such as `draining`.
         """
         if request.method == b'POST':
@@ -110,6 +118,7 @@
             'runs': self.executed_request_ids,
             'orders': self.load_orders,
             'weights': self.weights_version,
+            'received_at': self.received_at,
         }
         return serving.encode_json(request, content)
 
@@ -155,6 +164,11 @@
         421: it expects another instance or weights version. 503: its path
         ends in `shed`, or weights are being loaded.
         """
+        self.received_at.append(time.time())
+        behaviour = request.path.decode().rpartition('/')[2]
+        self.is_leaving = self.is_leaving or behaviour == 'leave'
+        if self.is_leaving:
+            request.setHeader('server-leaving', '1')
         expected = request.getHeader('x-pistachioseam-expect-instance')
         if expected not in (None, self.name):
             request.setResponseCode(421)
@@ -164,8 +178,9 @@
         if version not in (None, str(self.weights_version)):
             request.setResponseCode(421)
             return b''
-        behaviour = request.path.decode().rpartition('/')[2]
-        if behaviour == 'shed' or self.is_loading:
+        if behaviour == 'pause':
+            request.setHeader('retry-after', str(PAUSE_SECONDS))
+        if behaviour in ('shed', 'pause') or self.is_loading:
             request.setResponseCode(503)
             request.setHeader('x-pistachioseam-not-executed', '1')
             return b''
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/metadata.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/metadata.py
@@ -8,7 +8,11 @@
 `lose`: transactions are applied, but the connection is aborted before the
 response;
 `forget`: the history is compacted, so that a feed from an older version gets
-status 410; the mode returns to `none`.
+status 410; the mode returns to `none`;
+`copy`: a copy of the rows is saved; the mode returns to `none`;
+`restore`: the rows of the last copy replace the current ones, versions are
+given out again from there, and the era in all responses (`Store-Era`) rises by
+one; the mode returns to `none`.
 """
 
 import base64
@@ -54,16 +58,45 @@
         self._history: list[Change] = []
         self._objects: dict[str, bytes] = {}
         self._compacted_version = 0
+        self.era = 1
+        self._copy: tuple[int, list[Change]] = (0, [])
 
     @app.route('/standin/faults', methods=['POST'])
     def set_faults(self, request: typing.Any) -> bytes:
         """Set the fault mode, or compact the history."""
         self.mode = serving.read_json(request)['mode']
-        if self.mode == 'forget':
-            self._compacted_version = self.version
+        action = self._actions.get(self.mode)
+        if action is not None:
+            action(self)
             self.mode = 'none'
         return serving.encode_json(request, {'mode': self.mode})
 
+    def _compact(self) -> None:
+        self._compacted_version = self.version
+
+    def _save_copy(self) -> None:
+        self._copy = (self.version, list(self._history))
+
+    def _restore_copy(self) -> None:
+        self.era += 1
+        self.version, history = self._copy
+        self._history = list(history)
+        self._rows = {}
+        for change in history:
+            key = (change.table, change.part, change.key)
+            if change.value is None:
+                self._rows.pop(key, None)
+            else:
+                self._rows[key] = change
+
+    _actions: typing.ClassVar[
+        dict[str, typing.Callable[['MetadataStore'], None]]
+    ] = {
+        'forget': _compact,
+        'copy': _save_copy,
+        'restore': _restore_copy,
+    }
+
     @app.route('/standin/calls')
     def count_calls(self, request: typing.Any) -> bytes:
         """Return the number of calls by hosts, failed ones included."""
@@ -148,10 +181,12 @@
             _get_arg(request, 'table'),
             int(_get_arg(request, 'after')),
         )
-        if after < self._compacted_version:
+        if after < self._compacted_version or after > self.version:
             return serving.encode_json(request, {}, 410)
         waited = 0.0
         while True:
+            if after > self.version:
+                return serving.encode_json(request, {}, 410)
             rows = self._list_latest_changes(table, after)
             if rows or waited >= int(_get_arg(request, 'waitMs')) / 1000:
                 return self._encode_rows(request, rows)
@@ -214,6 +249,7 @@
     async def _inject_fault(self, request: typing.Any) -> bool:
         """Count a call; return whether the fault mode has failed it."""
         self.call_count += 1
+        request.setHeader('store-era', str(self.era))
         if self.mode == 'busy':
             request.setResponseCode(503)
             return True
@@ -228,6 +264,7 @@
         rows: typing.Sequence[Change],
         has_more: bool = False,
     ) -> bytes:
+        request.setHeader('store-era', str(self.era))
         content = {
             'ver': self.version,
             'nowMs': 0,
--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -69,6 +69,11 @@
     NEWER_WEIGHTS_DESIRED = EventKind(
         208, Level.INFO, 'newer weights version desired'
     )
+    STORE_RESTORED = EventKind(
+        209,
+        Level.WARNING,
+        'store restored from an older copy; everything is read again',
+    )
     REQUEST_ENDED = EventKind(301, Level.INFO, 'request ended')
     REQUEST_REFUSED = EventKind(302, Level.INFO, 'request refused')
     REQUEST_RETRIED = EventKind(303, Level.WARNING, 'request retried')
--- a/packages/pistachioseam/src/pistachioseam/forwarding/catalog.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/catalog.py
@@ -10,6 +10,8 @@
 REREGISTRATION_GRACE_SECONDS = 2.0
 """Time in which entries are renewed after an outage, as documented by the
 platform."""
+MAX_ENDED = 1024
+"""Removed incarnations whose last entry is remembered."""
 MAX_READ_GAP_SECONDS = 1.0
 """Twice this without a read is an outage, in which entries may expire."""
 
@@ -19,7 +21,9 @@
     """Registered entry of one incarnation of a target.
 
     `born_ms` is the start time in Unix milliseconds, `cold_seconds` the
-    remaining warm-up time, `weights` the loaded version by model.
+    remaining warm-up time, `weights` the loaded version by model. `heartbeats`
+    counts the target's own writes of its entry, 0 if unknown; an entry with
+    fewer of them is an older one.
     """
 
     name: str
@@ -31,6 +35,7 @@
     born_ms: int = 0
     cold_seconds: float = 0.0
     weights: abc.Mapping[str, int] = attrs.field(factory=dict, hash=False)
+    heartbeats: int = attrs.field(default=0, eq=False)
 
     def get_incarnation(self) -> tuple[str, int]:
         """Return the name and start time, which identify the incarnation."""
@@ -60,6 +65,7 @@
         self._sink = sink
         self._targets: dict[str, LiveTarget] = {}
         self._expires_at: dict[str, float] = {}
+        self._ended: dict[tuple[str, int], int] = {}
         self._read_at: float | None = None
         self._outage_ended_at: float | None = None
         self._listeners: list[abc.Callable[[LiveTarget], None]] = []
@@ -98,6 +104,13 @@
             return True
         return attrs.evolve(entry, weights=known.weights) != known
 
+    def record_outage_end(self, now: float) -> None:
+        """Record that the store has come back without its newest entries.
+
+        Entries that are missing may be written again by their targets.
+        """
+        self._outage_ended_at = now
+
     def _detect_outage(self, now: float) -> None:
         """Record the time of a read and whether it ends a store outage."""
         last = self._read_at
@@ -109,6 +122,8 @@
         known = self._targets.get(entry.name)
         if known is not None and entry.born_ms < known.born_ms:
             return
+        if self._is_stale(entry, known):
+            return
         self._expires_at.pop(entry.name, None)
         self._targets[entry.name] = entry
         if known is None:
@@ -119,6 +134,16 @@
         if known.is_ready and not entry.is_ready:
             self._emit(events.Event.TARGET_LEAVING, entry)
 
+    def _is_stale(self, entry: LiveTarget, known: LiveTarget | None) -> bool:
+        """Return whether a later entry of the incarnation has been read.
+
+        A store that was restored shows targets that had left as ready.
+        """
+        incarnation = entry.get_incarnation()
+        if known is not None and known.get_incarnation() == incarnation:
+            return entry.heartbeats < known.heartbeats
+        return 0 < entry.heartbeats <= self._ended.get(incarnation, 0)
+
     def _remove(self, name: str, now: float) -> None:
         """Drop an entry, or keep it for the grace period after an outage."""
         if name not in self._targets:
@@ -141,6 +166,9 @@
         self._expires_at.pop(name, None)
         removed = self._targets.pop(name, None)
         if removed is not None:
+            self._ended[removed.get_incarnation()] = removed.heartbeats
+            if len(self._ended) > MAX_ENDED:
+                del self._ended[next(iter(self._ended))]
             self._emit(events.Event.TARGET_REMOVED, removed)
             self._notify_ended(removed)
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/confirmations.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/confirmations.py
@@ -15,6 +15,8 @@
 
 import attrs
 
+from pistachioseam.forwarding import store_versions
+
 LONG_POLL_SECONDS = 0.5
 """Time for which a follower's query waits for a change."""
 MAX_AGE_SECONDS = 1.8
@@ -40,8 +42,8 @@
     message.
     """
 
-    cursor: int
-    last_change_cursor: int
+    cursor: store_versions.StoreVersion
+    last_change_cursor: store_versions.StoreVersion
     age_seconds: float
 
 
@@ -64,8 +66,8 @@
     Peers receive it as a `StoreQuestion` message.
     """
 
-    desired_cursor: int
-    targets_cursor: int
+    desired_cursor: store_versions.StoreVersion
+    targets_cursor: store_versions.StoreVersion
 
 
 class LeaderClient(typing.Protocol):
@@ -84,13 +86,15 @@
     """How far this host has read a table of the store, and when.
 
     `cursor` is None while everything must be read again, `last_change_cursor`
-    is the position of the last change. `direct_watch` is set while this host
+    is the position of the last change. `era` is that of the last read, None
+    before the first one. `direct_watch` is set while this host
     watches the store itself.
     """
 
     def __init__(self) -> None:
-        self.cursor: int | None = None
-        self.last_change_cursor = 0
+        self.cursor: store_versions.StoreVersion | None = None
+        self.last_change_cursor = store_versions.FIRST
+        self.era: int | None = None
         self.confirmed_at = NEVER
         self.direct_watch = asyncio.Event()
         self.direct_watch.set()
@@ -100,11 +104,19 @@
         """Call `listener` after each read that brought a change."""
         self._listeners.append(listener)
 
+    def is_restored(self, cursor: store_versions.StoreVersion) -> bool:
+        """Return whether the store was restored since the last read."""
+        return self.era is not None and cursor.era > self.era
+
     def record_read(
-        self, cursor: int, has_changed: bool, sent_at: float
+        self,
+        cursor: store_versions.StoreVersion,
+        has_changed: bool,
+        sent_at: float,
     ) -> None:
         """Record a successful read of the store, sent at `sent_at`."""
         self._advance(cursor, sent_at)
+        self.era = cursor.era
         if has_changed:
             self.last_change_cursor = max(self.last_change_cursor, cursor)
             for listener in self._listeners:
@@ -117,8 +129,10 @@
             self.last_change_cursor, status.last_change_cursor
         )
 
-    def _advance(self, cursor: int, confirmed_at: float) -> None:
-        self.cursor = max(cursor, self.cursor or 0)
+    def _advance(
+        self, cursor: store_versions.StoreVersion, confirmed_at: float
+    ) -> None:
+        self.cursor = max(cursor, self.cursor or cursor)
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
 
     def reset(self) -> None:
@@ -266,8 +280,16 @@
         Return whether this host is up to date with the table.
         """
         cursor = reader.progress.cursor
-        if cursor is None or status.last_change_cursor > cursor:
+        if (
+            cursor is None
+            or status.last_change_cursor > cursor
+            or status.cursor.era > cursor.era
+        ):
             return await reader.read(0.0)
+        if status.cursor.era < cursor.era:
+            # The leader has not read the restored store, so it cannot confirm
+            # that this host has all changes.
+            return False
         confirmed_at = responded_at - status.age_seconds
         if self._read_boot_clock() - confirmed_at > MAX_AGE_SECONDS:
             return False
--- a/packages/pistachioseam/src/pistachioseam/forwarding/leases.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/leases.py
@@ -1,6 +1,9 @@
 """Lease for an exclusive task, kept as one row of the platform's store.
 
-The row's version only grows, so it serves as the fencing token. Targets may
+The row's version and the era of the store only grow, so together they serve as
+the fencing token. When the store has been restored from an older copy, the row
+may name a holder that has been replaced since; then every host waits as if
+another one held the lease. Targets may
 ignore fencing tokens. Therefore a holder does not act after its renewal has
 expired, and a successor waits until the minimum handover time has passed since
 the last possible action of the previous holder.
@@ -11,6 +14,7 @@
 import attrs
 
 from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import store_versions
 
 VALIDITY_SECONDS = 1.0
 """Time until a renewal expires, counted from when the holder sent it."""
@@ -45,14 +49,14 @@
         if self.row is None or row.version != self.row.version:
             self.row = row
             self.unchanged_since = self.read_boot_clock()
-        if row.holder != self.holder:
+        if not self.is_last_holder():
             self.renewed_at = None
 
     def record_write(self, row: ports.LeaseRow, sent_at: float) -> None:
         """Record a successful write of this host, sent at `sent_at`."""
         self.row = row
         self.unchanged_since = self.read_boot_clock()
-        self.renewed_at = sent_at
+        self.renewed_at = sent_at if row.is_conclusive() else None
 
     def invalidate(self) -> None:
         """Discard the row, which may have changed and must be read again."""
@@ -61,7 +65,11 @@
 
     def is_last_holder(self) -> bool:
         """Return whether this host was the last to write the row."""
-        return self.row is not None and self.row.holder == self.holder
+        return (
+            self.row is not None
+            and self.row.holder == self.holder
+            and self.row.is_conclusive()
+        )
 
     def can_act(self) -> bool:
         """Return whether this host may act; check this before each action."""
@@ -75,6 +83,14 @@
             return True
         return self.read_boot_clock() - self.renewed_at > RENEW_AFTER_SECONDS
 
+    def _is_new(self) -> bool:
+        """Return whether nobody has ever held the lease.
+
+        A store that was restored may have lost the row.
+        """
+        assert self.row is not None
+        return self.row.version == store_versions.FIRST
+
     def can_write(self) -> bool:
         """Return whether this host may write the row now.
 
@@ -84,7 +100,7 @@
         """
         if self.row is None:
             return False
-        if self.row.version == 0 or self.is_last_holder():
+        if self.is_last_holder() or self._is_new():
             return True
         unchanged_seconds = self.read_boot_clock() - self.unchanged_since
         required_seconds = (
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -10,6 +10,7 @@
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import drains
 from pistachioseam.forwarding import prompts
+from pistachioseam.forwarding import store_versions
 from pistachioseam import interfaces
 
 HeaderPairs: typing.TypeAlias = tuple[tuple[bytes, bytes], ...]
@@ -155,7 +156,7 @@
 
     state: desired.DesiredState | None
     weights: abc.Mapping[str, int]
-    cursor: int
+    cursor: store_versions.StoreVersion
     findings: tuple[str, ...] = ()
 
 
@@ -164,7 +165,7 @@
     """Changes to the targets' entries after a cursor."""
 
     change: catalog.TargetChange
-    cursor: int
+    cursor: store_versions.StoreVersion
     findings: tuple[str, ...] = ()
 
 
@@ -173,9 +174,9 @@
     """Failed call to the platform's store.
 
     `is_history_lost` says that the store no longer has the changes after the
-    cursor, so everything must be read again; `is_conflict` that a condition
-    failed and nothing was written; `is_outcome_unknown` that the call may have
-    taken effect.
+    cursor, or has been restored, so everything must be read again;
+    `is_conflict` that a condition failed and nothing was written;
+    `is_outcome_unknown` that the call may have taken effect.
     """
 
     detail: str
@@ -184,15 +185,30 @@
     is_outcome_unknown: bool = False
 
 
+FENCING_TOKENS_PER_ERA = 2**40
+"""More than the store can give out versions in one era."""
+
+
 @attrs.frozen(kw_only=True)
 class LeaseRow:
-    """Lease of a duty; `version` only grows and serves as fencing token.
+    """Lease of a duty, a task that one host at a time performs for the fleet.
 
-    A duty is a task that one host at a time performs for the fleet.
+    `version` is that of the row, whose number is 0 if there is none.
+    `written_era` is the era that the holder saw before it wrote the row. If
+    the store has been restored since, the row does not show who acted last.
     """
 
     holder: str
-    version: int
+    version: store_versions.StoreVersion
+    written_era: int = 0
+
+    def is_conclusive(self) -> bool:
+        """Return whether nobody can have acted after the row's holder."""
+        return self.written_era == self.version.era
+
+    def get_fencing_token(self) -> int:
+        """Return a number that grows with each write, also across eras."""
+        return self.version.era * FENCING_TOKENS_PER_ERA + self.version.number
 
 
 @attrs.frozen(kw_only=True)
@@ -240,7 +256,7 @@
     """Store of the platform: desired state, targets, leases and hosts."""
 
     async def read_desired(
-        self, after: int | None, wait_seconds: float
+        self, after: store_versions.StoreVersion | None, wait_seconds: float
     ) -> result.Result[DesiredChange, StoreFailure]:
         """Return the changes after the cursor `after`; everything if None.
 
@@ -248,7 +264,7 @@
         """
 
     async def read_targets(
-        self, after: int | None
+        self, after: store_versions.StoreVersion | None
     ) -> result.Result[TargetsRead, StoreFailure]:
         """Return the changes after a cursor, or all entries if None."""
 
@@ -258,9 +274,13 @@
         """Return the lease of a duty; version 0 if there is none."""
 
     async def write_lease(
-        self, lease_name: str, holder: str, version: int
+        self, lease_name: str, holder: str, previous: LeaseRow
     ) -> result.Result[LeaseRow, StoreFailure]:
-        """Replace the lease if it still has `version`, else `is_conflict`."""
+        """Replace the lease if it has not changed, else `is_conflict`.
+
+        If the store has been restored since the previous row was read, the
+        write may replace another one; the new row is then not conclusive.
+        """
 
     async def write_host(
         self, entry: HostEntry
--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -203,7 +203,7 @@
             return False
         delay = STANDBY_SECONDS + rank * STANDBY_STEP_SECONDS
         row = self.lease.row
-        if row is not None and row.version == 0:
+        if row is not None and row.version.number == 0:
             delay = rank * RECONCILE_SECONDS
         if now - self._outdated_since < delay:
             return False
@@ -246,7 +246,7 @@
         was_last_holder = self.lease.is_last_holder()
         sent_at = self._router.read_boot_clock()
         written = await self._platform.write_lease(
-            LEASE_NAME, self.lease.holder, self.lease.row.version
+            LEASE_NAME, self.lease.holder, self.lease.row
         )
         if returns_pipeline.is_successful(written):
             row = written.unwrap()
@@ -255,9 +255,10 @@
                 self._router.sink.emit(
                     events.Event.LEASE_ACQUIRED,
                     duty=LEASE_NAME,
-                    version=row.version,
+                    version=row.version.number,
+                    era=row.version.era,
                 )
-            return True
+            return row.is_conclusive()
         failure = written.failure()
         self._router.sink.emit(
             events.Event.LEASE_WRITE_FAILED,
@@ -420,7 +421,7 @@
             model=engine.model,
             version=engine.version,
             holder=self.lease.holder,
-            fencing_token=self.lease.row.version,
+            fencing_token=self.lease.row.get_fencing_token(),
             expected_orders=orders,
             switch=switch,
         )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from pistachioseam import events
 from pistachioseam.forwarding import budgets
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import catalog
@@ -32,7 +33,9 @@
     version after it was replaced. `cache_store_epochs` holds the epoch of each
     KV cache store by address. `busy_until` holds, by target name, the
     monotonic time until which other targets are preferred because this one
-    rejected a call as busy. `prefill_listeners` are called when a call makes
+    rejected a call as busy. `restore_listeners` are called once when the
+    platform's store has been restored from an older copy, in `store_era`.
+    `prefill_listeners` are called when a call makes
     an engine prefill tokens that other calls share.
     """
 
@@ -67,6 +70,8 @@
         factory=rendezvous.RendezvousHash
     )
     busy_until: dict[str, float] = attrs.field(factory=dict)
+    restore_listeners: list[abc.Callable[[], None]] = attrs.field(factory=list)
+    store_era: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Follow what targets say in their responses."""
@@ -75,6 +80,15 @@
             lambda target: self.notices.forget(target.get_incarnation())
         )
 
+    def record_store_restored(self, era: int) -> None:
+        """Record that a read found the store in a later era."""
+        if era <= self.store_era:
+            return
+        self.store_era = era
+        self.sink.emit(events.Event.STORE_RESTORED, era=era)
+        for listener in self.restore_listeners:
+            listener()
+
     def record_response(
         self, address: str, incarnation: str, head: ports.ResponseHead
     ) -> None:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/watches.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/watches.py
@@ -109,21 +109,38 @@
             wait_seconds = self.wait_seconds
         sent_at = self._router.read_boot_clock()
         read = await self._fetch(wait_seconds)
+        if self._must_reread(read):
+            sent_at = self._router.read_boot_clock()
+            read = await self._fetch(0.0)
         if not returns_pipeline.is_successful(read):
             self._handle_failure(read.failure())
             return False
         found = read.unwrap()
-        has_changed = self._apply(found)
+        is_restored = self.progress.is_restored(found.cursor)
+        if is_restored:
+            self._router.record_store_restored(found.cursor.era)
+        has_changed = self._apply(found, is_restored) or is_restored
         self.progress.record_read(found.cursor, has_changed, sent_at)
         self.record_confirmation(sent_at)
         self._outages.record_success()
         self._backoff.reset()
         return True
 
+    def _must_reread(
+        self, read: result.Result[Value, ports.StoreFailure]
+    ) -> bool:
+        """Return whether a read failed only because its cursor is unknown."""
+        if returns_pipeline.is_successful(read):
+            return False
+        if not read.failure().is_history_lost:
+            return False
+        self.progress.reset()
+        self._router.sink.emit(events.Event.HISTORY_LOST, watch=self.name)
+        return True
+
     def _handle_failure(self, failure: ports.StoreFailure) -> None:
         if failure.is_history_lost:
             self.progress.reset()
-            self._router.sink.emit(events.Event.HISTORY_LOST, watch=self.name)
         self._outages.record_failure(failure.detail)
 
     @abc.abstractmethod
@@ -133,8 +150,12 @@
         """Return the changes since the cursor, or all without a cursor."""
 
     @abc.abstractmethod
-    def _apply(self, found: Value) -> bool:
-        """Apply what was read; return whether it changed the cache."""
+    def _apply(self, found: Value, is_restored: bool) -> bool:
+        """Apply what was read; return whether it changed the cache.
+
+        `is_restored` says that the store has lost its newest rows since the
+        last read.
+        """
 
     @abc.abstractmethod
     def record_confirmation(self, confirmed_at: float) -> None:
@@ -154,7 +175,7 @@
             self.progress.cursor, wait_seconds
         )
 
-    def _apply(self, found: ports.DesiredChange) -> bool:
+    def _apply(self, found: ports.DesiredChange, is_restored: bool) -> bool:
         router = self._router
         return router.desired.apply(found, router.runtime.now())
 
@@ -175,7 +196,7 @@
     ) -> result.Result[ports.TargetsRead, ports.StoreFailure]:
         return await self._platform.read_targets(self.progress.cursor)
 
-    def _apply(self, found: ports.TargetsRead) -> bool:
+    def _apply(self, found: ports.TargetsRead, is_restored: bool) -> bool:
         router = self._router
         for finding in found.findings:
             router.sink.emit(events.Event.DOCUMENT_MALFORMED, finding=finding)
@@ -183,7 +204,10 @@
         for entry in found.change.entries:
             for model, version in entry.weights.items():
                 router.weights.record(entry, model, version)
-        return router.catalog.apply(found.change, router.runtime.now())
+        now = router.runtime.now()
+        if is_restored:
+            router.catalog.record_outage_end(now)
+        return router.catalog.apply(found.change, now)
 
     def _handle_failure(self, failure: ports.StoreFailure) -> None:
         super()._handle_failure(failure)
--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -21,6 +21,7 @@
 from pistachioseam.forwarding import prompts
 from pistachioseam.forwarding import router as routers
 from pistachioseam.forwarding import steps  # noqa: F401
+from pistachioseam.forwarding import store_versions
 from pistachioseam import health
 from pistachioseam import interfaces
 from pistachioseam import links
@@ -328,7 +329,7 @@
     ) -> None:
         """Apply a desired state and the weights versions to run."""
         change = ports.DesiredChange(
-            state=state, weights=weights or {}, cursor=1
+            state=state, weights=weights or {}, cursor=store_versions.FIRST
         )
         self.router.desired.apply(change, self.runtime.now())
 
--- a/tests/core/forwarding/test_confirmations.py
+++ b/tests/core/forwarding/test_confirmations.py
@@ -13,6 +13,7 @@
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import confirmations
 from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import store_versions
 from pistachioseam.forwarding import watches
 from tests import call_fakes
 from tests import clocks
@@ -37,6 +38,10 @@
         self.targets: dict[int, int] = {1: 1}
         self.changed = asyncio.Event()
 
+    def get_cursor(self) -> store_versions.StoreVersion:
+        """Return the version for a read."""
+        return store_versions.StoreVersion(0, self.version)
+
     def replace_document(self) -> None:
         """Replace the document by a new version."""
         self.version += 1
@@ -59,7 +64,7 @@
         self.is_disconnected = False
 
     async def read_desired(
-        self, after: int | None, wait_seconds: float
+        self, after: store_versions.StoreVersion | None, wait_seconds: float
     ) -> result.Result[ports.DesiredChange, ports.StoreFailure]:
         """Return the document if it changed, after a long poll otherwise."""
         self.calls += 1
@@ -67,20 +72,22 @@
         if self.is_disconnected:
             return FAILURE
         store = self.store
-        if after is not None and store.state_version <= after:
+        if after is not None and store.state_version <= after.number:
             try:
                 async with asyncio.timeout(wait_seconds):
                     await store.changed.wait()
             except TimeoutError:
                 pass
-        is_new = after is None or store.state_version > after
+        is_new = after is None or store.state_version > after.number
         state = call_fakes.create_state(store.version) if is_new else None
         return result.Success(
-            ports.DesiredChange(state=state, weights={}, cursor=store.version)
+            ports.DesiredChange(
+                state=state, weights={}, cursor=store.get_cursor()
+            )
         )
 
     async def read_targets(
-        self, after: int | None
+        self, after: store_versions.StoreVersion | None
     ) -> result.Result[ports.TargetsRead, ports.StoreFailure]:
         """Return the entries written after a version, or all."""
         self.calls += 1
@@ -90,13 +97,13 @@
         entries = tuple(
             call_fakes.create_target(number)
             for number, version in self.store.targets.items()
-            if after is None or version > after
+            if after is None or version > after.number
         )
         change = catalog.TargetChange(
             entries=entries, removed=(), is_complete=after is None
         )
         return result.Success(
-            ports.TargetsRead(change=change, cursor=self.store.version)
+            ports.TargetsRead(change=change, cursor=self.store.get_cursor())
         )
 
 
--- a/tests/core/forwarding/test_known_versions.py
+++ b/tests/core/forwarding/test_known_versions.py
@@ -2,6 +2,7 @@
 
 from pistachioseam.forwarding import known_versions
 from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import store_versions
 from tests import call_fakes
 from tests import support
 
@@ -18,7 +19,7 @@
 ) -> None:
     """Apply a read of the documents that name a weights version."""
     change = ports.DesiredChange(
-        state=None, weights={MODEL: version}, cursor=version
+        state=None, weights={MODEL: version}, cursor=store_versions.FIRST
     )
     cache.apply(change, now)
 
@@ -28,7 +29,9 @@
     cache = create_cache()
     for version in (3, 5, 4, 5):
         change = ports.DesiredChange(
-            state=call_fakes.create_state(version), weights={}, cursor=1
+            state=call_fakes.create_state(version),
+            weights={},
+            cursor=store_versions.FIRST,
         )
         cache.apply(change, 1.0)
     assert cache.state is not None
--- a/tests/core/forwarding/test_leases.py
+++ b/tests/core/forwarding/test_leases.py
@@ -6,6 +6,7 @@
 
 from pistachioseam.forwarding import leases
 from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import store_versions
 from tests import support
 
 MIN_HANDOVER_SECONDS = 3.0
@@ -46,11 +47,11 @@
         sent_at = self.read_clock()
         expected = self.lease.row.version
         self.simulation.now += CALL_SECONDS
-        if expected != self.simulation.row.version:
+        if expected.number != self.simulation.row.version.number:
             self.lease.invalidate()
             return
-        self.simulation.row = ports.LeaseRow(
-            holder=self.name, version=expected + 1
+        self.simulation.row = self.simulation.create_row(
+            self.name, expected.era
         )
         if is_lost:
             self.lease.invalidate()
@@ -62,7 +63,11 @@
         if self.lease.can_act():
             assert self.lease.row is not None
             self.simulation.actions.append(
-                (self.simulation.now, self.name, self.lease.row.version)
+                (
+                    self.simulation.now,
+                    self.name,
+                    self.lease.row.get_fencing_token(),
+                )
             )
 
 
@@ -71,34 +76,83 @@
 
     def __init__(self) -> None:
         self.now = 100.0
-        self.row = ports.LeaseRow(holder='', version=0)
+        self.era = 0
+        self.next_number = 1
+        self.row = ports.LeaseRow(
+            holder='', version=store_versions.StoreVersion(self.era, 0)
+        )
+        self.copy = (self.row, self.next_number)
         self.actions: list[tuple[float, str, int]] = []
         self.hosts = [
             Host(name, offset_seconds, self)
             for name, offset_seconds in (('a', 0.0), ('b', 50.0), ('c', -20.0))
         ]
 
+    def create_row(self, holder: str, written_era: int) -> ports.LeaseRow:
+        """Return a row with the next version of the store."""
+        version = store_versions.StoreVersion(self.era, self.next_number)
+        self.next_number += 1
+        return ports.LeaseRow(
+            holder=holder, version=version, written_era=written_era
+        )
+
+    def save_copy(self) -> None:
+        """Save a copy of the store."""
+        self.copy = (self.row, self.next_number)
+
+    def restore(self) -> None:
+        """Restore the copy; versions since then are given out again."""
+        self.era += 1
+        row, self.next_number = self.copy
+        version = store_versions.StoreVersion(self.era, row.version.number)
+        self.row = attrs.evolve(row, version=version)
+
 
 STEPS = strategies.lists(
     strategies.tuples(
         strategies.sampled_from(
-            ('observe', 'write', 'lose', 'act', 'act', 'pass')
+            (
+                'observe',
+                'write',
+                'write',
+                'lose',
+                'act',
+                'act',
+                'pass',
+                'pass',
+                'copy',
+                'restore',
+            )
         ),
         strategies.integers(0, 2),
         strategies.floats(0.01, 2.5),
     ),
     max_size=80,
 )
+TAKEOVER_SECONDS = (
+    MIN_HANDOVER_SECONDS
+    + leases.VALIDITY_SECONDS
+    + leases.CLOCK_MARGIN_SECONDS
+    + 0.1
+)
+"""Time after which another host may take over."""
 
 
 @hypothesis.given(STEPS)
 def check_history(steps: list[tuple[str, int, float]]) -> None:
-    """Run any order of reads, writes, lost responses, actions and pauses."""
+    """Run any order of reads, writes, lost responses, actions and pauses.
+
+    The store may be copied and restored from the last copy in between.
+    """
     simulation = Simulation()
     for kind, number, seconds in steps:
         host = simulation.hosts[number]
         if kind == 'pass':
             simulation.now += seconds
+        elif kind == 'copy':
+            simulation.save_copy()
+        elif kind == 'restore':
+            simulation.restore()
         elif kind == 'observe':
             host.observe()
         elif kind == 'act':
@@ -155,6 +209,69 @@
     case.assertTrue(first.lease.can_act())
 
 
+def take_over(host: Host) -> None:
+    """Let a host become the holder after the wait, and act."""
+    host.observe()
+    host.simulation.now += TAKEOVER_SECONDS
+    host.write(is_lost=False)
+    host.act()
+
+
+def test_former_holder_in_a_restored_row_waits(case: support.Case) -> None:
+    """The copy names a holder that another host has replaced since."""
+    simulation = Simulation()
+    first, second, _ = simulation.hosts
+    take_over(first)
+    simulation.save_copy()
+    take_over(second)
+    simulation.restore()
+    first.observe()
+    first.write(is_lost=False)
+    first.act()
+    names = [name for _, name, _ in simulation.actions]
+    case.assertEqual(['a', 'b'], names)
+    take_over(first)
+    tokens = [token for _, _, token in simulation.actions]
+    case.assertEqual(3, len(tokens))
+    case.assertEqual(sorted(set(tokens)), tokens)
+
+
+def test_follower_takes_a_restored_row_for_changed(case: support.Case) -> None:
+    """It had seen the same version before another host took over."""
+    simulation = Simulation()
+    first, second, third = simulation.hosts
+    take_over(first)
+    simulation.save_copy()
+    third.observe()
+    take_over(second)
+    simulation.restore()
+    third.observe()
+    third.write(is_lost=False)
+    third.act()
+    names = [name for _, name, _ in simulation.actions]
+    case.assertEqual(['a', 'b'], names)
+
+
+def test_write_by_a_reused_version_does_not_take_the_lease(
+    case: support.Case,
+) -> None:
+    """The version that a holder expects was given to another host's row."""
+    simulation = Simulation()
+    first, second, _ = simulation.hosts
+    simulation.save_copy()
+    take_over(first)
+    simulation.restore()
+    take_over(second)
+    case.assertEqual(
+        first.lease.row and first.lease.row.version.number,
+        simulation.row.version.number,
+    )
+    first.write(is_lost=False)
+    first.act()
+    names = [name for _, name, _ in simulation.actions]
+    case.assertEqual(['a', 'b'], names)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
--- a/tests/core/forwarding/test_rollouts.py
+++ b/tests/core/forwarding/test_rollouts.py
@@ -10,6 +10,7 @@
 from pistachioseam.forwarding import leases
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import rollouts
+from pistachioseam.forwarding import store_versions
 from pistachioseam import interfaces
 from tests import call_fakes
 from tests import clocks
@@ -20,11 +21,18 @@
 NO_RUNS = drains.EngineRuns(running=0, prefilling=0)
 
 
+def create_row(holder: str, number: int) -> ports.LeaseRow:
+    """Return the row of the lease, as written in the first era."""
+    return ports.LeaseRow(
+        holder=holder, version=store_versions.StoreVersion(0, number)
+    )
+
+
 class Store:
     """Store with the row of the lease, and faults to inject."""
 
     def __init__(self) -> None:
-        self.row = ports.LeaseRow(holder='', version=0)
+        self.row = create_row('', 0)
         self.is_losing_responses = False
         self.is_down = False
         self.calls = 0
@@ -40,17 +48,17 @@
         return result.Success(self.row)
 
     async def write_lease(
-        self, lease_name: str, holder: str, version: int
+        self, lease_name: str, holder: str, previous: ports.LeaseRow
     ) -> result.Result[ports.LeaseRow, ports.StoreFailure]:
         """Replace the row if it still has the version."""
         self.calls += 1
         await asyncio.sleep(0.01)
         if self.is_down:
             return result.Failure(ports.StoreFailure(detail='status 503'))
-        if version != self.row.version:
+        if previous.version != self.row.version:
             conflict = ports.StoreFailure(detail='412', is_conflict=True)
             return result.Failure(conflict)
-        self.row = ports.LeaseRow(holder=holder, version=version + 1)
+        self.row = create_row(holder, previous.version.number + 1)
         if self.is_losing_responses:
             lost = ports.StoreFailure(detail='lost', is_outcome_unknown=True)
             return result.Failure(lost)
@@ -331,7 +339,7 @@
         fixture = create_fixture(6)
         engines = Engines(fixture)
         store = Store()
-        store.row = ports.LeaseRow(holder='gone', version=7)
+        store.row = create_row('gone', 7)
         start(fixture, store, engines, 'host-2', 1)
         await asyncio.sleep(0.5)
         started = fixture.runtime.now()
--- a/tests/core/forwarding/test_watches.py
+++ b/tests/core/forwarding/test_watches.py
@@ -8,6 +8,7 @@
 from pistachioseam import events
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import store_versions
 from pistachioseam.forwarding import watches
 from tests import call_fakes
 from tests import clocks
@@ -21,10 +22,10 @@
 
     def __init__(self, *script: typing.Any) -> None:
         self.script: Script = list(script)
-        self.cursors: list[int | None] = []
+        self.cursors: list[store_versions.StoreVersion | None] = []
 
     async def read_desired(
-        self, after: int | None, wait_seconds: float
+        self, after: store_versions.StoreVersion | None, wait_seconds: float
     ) -> result.Result[ports.DesiredChange, ports.StoreFailure]:
         """Return the next scripted result, after the long poll's wait."""
         self.cursors.append(after)
@@ -33,7 +34,7 @@
         return _wrap(step)
 
     async def read_targets(
-        self, after: int | None
+        self, after: store_versions.StoreVersion | None
     ) -> result.Result[ports.TargetsRead, ports.StoreFailure]:
         """Return the next scripted result."""
         self.cursors.append(after)
@@ -42,6 +43,11 @@
         return _wrap(step)
 
 
+def at(number: int, era: int = 0) -> store_versions.StoreVersion:
+    """Return a version of the store."""
+    return store_versions.StoreVersion(era, number)
+
+
 def _wrap(step: typing.Any) -> typing.Any:
     if isinstance(step, ports.StoreFailure):
         return result.Failure(step)
@@ -50,7 +56,7 @@
 
 def _create_change(version: int | None, cursor: int) -> ports.DesiredChange:
     state = None if version is None else call_fakes.create_state(version)
-    return ports.DesiredChange(state=state, weights={}, cursor=cursor)
+    return ports.DesiredChange(state=state, weights={}, cursor=at(cursor))
 
 
 def _create_read(
@@ -61,7 +67,7 @@
         removed=(),
         is_complete=is_complete,
     )
-    return ports.TargetsRead(change=change, cursor=cursor)
+    return ports.TargetsRead(change=change, cursor=at(cursor))
 
 
 FAILURE = ports.StoreFailure(detail='status 503')
@@ -96,9 +102,12 @@
             _create_change(3, 5), HISTORY_LOST, _create_change(7, 20)
         )
         watch = watches.DesiredWatch(fixture.router, _cast(store))
-        for _ in range(3):
-            await watch.read()
-        case.assertEqual([None, 5, None], store.cursors)
+        for _ in range(2):
+            case.assertTrue(await watch.read())
+        case.assertEqual([None, at(5), None], store.cursors)
+        case.assertNotIn(
+            events.Event.STORE_UNREACHABLE, fixture.sink.list_kinds()
+        )
         assert fixture.router.desired.state is not None
         case.assertEqual(7, fixture.router.desired.state.version)
         case.assertIn(events.Event.HISTORY_LOST, fixture.sink.list_kinds())
@@ -135,13 +144,111 @@
         watch = watches.TargetsWatch(fixture.router, _cast(store))
         fixture.runtime.start(watch.run())
         await asyncio.sleep(10.0)
-        case.assertEqual([None, 4, 6], store.cursors[:3])
+        case.assertEqual([None, at(4), at(6)], store.cursors[:3])
         case.assertLessEqual(len(store.cursors), 11)
         case.assertEqual(3, len(fixture.router.catalog.list_all()))
 
     clocks.run(run())
 
 
+def test_restored_store_does_not_take_back_what_is_in_force(
+    case: support.Case,
+) -> None:
+    """An older copy changes neither the state nor which targets leave.
+
+    Versions are given out again, so the cursor of the former era is unusable.
+    """
+
+    async def run() -> None:
+        fixture = call_fakes.RouterFixture()
+        restored = ports.DesiredChange(
+            state=call_fakes.create_state(3), weights={}, cursor=at(4, era=2)
+        )
+        rewritten = ports.DesiredChange(
+            state=call_fakes.create_state(9), weights={}, cursor=at(5, era=2)
+        )
+        store = Store(_create_change(7, 5), HISTORY_LOST, restored, rewritten)
+        watch = watches.DesiredWatch(fixture.router, _cast(store))
+        restores: list[int] = []
+        fixture.router.restore_listeners.append(
+            lambda: restores.append(fixture.router.store_era)
+        )
+        versions = []
+        for _ in range(3):
+            case.assertTrue(await watch.read())
+            assert fixture.router.desired.state is not None
+            versions.append(fixture.router.desired.state.version)
+        case.assertEqual([7, 7, 9], versions)
+        case.assertEqual([None, at(5), None, at(4, era=2)], store.cursors)
+        case.assertEqual([2], restores)
+
+    clocks.run(run())
+
+
+def create_entry(number: int, heartbeats: int, **fields: object) -> typing.Any:
+    """Return a target's entry after a number of its own writes."""
+    return call_fakes.create_target(number, heartbeats=heartbeats, **fields)
+
+
+def test_restored_entries_do_not_replace_later_ones(
+    case: support.Case,
+) -> None:
+    """Targets that were leaving, gone or new when the copy was made.
+
+    The first two do not come back as ready. The last one is missing from the
+    copy and is kept until it has had the time to write its entry again.
+    """
+
+    async def run() -> None:
+        fixture = call_fakes.RouterFixture()
+        watched = fixture.router.catalog
+
+        def create_read(
+            entries: tuple[typing.Any, ...],
+            cursor: store_versions.StoreVersion,
+            removed: tuple[str, ...] = (),
+            is_complete: bool = False,
+        ) -> ports.TargetsRead:
+            return ports.TargetsRead(
+                change=catalog.TargetChange(
+                    entries=entries, removed=removed, is_complete=is_complete
+                ),
+                cursor=cursor,
+            )
+
+        gone = create_entry(2, 5)
+        store = Store(
+            create_read((create_entry(1, 5), gone), at(9), is_complete=True),
+            create_read(
+                (create_entry(1, 6, is_ready=False), create_entry(3, 1)),
+                at(12),
+                removed=(gone.name,),
+            ),
+            HISTORY_LOST,
+            create_read(
+                (create_entry(1, 5), gone), at(9, era=1), is_complete=True
+            ),
+            create_read((create_entry(3, 4),), at(10, era=1)),
+        )
+        watch = watches.TargetsWatch(fixture.router, _cast(store))
+
+        def list_ready() -> list[str]:
+            return sorted(t.name for t in watched.list_all() if t.is_ready)
+
+        seen = []
+        for _ in range(4):
+            case.assertTrue(await watch.read())
+            seen.append(list_ready())
+            await asyncio.sleep(1.0)
+        case.assertEqual(['plain-1', 'plain-2'], seen[0])
+        case.assertEqual([['plain-3']] * 3, seen[1:])
+        await asyncio.sleep(catalog.REREGISTRATION_GRACE_SECONDS)
+        await watch.read()
+        case.assertEqual(['plain-3'], list_ready())
+
+    clocks.run(run())
+
+
 def _cast(store: Store) -> ports.Platform:
     return typing.cast(ports.Platform, store)
 
--- a/tests/entry/test_metrics.py
+++ b/tests/entry/test_metrics.py
@@ -8,6 +8,7 @@
 from returns import result
 
 from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import store_versions
 from pistachioseam_entry import call_admin
 from pistachioseam_entry import measured_store
 from pistachioseam_entry import metrics
@@ -62,7 +63,9 @@
         failure = self.failures.pop(0)
         if failure is not None:
             return result.Failure(failure)
-        return result.Success(ports.LeaseRow(holder='a', version=1))
+        return result.Success(
+            ports.LeaseRow(holder='a', version=store_versions.FIRST)
+        )
 
 
 def test_store_calls_are_measured(case: support.Case) -> None:
--- a/tests/failures/test_forwarding.py
+++ b/tests/failures/test_forwarding.py
@@ -16,6 +16,7 @@
 
 from pistachioseam_standins import deployment
 from pistachioseam_standins import fleet
+from pistachioseam_standins import fleet_server
 from tests import deployments
 from tests import support
 
@@ -222,6 +223,125 @@
     )
 
 
+def count_received(servers: list[deployment.ServerProcess]) -> list[int]:
+    """Return the number of requests that each server has received."""
+    return [
+        len(
+            deployment.call('GET', server.address, '/standin/state')[
+                'received_at'
+            ]
+        )
+        for server in servers
+    ]
+
+
+def test_server_that_says_it_leaves_gets_no_new_calls(
+    case: support.Case,
+) -> None:
+    """Its entry in the store still says that it is ready."""
+    running = start_fleet(case, hosts=2, plain=2)
+    first = running.entries[0].address
+    case.assertEqual(200, send(first, '/safe/leave').status)
+    before = count_received(running.services)
+    # Peers learn of it with the next status of the host.
+    time.sleep(1.0)
+    for host in running.entries:
+        for _ in range(6):
+            case.assertEqual(200, send(host.address, '/safe/whole').status)
+    gained = [
+        after - number
+        for after, number in zip(
+            count_received(running.services), before, strict=True
+        )
+    ]
+    case.assertEqual([0, 12], sorted(gained))
+
+
+def test_servers_that_ask_for_a_pause_get_nothing(
+    case: support.Case,
+) -> None:
+    """All do; callers are refused at once and told when to come back."""
+    running = start_fleet(case, hosts=1, plain=2)
+    address = running.entries[0].address
+    refused = send(address, '/safe/pause')
+    case.assertEqual(503, refused.status)
+    received = count_received(running.services)
+    case.assertEqual([1, 1], received)
+    refused = send(address, '/safe/whole')
+    case.assertEqual(503, refused.status)
+    seconds = float(refused.headers['retry-after'])
+    case.assertTrue(
+        fleet_server.PAUSE_SECONDS / 2 < seconds < 3.0, f'{seconds} s'
+    )
+    case.assertEqual(received, count_received(running.services))
+    time.sleep(seconds)
+    case.assertEqual(200, send(address, '/safe/whole').status)
+
+
+def test_restored_store_takes_nothing_back(case: support.Case) -> None:
+    """The store comes back from a copy that is older than the last changes.
+
+    A route that the operators had added stays in force, new servers stay
+    known, fencing tokens grow, and later changes reach all hosts.
+    """
+    running = start_fleet(case, hosts=2, engines=1, plain=1)
+    running.set_weights_version(2)
+    wait_weights(running, 2)
+    running.set_store_fault('copy')
+    later = fleet.create_desired_state(0)['routes']
+    later.append({**later[0], 'name': 'later', 'prefix': '/later/'})
+    running.write_desired_state(routes=later)
+    wait_status(running, '/later/whole', 200)
+    running.set_weights_version(3)
+    wait_weights(running, 3)
+    running.set_store_fault('restore')
+    deployment.wait_until(
+        lambda: all(
+            'store restored' in path.read_text(errors='replace')
+            for path in running.folder.glob('host-*.log')
+        ),
+        'some host has not noticed the new era of the store',
+    )
+    time.sleep(1.0)
+    for host in running.entries:
+        case.assertEqual(200, send(host.address, '/later/whole').status)
+        case.assertEqual(200, send(host.address, '/stream/whole').status)
+    running.write_desired_state()
+    wait_status(running, '/later/whole', 404)
+    running.set_weights_version(4)
+    wait_weights(running, 4)
+    state = deployment.call(
+        'GET', running.engines[0].address, '/standin/state'
+    )
+    tokens = [order['fencingToken'] for order in state['orders']]
+    case.assertEqual(3, len(tokens))
+    case.assertEqual(sorted(tokens), tokens)
+    case.assertLess(tokens[1], tokens[2])
+
+
+def wait_weights(running: fleet.Fleet, version: int) -> None:
+    """Wait until all engines run a version of the weights."""
+    deployment.wait_until(
+        lambda: all(
+            deployment.call('GET', server.address, '/standin/state')['weights']
+            == version
+            for server in running.engines
+        ),
+        f'some engine does not run weights version {version}',
+    )
+
+
+def wait_status(running: fleet.Fleet, path: str, status: int) -> None:
+    """Wait until all hosts respond with a status to a path."""
+    deployment.wait_until(
+        lambda: all(
+            send(host.address, path).status == status
+            for host in running.entries
+        ),
+        f'some host does not respond with {status} to {path}',
+    )
+
+
 def test_caller_disconnect_cancels_its_call(case: support.Case) -> None:
     """A host cancels a call soon after its caller's connection is closed."""
     running = start_fleet(case, hosts=1)
