Bound responses that have no end

Cause: a target in trouble sends bytes without end. Lines of a head were bounded but not their number, nor interim responses; an event of a stream grew in memory for as long as it came; a body without a declared length was buffered up to 8 MB a call. An event without an id was delivered among numbered ones, and hid a gap. Change: a head of over 64 KiB closes the connection, an event of over 64 KiB and an undeclared body of over 1 MiB break the response, an event without an id among numbered ones counts as a gap (comments do not).

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -42,6 +42,8 @@
 MAX_IDLE_CONNECTIONS = 16
 """Idle connections kept to one target; each counts against its connection
 limit."""
+MAX_HEAD_BYTES = 65_536
+"""Longest head of a response, interim responses (1xx) included."""
 USER_TIMEOUT_MS = 2_500
 """`TCP_USER_TIMEOUT`: the kernel closes a connection whose sent data has not
 been acknowledged for this long."""
@@ -84,6 +86,7 @@
         self.idle_since = 0.0
         self.max_idle_seconds = DEFAULT_IDLE_SECONDS
         self.is_reset = False
+        self._head_bytes = 0
         self._on_lost = on_lost
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -99,6 +102,25 @@
         super().connectionLost(reason)
         self._on_lost(self)
 
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Parse received bytes; close the connection if the head has no end.
+
+        The parser limits the length of a line but not the number of lines.
+        """
+        super().dataReceived(data)
+        if not self._is_reading_head():
+            self._head_bytes = 0
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > MAX_HEAD_BYTES:
+            self.drop()
+
+    def _is_reading_head(self) -> bool:
+        return self._parser is not None and self._parser.state in (
+            _newclient.STATUS,
+            _newclient.HEADER,
+        )
+
     def _finishResponse_WAITING(self, rest: bytes) -> None:  # noqa: N802
         """Stop reuse of a connection if bytes follow a complete response.
 
@@ -357,6 +379,8 @@
     ) -> None:
         self.head = head
         self._connection = connection
+        has_length = isinstance(response.length, int)
+        self.declared_bytes = response.length if has_length else None
         self._reader = call_bodies.BodyReader(lambda: connection.is_reset)
         response.deliverBody(self._reader)
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -17,6 +17,8 @@
 MAX_RESPONSE_BYTES = 8_388_608
 """Maximum body of a response that is not an event stream; such a body is
 buffered in memory until complete."""
+MAX_UNDECLARED_BYTES = 1_048_576
+"""The same for a body whose target has not declared the length."""
 NON_RETRYABLE_MAX_IDLE_SECONDS = 2.0
 """Maximum idle time of a connection on which a call that may run only once is
 sent. The target may have closed an older one without notice, and the outcome
@@ -238,6 +240,10 @@
                     )
                 if action is event_streams.EventAction.DELIVER:
                     await self._write_event(response.head, event)
+            if splitter.is_too_large():
+                return interfaces.CallFailure(
+                    Kind.BROKEN, 'an event of the stream is too large'
+                )
         if not splitter.is_between_events():
             return interfaces.CallFailure(
                 Kind.BROKEN, 'the stream ended inside an event'
@@ -289,7 +295,9 @@
 async def read_body(
     response: ports.OpenResponse,
 ) -> result.Result[bytes, interfaces.CallFailure]:
-    """Return the whole body, or a failure above `MAX_RESPONSE_BYTES`."""
+    """Return the whole body, or a failure if it is larger than accepted."""
+    is_declared = response.declared_bytes is not None
+    limit = MAX_RESPONSE_BYTES if is_declared else MAX_UNDECLARED_BYTES
     parts: list[bytes] = []
     size = 0
     while True:
@@ -301,7 +309,7 @@
             return result.Success(b''.join(parts))
         parts.append(data)
         size += len(data)
-        if size > MAX_RESPONSE_BYTES:
+        if max(size, response.declared_bytes or 0) > limit:
             failure = interfaces.CallFailure(
                 Kind.BROKEN, 'response body too large'
             )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/event_streams.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/event_streams.py
@@ -5,6 +5,8 @@
 import attrs
 
 SEPARATOR = b'\n\n'
+MAX_EVENT_BYTES = 65_536
+"""Longest event of a stream; a longer one is not an event."""
 
 
 class EventAction(enum.Enum):
@@ -14,7 +16,8 @@
     SKIP = 'skip'
     """The caller already has the event."""
     GAP = 'gap'
-    """Events before this one are missing; the stream must be aborted."""
+    """Events before this one are missing, or it is none of the stream; the
+    stream must be aborted."""
 
 
 @attrs.frozen
@@ -24,6 +27,11 @@
     event_id: int | None
     data: bytes
 
+    def is_comment(self) -> bool:
+        """Return whether the event consists of comments only."""
+        lines = self.data.strip(b'\n').split(b'\n')
+        return all(line.startswith(b':') for line in lines)
+
 
 class EventSplitter:
     """Splits a byte stream into complete events."""
@@ -37,6 +45,10 @@
         *whole, self._buffer = self._buffer.split(SEPARATOR)
         return [StreamEvent(_parse_id(raw), raw + SEPARATOR) for raw in whole]
 
+    def is_too_large(self) -> bool:
+        """Return whether the buffered event exceeds the limit."""
+        return len(self._buffer) > MAX_EVENT_BYTES
+
     def is_between_events(self) -> bool:
         """Return whether no partial event is buffered."""
         return not self._buffer
@@ -58,7 +70,10 @@
 
     def check_next(self, event: StreamEvent) -> EventAction:
         """Return what to do with an event; record it if it is delivered."""
-        if event.event_id is None or self.last_id is None:
+        if event.event_id is None:
+            is_expected = self.last_id is None or event.is_comment()
+            return EventAction.DELIVER if is_expected else EventAction.GAP
+        if self.last_id is None:
             self.last_id = event.event_id
             return EventAction.DELIVER
         if event.event_id <= self.last_id:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -98,9 +98,13 @@
 
 
 class OpenResponse(typing.Protocol):
-    """Response of a target whose head has arrived."""
+    """Response of a target whose head has arrived.
+
+    `declared_bytes` is the length of the body, None if it is not declared.
+    """
 
     head: ResponseHead
+    declared_bytes: int | None
 
     async def read(self) -> result.Result[bytes, interfaces.CallFailure]:
         """Return the next bytes of the body; empty at its complete end."""
--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -111,6 +111,7 @@
         self, head: ports.ResponseHead, chunks: abc.Sequence[Chunk]
     ) -> None:
         self.head = head
+        self.declared_bytes = None
         self.is_aborted = False
         self.is_ended = False
         self._chunks = list(chunks)
--- a/tests/core/forwarding/test_event_streams.py
+++ b/tests/core/forwarding/test_event_streams.py
@@ -40,6 +40,29 @@
     case.assertEqual([deliver, deliver, skip, skip, deliver, gap], actions)
 
 
+def test_other_bytes_among_numbered_events_are_a_gap(
+    case: support.Case,
+) -> None:
+    """They neither reach the caller nor hide that events are missing.
+
+    A target in trouble may send bytes that look like an event. Comments are
+    legal anywhere.
+    """
+    deliver, gap = EventAction.DELIVER, EventAction.GAP
+    sequence = event_streams.EventSequence()
+    stream = event(4) + b': ping\n\n' + event(6) + b'\x00 junk\n\n'
+    actions = [
+        sequence.check_next(item)
+        for item in event_streams.EventSplitter().feed(stream)
+    ]
+    case.assertEqual([deliver, deliver, gap, gap], actions)
+    case.assertEqual(4, sequence.last_id)
+    sequence = event_streams.EventSequence()
+    unnumbered = event_streams.StreamEvent(None, b'data: x\n\n')
+    case.assertIs(deliver, sequence.check_next(unnumbered))
+    case.assertIs(deliver, sequence.check_next(unnumbered))
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
