Import only what a host needs to serve

Cause: a start took 0.85 to 1.0 s of processor time, most of it imports: TLS that is never spoken, the admin pages, and the other front door behind shared types.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_admin.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_admin.py
@@ -5,7 +5,6 @@
 
 import attrs
 import klein
-from twisted.web import server
 
 from pistachioseam.forwarding import rollouts
 from pistachioseam_entry import admin
@@ -36,9 +35,9 @@
     def __init__(self, process: 'call_process.CallProcess') -> None:
         self._process = process
 
-    def create_site(self) -> server.Site:
-        """Return the protocol factory of the admin port."""
-        return server.Site(self.app.resource())
+    def create_resource(self) -> typing.Any:
+        """Return the resource of all endpoints."""
+        return self.app.resource()
 
     @app.route('/metrics')
     def render_metrics(self, request: typing.Any) -> bytes:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
@@ -19,8 +19,8 @@
 from pistachioseam.forwarding import steps  # noqa: F401 - registers filters
 from pistachioseam.forwarding.steps import inform
 from pistachioseam import refusals
+from pistachioseam_entry import bounded_requests
 from pistachioseam_entry import call_replies
-from pistachioseam_entry import listener
 from pistachioseam_entry import metrics
 
 
@@ -31,7 +31,7 @@
         """Return the decoded headers of a request."""
 
 
-class CallRequest(listener.BoundedRequest):
+class CallRequest(bounded_requests.BoundedRequest):
     """Request of a caller; its response gets no default `Content-Type`."""
 
     defaultContentType = None  # noqa: N815
@@ -60,12 +60,12 @@
         self._router = router
         self._decoder = decoder
         self._metrics = process_metrics
-        self._site: listener.BoundedSite | None = None
+        self._site: bounded_requests.BoundedSite | None = None
         router.desired.add_listener(self._apply_limits)
 
     def create_site(self) -> server.Site:
         """Return the protocol factory of the callers' port."""
-        site = listener.BoundedSite(self, requestFactory=CallRequest)
+        site = bounded_requests.BoundedSite(self, requestFactory=CallRequest)
         site.displayTracebacks = False
         site.on_request_timeout = self._record_timeout
         self._site = site
@@ -88,7 +88,7 @@
         self._site.timeOut = limits.idle_seconds
         self._site.header_seconds = limits.header_seconds
         self._site.max_header_buffer_bytes = (
-            listener.HEADER_BUFFER_FACTOR * limits.header_bytes
+            bounded_requests.HEADER_BUFFER_FACTOR * limits.header_bytes
         )
         CallRequest.max_body_bytes = limits.body_bytes
 
@@ -184,7 +184,7 @@
             return refusals.Refusal(
                 413, refusals.Reason.BODY_TOO_LARGE, 'the body is too large'
             )
-        if listener.measure_headers(request) > limits.header_bytes:
+        if bounded_requests.measure_headers(request) > limits.header_bytes:
             return refusals.Refusal(
                 431,
                 refusals.Reason.HEADERS_TOO_LARGE,
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -29,7 +29,6 @@
 from pistachioseam import links
 from pistachioseam import membership
 from pistachioseam import quarantine
-from pistachioseam_entry import call_admin
 from pistachioseam_entry import call_listener
 from pistachioseam_entry import call_peers
 from pistachioseam_entry import call_settings
@@ -94,6 +93,29 @@
         return b'\n'
 
 
+class AdminResource(resource.Resource):
+    """Admin endpoints, imported when an operator first uses them.
+
+    The libraries that only they need would take a tenth of a host's start.
+    """
+
+    isLeaf = True  # noqa: N815
+
+    def __init__(self, process: 'CallProcess') -> None:
+        super().__init__()
+        self._process = process
+        self._endpoints: typing.Any = None
+
+    def render(self, request: typing.Any) -> typing.Any:
+        """Respond to a request of an operator."""
+        if self._endpoints is None:
+            from pistachioseam_entry import call_admin
+
+            admin = call_admin.CallAdmin(self._process)
+            self._endpoints = admin.create_resource()
+        return self._endpoints.render(request)
+
+
 class CallProcess:
     """Process of one host; a context manager that owns its ports and tasks."""
 
@@ -217,9 +239,7 @@
         readiness_site = server.Site(ReadinessResource(self))
         self._listen(self.listener.create_site(), host.listen_address)
         self._listen(readiness_site, host.ready_address)
-        self._listen(
-            call_admin.CallAdmin(self).create_site(), host.admin_address
-        )
+        self._listen(server.Site(AdminResource(self)), host.admin_address)
         self.runtime.start(self.desired_watch.run())
         self.runtime.start(self.targets_watch.run())
         self.runtime.start(self.follower.run())
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/listener.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/listener.py
@@ -1,13 +1,11 @@
 """HTTP listener for callers; runs each request through the filter chain."""
 
 import asyncio
-from collections import abc
 import json
 import typing
 
 import klein
 from twisted.internet import defer
-from twisted.web import http
 from twisted.web import server
 
 from pistachioseam import chats
@@ -19,82 +17,15 @@
 from pistachioseam import pipeline
 from pistachioseam import refusals
 from pistachioseam import router as routers
-from pistachioseam_entry import caller_channels
+from pistachioseam_entry import bounded_requests
 from pistachioseam_entry import metrics
 from pistachioseam_entry import reply as replies
 from pistachioseam_entry import settings
 
-HEADER_BUFFER_FACTOR = 4
-"""Twisted buffers headers up to this multiple of their limit, so that requests
-above the limit get status 431. Beyond the multiple it closes the
-connection."""
 STATUS_CALLER_DISCONNECTED = 499
 """Status that nginx uses for a client that closed its connection."""
 
 
-class BoundedRequest(server.Request):
-    """Request that discards body data beyond `max_body_bytes`.
-
-    `is_too_large` is set if the announced or received length exceeds it.
-    """
-
-    max_body_bytes = 0
-    is_too_large = False
-
-    def gotLength(self, length: int | None) -> None:  # noqa: N802
-        """Check the announced length; an oversized body is not buffered."""
-        if length is not None and length > self.max_body_bytes:
-            self.is_too_large = True
-            length = 0
-        self.received_bytes = 0
-        super().gotLength(length)
-
-    def handleContentChunk(self, data: bytes) -> None:  # noqa: N802
-        """Buffer a chunk unless the body is too large."""
-        self.received_bytes += len(data)
-        if self.received_bytes > self.max_body_bytes:
-            self.is_too_large = True
-        if not self.is_too_large:
-            super().handleContentChunk(data)
-
-
-class BoundedSite(server.Site):
-    """Site whose connections limit the size and duration of requests.
-
-    `max_header_buffer_bytes` bounds the headers that Twisted buffers.
-    `header_seconds` bounds the time in which a header must arrive;
-    `on_request_timeout` is called when a request does not arrive in time.
-    """
-
-    max_header_buffer_bytes = 0
-    header_seconds = 0.0
-    on_request_timeout: abc.Callable[[], None] = staticmethod(lambda: None)
-
-    def protocol(self) -> typing.Any:
-        """Return the protocol of a connection that limits slow requests."""
-        return http._GenericHTTPChannelProtocol(
-            caller_channels.CallerChannel()
-        )
-
-    def buildProtocol(self, addr: typing.Any) -> typing.Any:  # noqa: N802
-        """Return the protocol of a new connection, with the limits set."""
-        protocol: typing.Any = super().buildProtocol(addr)
-        channel = protocol._channel
-        channel.totalHeadersSize = self.max_header_buffer_bytes
-        channel.MAX_LENGTH = self.max_header_buffer_bytes
-        channel.header_seconds = self.header_seconds
-        channel.on_request_timeout = self.on_request_timeout
-        return protocol
-
-
-def measure_headers(request: typing.Any) -> int:
-    """Return the size of a request's headers in bytes."""
-    return sum(
-        len(name) + sum(len(value) for value in values)
-        for name, values in request.requestHeaders.getAllRawHeaders()
-    )
-
-
 class Listener:
     """HTTP application for callers.
 
@@ -119,16 +50,17 @@
     def create_site(self) -> server.Site:
         """Return the protocol factory of the listening port."""
 
-        class _Request(BoundedRequest):
+        class _Request(bounded_requests.BoundedRequest):
             max_body_bytes = self._options.max_body_bytes
 
-        site = BoundedSite(
+        site = bounded_requests.BoundedSite(
             self.app.resource(),
             timeout=self._options.idle_timeout_seconds,
             requestFactory=_Request,
         )
         site.max_header_buffer_bytes = (
-            HEADER_BUFFER_FACTOR * self._options.max_header_bytes
+            bounded_requests.HEADER_BUFFER_FACTOR
+            * self._options.max_header_bytes
         )
         site.header_seconds = self._options.idle_timeout_seconds
         site.displayTracebacks = False
@@ -225,7 +157,10 @@
                 refusals.Reason.BODY_TOO_LARGE,
                 'the body is too large',
             )
-        if measure_headers(request) > self._options.max_header_bytes:
+        if (
+            bounded_requests.measure_headers(request)
+            > self._options.max_header_bytes
+        ):
             return refusals.Refusal(
                 431,
                 refusals.Reason.HEADERS_TOO_LARGE,
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/reply.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/reply.py
@@ -9,9 +9,11 @@
 from twisted.internet import interfaces as twisted_interfaces
 from zope import interface
 
-from pistachioseam import exchanges
 from pistachioseam import refusals
 
+if typing.TYPE_CHECKING:
+    from pistachioseam import exchanges
+
 REQUEST_ID_HEADER = 'pistachioseam-request-id'
 OUTCOME_HEADER = 'pistachioseam-outcome'
 CONFIGURATION_HEADER = 'pistachioseam-configuration'
@@ -66,7 +68,7 @@
         await self._is_writable.wait()
         self._request.write(data)
 
-    async def end(self, exchange: exchanges.Exchange) -> None:
+    async def end(self, exchange: 'exchanges.Exchange') -> None:
         """Send the response or refusal unless the filters have streamed it.
 
         A refusal of a stream that has begun is sent as its last event.
@@ -90,7 +92,7 @@
 
     async def _send_refusal(
         self,
-        exchange: exchanges.Exchange,
+        exchange: 'exchanges.Exchange',
         refusal: refusals.Refusal,
         headers: dict[str, str],
     ) -> None:
@@ -104,7 +106,7 @@
         await self.write(body)
 
 
-def create_headers(exchange: exchanges.Exchange) -> dict[str, str]:
+def create_headers(exchange: 'exchanges.Exchange') -> dict[str, str]:
     """Return the headers that every response carries."""
     return {
         REQUEST_ID_HEADER: exchange.request_id,
@@ -127,7 +129,7 @@
 
 
 def _encode_stream_error(
-    exchange: exchanges.Exchange, refusal: refusals.Refusal
+    exchange: 'exchanges.Exchange', refusal: refusals.Refusal
 ) -> bytes:
     body = encode_refusal(exchange.request_id, refusal)
     return b'event: error\ndata: %b\n\n' % body
--- a/packages/pistachioseam/src/pistachioseam/exchanges.py
+++ b/packages/pistachioseam/src/pistachioseam/exchanges.py
@@ -3,6 +3,7 @@
 import attrs
 
 from pistachioseam import claims
+from pistachioseam import filter_notes
 from pistachioseam import identity
 from pistachioseam import interfaces
 from pistachioseam.placement import placer
@@ -47,14 +48,6 @@
     stream: interfaces.TargetStream | None = None
 
 
-@attrs.frozen
-class Note:
-    """Text that one filter adds to a request, shown by `/explain`."""
-
-    filter: str
-    text: str
-
-
 @attrs.define(kw_only=True)
 class Exchange:
     """State of one request that the filters read and set.
@@ -90,14 +83,14 @@
     may_have_run: bool = False
     attempts: list[Attempt] = attrs.field(factory=list)
     delivered: list[interfaces.Piece] = attrs.field(factory=list)
-    notes: list[Note] = attrs.field(factory=list)
+    notes: list[filter_notes.Note] = attrs.field(factory=list)
     response: interfaces.TargetResponse | None = None
     refusal: refusals.Refusal | None = None
     first_token_at: float | None = None
 
     def add_note(self, name: str, text: str) -> None:
         """Add a text of the filter `name` to the request's journal entry."""
-        self.notes.append(Note(name, text))
+        self.notes.append(filter_notes.Note(name, text))
 
     def can_skip_filters(self) -> bool:
         """Return whether the request already has a complete response."""
--- a/packages/pistachioseam/src/pistachioseam/filters/admit.py
+++ b/packages/pistachioseam/src/pistachioseam/filters/admit.py
@@ -6,6 +6,7 @@
 
 from pistachioseam import events
 from pistachioseam import exchanges
+from pistachioseam import filter_chains
 from pistachioseam import pipeline
 from pistachioseam import refusals
 from pistachioseam import router as routers
@@ -14,7 +15,7 @@
 @pipeline.register('admit')
 async def admit_request(
     exchange: exchanges.Exchange, router: routers.Router
-) -> pipeline.FilterResult:
+) -> filter_chains.FilterResult:
     """Check quarantine, rate limit and concurrency limit."""
     if router.quarantine.is_quarantined(exchange.digest):
         return result.Failure(refuse_quarantined(exchange, router))
@@ -24,7 +25,7 @@
     router.limits.set_share(account, exchange.caller.share, now)
     if router.limits.has_capacity(account, now):
         exchange.add_note('admit', 'within the limits')
-        return pipeline.CONTINUE
+        return filter_chains.CONTINUE
     seconds = router.limits.compute_retry_after(
         account, now, router.random.random()
     )
--- a/packages/pistachioseam/src/pistachioseam/filters/approve.py
+++ b/packages/pistachioseam/src/pistachioseam/filters/approve.py
@@ -3,6 +3,7 @@
 from returns import result
 
 from pistachioseam import exchanges
+from pistachioseam import filter_chains
 from pistachioseam import pipeline
 from pistachioseam import refusals
 from pistachioseam import router as routers
@@ -11,7 +12,7 @@
 @pipeline.register('approve')
 async def approve_team(
     exchange: exchanges.Exchange, router: routers.Router
-) -> pipeline.FilterResult:
+) -> filter_chains.FilterResult:
     """Set the approved targets; deny by default."""
     assert exchange.caller is not None and exchange.pool is not None
     team = exchange.caller.team
@@ -20,7 +21,7 @@
     )
     exchange.add_note('approve', f'{len(exchange.targets)} approved targets')
     if exchange.targets:
-        return pipeline.CONTINUE
+        return filter_chains.CONTINUE
     return result.Failure(
         refusals.Refusal(
             403,
--- a/packages/pistachioseam/src/pistachioseam/filters/claim.py
+++ b/packages/pistachioseam/src/pistachioseam/filters/claim.py
@@ -6,6 +6,7 @@
 from pistachioseam import claim_records
 from pistachioseam import claims
 from pistachioseam import exchanges
+from pistachioseam import filter_chains
 from pistachioseam import pipeline
 from pistachioseam import refusals
 from pistachioseam import router as routers
@@ -14,11 +15,11 @@
 @pipeline.register('claim')
 async def claim_call(
     exchange: exchanges.Exchange, router: routers.Router
-) -> pipeline.FilterResult:
+) -> filter_chains.FilterResult:
     """Set the claim, or the response recorded for an equal earlier call."""
     if exchange.is_retryable():
         exchange.add_note('claim', 'not needed')
-        return pipeline.CONTINUE
+        return filter_chains.CONTINUE
     assert exchange.route is not None
     idempotency_key = exchange.headers.get(
         claim_records.IDEMPOTENCY_KEY_HEADER, ''
@@ -43,14 +44,16 @@
     else:
         exchange.claim = granted
         exchange.add_note('claim', f'claimed as {granted.record.token}')
-    return pipeline.CONTINUE
+    return filter_chains.CONTINUE
 
 
-def _handle_missing_key(exchange: exchanges.Exchange) -> pipeline.FilterResult:
+def _handle_missing_key(
+    exchange: exchanges.Exchange,
+) -> filter_chains.FilterResult:
     assert exchange.route is not None
     if exchange.route.single_attempts:
         exchange.add_note('claim', 'single attempt without a key')
-        return pipeline.CONTINUE
+        return filter_chains.CONTINUE
     return result.Failure(
         refusals.Refusal(
             400,
--- a/packages/pistachioseam/src/pistachioseam/filters/identify.py
+++ b/packages/pistachioseam/src/pistachioseam/filters/identify.py
@@ -3,6 +3,7 @@
 from returns import result
 
 from pistachioseam import exchanges
+from pistachioseam import filter_chains
 from pistachioseam import identity
 from pistachioseam import pipeline
 from pistachioseam import refusals
@@ -12,7 +13,7 @@
 @pipeline.register('identify')
 async def identify_caller(
     exchange: exchanges.Exchange, router: routers.Router
-) -> pipeline.FilterResult:
+) -> filter_chains.FilterResult:
     """Set the caller, or refuse with 401."""
     authorization = exchange.headers.get('authorization', '')
     caller = identity.find_caller(router.callers, authorization)
@@ -26,4 +27,4 @@
         )
     exchange.caller = caller
     exchange.add_note('identify', f'account {exchange.get_account()}')
-    return pipeline.CONTINUE
+    return filter_chains.CONTINUE
--- a/packages/pistachioseam/src/pistachioseam/filters/match.py
+++ b/packages/pistachioseam/src/pistachioseam/filters/match.py
@@ -6,6 +6,7 @@
 from pistachioseam import chats
 from pistachioseam import claim_records
 from pistachioseam import exchanges
+from pistachioseam import filter_chains
 from pistachioseam import pipeline
 from pistachioseam.placement import prefixes
 from pistachioseam import quarantine
@@ -19,7 +20,7 @@
 @pipeline.register('match')
 async def match_route(
     exchange: exchanges.Exchange, router: routers.Router
-) -> pipeline.FilterResult:
+) -> filter_chains.FilterResult:
     """Set route, pool, deadline, digest and the hashes of the prefixes."""
     snapshot = router.acceptor.snapshot
     exchange.configuration_number = snapshot.number
@@ -44,10 +45,10 @@
         exchange.body,
     )
     exchange.add_note('match', f'route {exchange.route.name}')
-    return pipeline.CONTINUE
+    return filter_chains.CONTINUE
 
 
-def _refuse_not_ready() -> pipeline.FilterResult:
+def _refuse_not_ready() -> filter_chains.FilterResult:
     return result.Failure(
         refusals.Refusal(
             503,
--- a/packages/pistachioseam/src/pistachioseam/filters/serve.py
+++ b/packages/pistachioseam/src/pistachioseam/filters/serve.py
@@ -7,6 +7,7 @@
 from pistachioseam import claims
 from pistachioseam import events
 from pistachioseam import exchanges
+from pistachioseam import filter_chains
 from pistachioseam.filters import admit
 from pistachioseam.filters import place
 from pistachioseam.filters import relay
@@ -26,11 +27,11 @@
 @pipeline.register('serve')
 async def serve_request(
     exchange: exchanges.Exchange, router: routers.Router
-) -> pipeline.FilterResult:
+) -> filter_chains.FilterResult:
     """Run attempts until one succeeds; settle the claim in any case."""
     account = exchange.get_account()
     router.limits.start_request(account, router.runtime.now())
-    served: pipeline.FilterResult = result.Failure(
+    served: filter_chains.FilterResult = result.Failure(
         claims.refuse_unknown_outcome()
     )
     try:
@@ -43,7 +44,7 @@
 
 async def _attempt_until_served(
     exchange: exchanges.Exchange, router: routers.Router
-) -> pipeline.FilterResult:
+) -> filter_chains.FilterResult:
     while True:
         await _wait_for_isolated_target(exchange, router)
         placed = place.place_request(exchange, router)
@@ -52,7 +53,7 @@
         attempt = placed.unwrap()
         failure = await _run_attempt(exchange, router, attempt)
         if failure is None:
-            return pipeline.CONTINUE
+            return filter_chains.CONTINUE
         refusal = _check_retry(exchange, router, failure)
         if refusal is not None:
             return result.Failure(refusal)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from pistachioseam import exchanges
+from pistachioseam import filter_notes
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import ports
@@ -57,7 +57,7 @@
     status: int = 0
     first_byte_at: float | None = None
     attempts: list[CallAttempt] = attrs.field(factory=list)
-    notes: list[exchanges.Note] = attrs.field(factory=list)
+    notes: list[filter_notes.Note] = attrs.field(factory=list)
     refusal: refusals.Refusal | None = None
 
     @property
@@ -81,7 +81,7 @@
 
     def add_note(self, name: str, text: str) -> None:
         """Add a text of the filter `name` to the call's journal entry."""
-        self.notes.append(exchanges.Note(name, text))
+        self.notes.append(filter_notes.Note(name, text))
 
     def can_skip_filters(self) -> bool:
         """Return whether the caller has a target's whole response."""
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -5,6 +5,7 @@
 import attrs
 
 from pistachioseam import events
+from pistachioseam import filter_chains
 from pistachioseam.forwarding import budgets
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import catalog
@@ -19,7 +20,6 @@
 from pistachioseam import health
 from pistachioseam import interfaces
 from pistachioseam import links
-from pistachioseam import pipeline
 from pistachioseam.placement import rendezvous
 from pistachioseam import quarantine
 
@@ -106,8 +106,8 @@
 
 
 CALL_FILTER_ORDER = ('inform', 'match', 'authenticate', 'forward')
-filters: pipeline.FilterChain[calls.Call, CallRouter] = pipeline.FilterChain(
-    CALL_FILTER_ORDER
+filters: filter_chains.FilterChain[calls.Call, CallRouter] = (
+    filter_chains.FilterChain(CALL_FILTER_ORDER)
 )
 register = filters.register
 run_filters = filters.run
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/authenticate.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/authenticate.py
@@ -2,18 +2,18 @@
 
 from returns import result
 
+from pistachioseam import filter_chains
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import router as routers
 from pistachioseam.forwarding.steps import inform
 from pistachioseam.forwarding.steps import match
-from pistachioseam import pipeline
 from pistachioseam import refusals
 
 
 @routers.register('authenticate')
 async def authenticate_call(
     call: calls.Call, router: routers.CallRouter
-) -> pipeline.FilterResult:
+) -> filter_chains.FilterResult:
     """Set the account; refuse unknown and possibly revoked keys.
 
     A key may have been revoked since the last read. Public routes and states
@@ -22,7 +22,7 @@
     state = router.desired.state
     assert state is not None and call.route is not None
     if state.accounts is None or call.route.is_public:
-        return pipeline.CONTINUE
+        return filter_chains.CONTINUE
     account = state.find_account(call.head.key)
     if account is None:
         refusal = refusals.Refusal(
@@ -35,13 +35,13 @@
 
 def check_key_freshness(
     call: calls.Call, router: routers.CallRouter
-) -> pipeline.FilterResult:
+) -> filter_chains.FilterResult:
     """Refuse a key that may have been revoked since the last read."""
     if call.account is None:
-        return pipeline.CONTINUE
+        return filter_chains.CONTINUE
     now = router.read_boot_clock()
     if router.freshness.can_verify_keys(now):
-        return pipeline.CONTINUE
+        return filter_chains.CONTINUE
     age = router.freshness.get_age(now)
     return result.Failure(
         inform.refuse_stale(
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -6,6 +6,7 @@
 from returns import result
 
 from pistachioseam import events
+from pistachioseam import filter_chains
 from pistachioseam.forwarding import admission
 from pistachioseam.forwarding import call_refusals
 from pistachioseam.forwarding import calls
@@ -16,7 +17,6 @@
 from pistachioseam.forwarding import selection
 from pistachioseam.forwarding.steps import authenticate
 from pistachioseam import interfaces
-from pistachioseam import pipeline
 from pistachioseam import refusals
 
 MAX_CONNECT_FAILURES = 4
@@ -38,7 +38,7 @@
 @routers.register('forward')
 async def forward_call(
     call: calls.Call, router: routers.CallRouter
-) -> pipeline.FilterResult:
+) -> filter_chains.FilterResult:
     """Send the call and deliver the response before its deadline."""
     assert call.service is not None
     router.budget.record_call(call.service.name, router.runtime.now())
@@ -55,7 +55,7 @@
     call: calls.Call,
     router: routers.CallRouter,
     delivery_: delivery.Delivery,
-) -> pipeline.FilterResult:
+) -> filter_chains.FilterResult:
     while True:
         chosen = await _wait_for_target(call, router)
         if not returns_pipeline.is_successful(chosen):
@@ -64,7 +64,7 @@
         failure = await _make_attempt(call, router, choice, delivery_)
         if failure is None:
             call.is_served = True
-            return pipeline.CONTINUE
+            return filter_chains.CONTINUE
         refusal = decide_retry(call, router, failure)
         if refusal is None:
             router.sink.emit(
@@ -77,7 +77,7 @@
             continue
         if await delivery_.deliver_error_response():
             call.is_served = True
-            return pipeline.CONTINUE
+            return filter_chains.CONTINUE
         return result.Failure(refusal)
 
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/inform.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/inform.py
@@ -2,9 +2,9 @@
 
 from returns import result
 
+from pistachioseam import filter_chains
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import router as routers
-from pistachioseam import pipeline
 from pistachioseam import refusals
 
 STALE_RETRY_AFTER_SECONDS = 0.3
@@ -16,7 +16,7 @@
 @routers.register('inform')
 async def require_desired_state(
     call: calls.Call, router: routers.CallRouter
-) -> pipeline.FilterResult:
+) -> filter_chains.FilterResult:
     """Refuse calls until the desired state and the targets have been read."""
     state = router.desired.state
     if state is None or not router.catalog.has_synced():
@@ -26,7 +26,7 @@
             )
         )
     call.desired_version = state.version
-    return pipeline.CONTINUE
+    return filter_chains.CONTINUE
 
 
 def refuse_stale(message: str) -> refusals.Refusal:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/match.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/match.py
@@ -2,10 +2,10 @@
 
 from returns import result
 
+from pistachioseam import filter_chains
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import router as routers
 from pistachioseam.forwarding.steps import inform
-from pistachioseam import pipeline
 from pistachioseam import refusals
 
 MAX_AGE_FOR_FINAL_REFUSAL_SECONDS = 2.0
@@ -17,7 +17,7 @@
 @routers.register('match')
 async def match_route(
     call: calls.Call, router: routers.CallRouter
-) -> pipeline.FilterResult:
+) -> filter_chains.FilterResult:
     """Set route, service and deadline; refuse calls that match no route."""
     state = router.desired.state
     assert state is not None
@@ -39,7 +39,7 @@
         seconds = min(seconds, call.head.timeout_seconds)
     call.deadline = call.received_at + seconds
     call.add_note('match', f'route {route.name}, service {service_name}')
-    return pipeline.CONTINUE
+    return filter_chains.CONTINUE
 
 
 def refuse_unknown(
--- a/packages/pistachioseam/src/pistachioseam/journal.py
+++ b/packages/pistachioseam/src/pistachioseam/journal.py
@@ -7,6 +7,7 @@
 
 from pistachioseam import conversion
 from pistachioseam import exchanges
+from pistachioseam import filter_notes
 
 MAX_ENTRIES = 500
 
@@ -38,7 +39,7 @@
     configuration_number: int
     seconds: float
     delivered_pieces: int
-    notes: tuple[exchanges.Note, ...]
+    notes: tuple[filter_notes.Note, ...]
     attempts: tuple[AttemptEntry, ...]
 
 
--- a/tests/entry/test_caller_channels.py
+++ b/tests/entry/test_caller_channels.py
@@ -7,7 +7,7 @@
 from twisted.internet import testing
 from twisted.web import resource
 
-from pistachioseam_entry import listener
+from pistachioseam_entry import bounded_requests
 from tests import support
 
 HEADER_SECONDS = 3.0
@@ -47,16 +47,16 @@
     """Return a new connection to a listener with timeouts."""
     clock = task.Clock()
     timeouts: list[float] = []
-    site = listener.BoundedSite(
+    site = bounded_requests.BoundedSite(
         FixedResponse(),
         timeout=IDLE_SECONDS,
-        requestFactory=listener.BoundedRequest,
+        requestFactory=bounded_requests.BoundedRequest,
         reactor=clock,
     )
     site.max_header_buffer_bytes = MAX_BYTES
     site.header_seconds = HEADER_SECONDS
     site.on_request_timeout = lambda: timeouts.append(clock.seconds())
-    listener.BoundedRequest.max_body_bytes = MAX_BYTES
+    bounded_requests.BoundedRequest.max_body_bytes = MAX_BYTES
     protocol: typing.Any = site.buildProtocol(None)
     transport = testing.StringTransport()
     protocol.makeConnection(transport)
