Let one host a region watch the store; read the host list and the lease less

Cause: calls to the store are the largest price. The leader of each of six domains watched it; each of 195 hosts read the host list each 10 s (19.5 calls a second, more than the watches) and the lease at its start; a host that had just started watched the store until it knew its leader. Change: the leader of a domain follows the leader of its region; hosts that do not lead read the host list each 60 s, all of them jittered; a rollout starts 2 s after the host and reads the lease only as a standby; a host that has read both tables waits up to 1.2 s for a leader.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -28,6 +28,9 @@
 HOST_LIST_POLL_SECONDS = 10.0
 """Pause between reads of the host list. It may be long, as new hosts send a
 handshake to their peers themselves."""
+FOLLOWER_LIST_POLL_SECONDS = 60.0
+"""The same for hosts of a large fleet that do not lead their domain. Their
+leader relays to them what they need to know about others."""
 REWRITE_SPREAD_SECONDS = 3.0
 """Time over which all hosts together write their entries again after the store
 was restored."""
@@ -151,31 +154,32 @@
 
     def is_region_leader(self, domain: str) -> bool:
         """Return whether this host is the leader of the region of a domain."""
-        topology = self._router.topology
-        if topology.is_remote(domain):
+        if self._router.topology.is_remote(domain):
             return False
-        region_peers = [
-            peer
-            for peer in self.members.list_alive()
-            if not topology.is_remote(peer.domain)
-        ]
-        own = self.members.own
-        ranked = contacts.rank_peers(
-            [*region_peers, own], self._router.rendezvous_hash
+        return self._find_region_leader().name == self.members.own.name
+
+    def _find_region_leader(self) -> membership.Peer:
+        return contacts.find_region_leader(
+            self.members.own,
+            self.members.list_alive(),
+            self._router.topology,
+            self._router.rendezvous_hash,
         )
-        return ranked[0].name == own.name
 
     def find_leader_address(self) -> str | None:
-        """Return the domain leader's address, None if this host is the leader.
+        """Return the address of the host that watches the store for this one.
 
-        Also return None before the client for peers has been created.
+        This is the leader of the domain, or for that the leader of the region.
+        Return None if this host leads the region, or before the client for
+        peers has been created.
         """
+        own = self.members.own
         leader = contacts.find_domain_leader(
-            self.members.own,
-            self.members.list_alive(),
-            self._router.rendezvous_hash,
+            own, self.members.list_alive(), self._router.rendezvous_hash
         )
-        if self._client is None or leader.name == self.members.own.name:
+        if leader.name == own.name:
+            leader = self._find_region_leader()
+        if self._client is None or leader.name == own.name:
             return None
         return leader.address
 
@@ -264,7 +268,21 @@
             listed = await self._store.list_hosts()
             if pipeline.is_successful(listed):
                 self._apply_host_list(listed.unwrap())
-            await self._router.runtime.sleep(HOST_LIST_POLL_SECONDS)
+            read_at = self._router.runtime.now()
+            while self._router.runtime.now() - read_at < (
+                self._get_list_poll_seconds()
+            ):
+                jitter = 0.75 + self._router.random.random() / 2
+                await self._router.runtime.sleep(
+                    HOST_LIST_POLL_SECONDS * jitter
+                )
+
+    def _get_list_poll_seconds(self) -> float:
+        """Return the least time between two reads of the host list."""
+        is_follower = self._contacts.leaders and not self._contacts.is_leader
+        if is_follower:
+            return FOLLOWER_LIST_POLL_SECONDS
+        return HOST_LIST_POLL_SECONDS / 2
 
     def _apply_host_list(self, hosts: tuple[ports.HostEntry, ...]) -> None:
         self._has_host_list = True
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -56,6 +56,8 @@
 """Target crashes during a request after which the request is quarantined, as
 the platform's rules require."""
 MS_PER_SECOND = 1000.0
+ROLLOUT_DELAY_SECONDS = 2.0
+"""Time from the start of a host in which it learns which peers are alive."""
 WEIGHTS_MARGIN_SECONDS = 2.0
 """Time reserved for a call's wait in its engine's queue before it runs.
 Admission control admits calls up to a multiple of the configured objective,
@@ -243,7 +245,7 @@
         self.runtime.start(self.desired_watch.run())
         self.runtime.start(self.targets_watch.run())
         self.runtime.start(self.follower.run())
-        self.runtime.start(self.rollout.run())
+        self.runtime.start(self._run_rollout())
         self.runtime.start(self._flush_logs())
         self.runtime.start(self.cache_store_watch.run())
         self.peers.__enter__()
@@ -255,6 +257,11 @@
         self.runtime.__exit__()
         self.connections.__exit__()
 
+    async def _run_rollout(self) -> None:
+        """Run the rollout once peers are known, by which standbys differ."""
+        await asyncio.sleep(ROLLOUT_DELAY_SECONDS)
+        await self.rollout.run()
+
     async def _flush_logs(self) -> None:
         """Flush buffered log lines and report lost ones, periodically."""
         while True:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/confirmations.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/confirmations.py
@@ -1,12 +1,13 @@
 """Confirmation by the domain's leader that the platform's store is unchanged.
 
 Load pattern: many hosts that each watch the store for themselves. Calls to
-the store are expensive and calls within a domain are not. So only the leader
-of each domain watches the store, and the other hosts, its followers, send
-long polls to the leader. They read the store only when the leader has seen a
-change that they have not. A confirmation carries its age, counted from when
-the read of the store was sent, so the age remains correct even if the
-confirmation passes through several hosts.
+the store are expensive and calls within a region are not. So only the leader
+of each region watches the store. The leaders of its domains follow it, and the
+other hosts follow the leader of their domain: they send long polls to it. They
+read the store only when the leader has seen a change that they have not. A
+confirmation carries its age, counted from when the read of the store was sent,
+so the age remains correct even if the confirmation passes through several
+hosts.
 """
 
 import asyncio
@@ -19,9 +20,11 @@
 
 LONG_POLL_SECONDS = 0.5
 """Time for which a follower's query waits for a change."""
-MAX_AGE_SECONDS = 1.8
+MAX_AGE_SECONDS = 2.0
 """Age beyond which a confirmation is rejected and the store is read directly.
-The leader's long poll of the store takes up to 0.8 s. A host stays ready
+The
+long poll of the region's leader at the store takes up to 0.8 s, that of the
+domain's leader there up to 0.5 s more. A host stays ready
 without a confirmation for `freshness.READY_FRACTION` of the setting
 `revocation_ms`: 3 s if the setting is 5 s."""
 DIRECT_SECONDS = 2.0
@@ -29,6 +32,11 @@
 confirm."""
 LEADER_CHECK_SECONDS = 0.5
 """Pause between two checks of whether another host has become the leader."""
+SETTLE_SECONDS = 1.2
+"""Time after the first read in which a host that has just started looks for a
+leader, before it watches the store itself."""
+SETTLE_CHECK_SECONDS = 0.1
+"""Pause between two checks during that time."""
 NEVER = float('-inf')
 
 
@@ -99,11 +107,16 @@
         self.direct_watch = asyncio.Event()
         self.direct_watch.set()
         self._listeners: list[abc.Callable[[], None]] = []
+        self._is_followed = False
 
     def add_listener(self, listener: abc.Callable[[], None]) -> None:
         """Call `listener` after each read that brought a change."""
         self._listeners.append(listener)
 
+    def stop_after_first_read(self) -> None:
+        """Clear `direct_watch` after the first read; a follower sets it."""
+        self._is_followed = True
+
     def is_restored(self, cursor: store_versions.StoreVersion) -> bool:
         """Return whether the store was restored since the last read."""
         return self.era is not None and cursor.era > self.era
@@ -115,6 +128,8 @@
         sent_at: float,
     ) -> None:
         """Record a successful read of the store, sent at `sent_at`."""
+        if self.era is None and self._is_followed:
+            self.direct_watch.clear()
         self._advance(cursor, sent_at)
         self.era = cursor.era
         if has_changed:
@@ -235,6 +250,9 @@
         This host watches the store itself while it is the leader or the
         leader does not confirm.
         """
+        for reader in (self._desired, self._targets):
+            reader.progress.stop_after_first_read()
+        await self._settle()
         while True:
             address = self._leader.find_leader_address()
             if address is None:
@@ -246,6 +264,28 @@
                 self._set_direct(True)
                 await self._sleep(DIRECT_SECONDS)
 
+    async def _settle(self) -> None:
+        """Wait for a leader, at most until the first reads are too old.
+
+        Load pattern: all hosts start at once. Each has read the store once and
+        would go on, until it knows of the hosts that read it for all.
+        """
+        while self._get_age() > SETTLE_SECONDS:
+            await self._sleep(SETTLE_CHECK_SECONDS)
+        while (
+            self._leader.find_leader_address() is None
+            and self._get_age() < SETTLE_SECONDS
+        ):
+            await self._sleep(SETTLE_CHECK_SECONDS)
+
+    def _get_age(self) -> float:
+        """Return the age of the older of the two caches, in seconds."""
+        confirmed_at = min(
+            reader.progress.confirmed_at
+            for reader in (self._desired, self._targets)
+        )
+        return self._read_boot_clock() - confirmed_at
+
     def _set_direct(self, is_direct: bool) -> None:
         for reader in (self._desired, self._targets):
             if is_direct:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/contacts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/contacts.py
@@ -18,6 +18,7 @@
 
 import attrs
 
+from pistachioseam import links
 from pistachioseam import membership
 from pistachioseam.placement import rendezvous
 
@@ -107,6 +108,20 @@
     return ranked[:LEADERS_PER_DOMAIN]
 
 
+def find_region_leader(
+    own: membership.Peer,
+    alive: abc.Iterable[membership.Peer],
+    topology: links.Topology,
+    rendezvous_hash: rendezvous.RendezvousHash,
+) -> membership.Peer:
+    """Return the leader of this host's region, the first of its leaders.
+
+    Only leaders of domains know the other leaders of the region.
+    """
+    region_peers = [p for p in alive if not topology.is_remote(p.domain)]
+    return rank_peers([*region_peers, own], rendezvous_hash)[0]
+
+
 def should_relay_statuses(
     known: abc.Collection[membership.Peer], announced_hosts: int = 0
 ) -> bool:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -138,8 +138,9 @@
         self._listeners.append(listener)
 
     async def run(self) -> None:
-        """Reconcile forever."""
-        await self._read_lease()
+        """Reconcile forever; standbys know the lease from the start."""
+        if self._get_standby_rank() < MAX_STANDBYS:
+            await self._read_lease()
         while True:
             await self._router.runtime.sleep(RECONCILE_SECONDS)
             await self.reconcile()
