--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -22,7 +22,9 @@
 LEASE_NAME = 'weights'
 """Key of the lease in the platform's store; field `duty` of log lines."""
 RECONCILE_SECONDS = 0.1
-"""Pause between two reconciliations."""
+"""Pause between two reconciliations while engines are outdated."""
+IDLE_RECONCILE_SECONDS = 0.3
+"""The same while no engine is; newly named weights end the pause at once."""
 STANDBY_SECONDS = 0.8
 """Time since engines became outdated after which the first standby takes over,
 if the last holder's lease has also expired."""
@@ -132,6 +134,8 @@
         self._next_renewal_at = 0.0
         self._outdated_since: float | None = None
         self._lease_read_at = 0.0
+        self._has_changed = asyncio.Event()
+        router.desired.add_listener(self._has_changed.set)
 
     def add_listener(self, listener: abc.Callable[[], None]) -> None:
         """Call `listener` after upgrades of engines have been started."""
@@ -142,9 +146,22 @@
         if self._get_standby_rank() < MAX_STANDBYS:
             await self._read_lease()
         while True:
-            await self._router.runtime.sleep(RECONCILE_SECONDS)
+            await self._pause()
             await self.reconcile()
 
+    async def _pause(self) -> None:
+        """Wait for the next reconciliation."""
+        if self._outdated_since is not None:
+            await self._router.runtime.sleep(RECONCILE_SECONDS)
+            return
+        self._has_changed.clear()
+        try:
+            async with asyncio.timeout(IDLE_RECONCILE_SECONDS):
+                await self._has_changed.wait()
+        except TimeoutError:
+            # Other causes of outdated engines are found a little later.
+            pass
+
     async def reconcile(self) -> None:
         """Start upgrades of outdated engines if this host holds the lease.
 
