--- a/packages/pistachioseam-entry/src/pistachioseam_entry/command.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/command.py
@@ -9,6 +9,7 @@
 from pistachioseam_entry import logs
 from pistachioseam_entry import reactors
 from pistachioseam_entry import settings
+from pistachioseam_entry import startup
 
 EXIT_BAD_SETTINGS = 2
 
@@ -33,8 +34,8 @@
 def _run_process(options: settings.Settings) -> None:
     # Modules that `process` imports install the default reactor unless another
     # is already installed.
-    from pistachioseam_entry import process
-
+    with startup.speed_up_imports():
+        from pistachioseam_entry import process
     reactor = reactors.get_reactor()
     with process.Process(options) as entry_process:
         reactor.addSystemEventTrigger(
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/reactors.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/reactors.py
@@ -4,11 +4,16 @@
 import sys
 import typing
 
-from twisted.internet import asyncioreactor
+from pistachioseam_entry import startup
 
 
 def install_reactor() -> None:
-    """Install the asyncio reactor on a new loop and make the loop current."""
+    """Install the asyncio reactor on a new loop and make the loop current.
+
+    Twisted is imported only now, so that unused libraries stay out.
+    """
+    with startup.speed_up_imports():
+        from twisted.internet import asyncioreactor
     loop = asyncio.new_event_loop()
     asyncio.set_event_loop(loop)
     asyncioreactor.install(loop)
