--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -58,10 +58,10 @@
 MS_PER_SECOND = 1000.0
 ROLLOUT_DELAY_SECONDS = 2.0
 """Time from the start of a host in which it learns which peers are alive."""
-WEIGHTS_MARGIN_SECONDS = 2.0
-"""Time reserved for a call's wait in its engine's queue before it runs.
-Admission control admits calls up to a multiple of the configured objective,
-which allows waits of about one second, for example."""
+WEIGHTS_MARGIN_FRACTION = 0.3
+"""Part of the bound for outdated weights that is reserved for a call's wait in
+its engine's queue before it runs. Admission control bounds the expected wait;
+under load the actual one has exceeded 2 s of a bound of 10 s."""
 
 
 @attrs.frozen(kw_only=True)
@@ -362,4 +362,5 @@
 
 def get_max_weights_lag_seconds(bounds: call_settings.Bounds) -> float:
     """Return for how long engines with outdated weights still get calls."""
-    return bounds.weights_ms / MS_PER_SECOND - WEIGHTS_MARGIN_SECONDS
+    bound_seconds = bounds.weights_ms / MS_PER_SECOND
+    return bound_seconds * (1 - WEIGHTS_MARGIN_FRACTION)
--- a/tests/entry/test_call_process.py
+++ b/tests/entry/test_call_process.py
@@ -4,8 +4,8 @@
 from pistachioseam_entry import call_settings
 from tests import support
 
-QUEUE_SECONDS = 1.041
-"""Wait in an engine's queue that the margin must cover."""
+QUEUE_SECONDS = (1.041, 2.1)
+"""Waits in an engine's queue that the margin must cover."""
 
 
 def test_queued_calls_begin_within_the_weights_bound(
@@ -13,9 +13,9 @@
 ) -> None:
     """A call sent at the maximum lag begins within the bound for weights.
 
-    Calls wait in their engine's queue before they run: in a failed run, a call
-    sent 9.02 s after newer weights were named began after 10.05 s, past the
-    bound.
+    Calls wait in their engine's queue before they run: in failed runs, a call
+    sent 9.02 s after newer weights were named began after 10.05 s, and one sent
+    8.0 s after at the latest began after 10.10 s, past the bound.
     """
     bounds = call_settings.Bounds(
         revocation_ms=5_000,
@@ -24,7 +24,8 @@
         shutdown_seconds=8,
     )
     max_lag_seconds = call_process.get_max_weights_lag_seconds(bounds)
-    case.assertLess(max_lag_seconds + QUEUE_SECONDS, 10.0)
+    for seconds in QUEUE_SECONDS:
+        case.assertLess(max_lag_seconds + seconds, 10.0)
 
 
 def load_tests(*_: object) -> object:
