--- a/tests/entry/test_call_process.py
+++ b/tests/entry/test_call_process.py
@@ -14,8 +14,8 @@
     """A call sent at the maximum lag begins within the bound for weights.
 
     Calls wait in their engine's queue before they run: in failed runs, a call
-    sent 9.02 s after newer weights were named began after 10.05 s, and one sent
-    8.0 s after at the latest began after 10.10 s, past the bound.
+    sent 9.02 s after newer weights were named began after 10.05 s, and one
+    sent 8.0 s after at the latest began after 10.10 s, past the bound.
     """
     bounds = call_settings.Bounds(
         revocation_ms=5_000,
