--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_settings.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_settings.py
@@ -9,7 +9,7 @@
 from pistachioseam.forwarding import budgets
 from pistachioseam import links
 from pistachioseam import validators
-from pistachioseam_entry import settings
+from pistachioseam_entry import setting_files
 
 
 @attrs.frozen(kw_only=True)
@@ -58,11 +58,11 @@
     regions: tuple[links.Region, ...]
     bounds: Bounds
     retries: budgets.BudgetTerms = attrs.field(factory=budgets.BudgetTerms)
-    logs: settings.Logs = attrs.field(factory=settings.Logs)
+    logs: setting_files.Logs = attrs.field(factory=setting_files.Logs)
 
 
 def load_call_settings(
     path: pathlib.Path,
 ) -> result.Result[CallSettings, tuple[findings.Finding, ...]]:
     """Return the settings of a file, or all of its errors."""
-    return settings.load_file(path, CallSettings)
+    return setting_files.load_file(path, CallSettings)
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/logs.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/logs.py
@@ -11,12 +11,12 @@
 from pistachioseam_entry import log_budget
 from pistachioseam_entry import log_writer
 from pistachioseam_entry import metrics
-from pistachioseam_entry import settings
+from pistachioseam_entry import setting_files
 
 TEXT_FORMAT = '{time:HH:mm:ss.SSS} {level:<7} {message}'
 
 
-def configure_logs(logs: settings.Logs) -> None:
+def configure_logs(logs: setting_files.Logs) -> None:
     """Write the log to standard error with the configured level and format."""
     loguru.logger.remove()
     if logs.format == 'json':
@@ -26,7 +26,7 @@
 
 
 def configure_log_writer(
-    logs: settings.Logs, writer: log_writer.LogWriter
+    logs: setting_files.Logs, writer: log_writer.LogWriter
 ) -> None:
     """Write the log as JSON lines to a non-blocking writer."""
     loguru.logger.remove()
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/peers.py
@@ -18,6 +18,7 @@
 from pistachioseam.placement import placer
 from pistachioseam import router as routers
 from pistachioseam import snapshots
+from pistachioseam_entry import digest_messages
 from pistachioseam_entry import peer_messages
 from pistachioseam_entry import settings
 from pistachioseam_peer import clients
@@ -189,7 +190,7 @@
         gossip.SetInParent()
         gossip.configuration_number = self._router.acceptor.snapshot.number
         gossip.leaving.extend(self._router.leaving.list_local())
-        peer_messages.add_digest(gossip, digest)
+        digest_messages.add_digest(gossip, digest)
         suspects = self._router.quarantine.list_suspects()
         peer_messages.add_suspects(gossip, suspects)
         return message
@@ -252,7 +253,7 @@
             return
         now = self._runtime.now()
         self._router.leaving.replace_list(sender.name, gossip.leaving, now)
-        digest = peer_messages.decode_digest(gossip)
+        digest = digest_messages.decode_digest(gossip)
         self._router.placer.merge_digest(sender.name, digest, now)
 
     def _install_snapshot(self, content: bytes) -> None:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/settings.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/settings.py
@@ -8,20 +8,16 @@
 
 import attrs
 from returns import result
-import yaml
 
-from pistachioseam import conversion
 from pistachioseam import findings
 from pistachioseam import identity
 from pistachioseam import limits
 from pistachioseam import links
 from pistachioseam.placement import placer
 from pistachioseam import validators
+from pistachioseam_entry import setting_files
 
 AccountLimits: typing.TypeAlias = limits.Settings
-T = typing.TypeVar('T')
-LOG_FORMATS = ('json', 'text')
-LOG_LEVELS = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
 
 
 @attrs.frozen(kw_only=True)
@@ -120,18 +116,6 @@
     )
 
 
-@attrs.frozen(kw_only=True)
-class Logs:
-    """Level and format of the log on standard error."""
-
-    level: str = attrs.field(
-        default='INFO', validator=attrs.validators.in_(LOG_LEVELS)
-    )
-    format: str = attrs.field(
-        default='json', validator=attrs.validators.in_(LOG_FORMATS)
-    )
-
-
 @attrs.frozen(kw_only=True)
 class Settings:
     """All settings of `pistachioseamd`."""
@@ -146,24 +130,11 @@
     link: Link = attrs.field(factory=Link)
     peers: Peers | None = None
     shutdown: Shutdown = attrs.field(factory=Shutdown)
-    logs: Logs = attrs.field(factory=Logs)
+    logs: setting_files.Logs = attrs.field(factory=setting_files.Logs)
 
 
 def load_settings(
     path: pathlib.Path,
 ) -> result.Result[Settings, tuple[findings.Finding, ...]]:
     """Return the settings of a file, or a finding for every error."""
-    return load_file(path, Settings)
-
-
-def load_file(
-    path: pathlib.Path, settings_class: type[T]
-) -> result.Result[T, tuple[findings.Finding, ...]]:
-    """Return a YAML file as `settings_class`, or a finding for every error."""
-    location = findings.Location(str(path))
-    try:
-        content = yaml.safe_load(path.read_text())
-    except (OSError, yaml.YAMLError) as error:
-        reason = ' '.join(str(error).split())
-        return result.Failure((findings.Finding(location, reason),))
-    return conversion.structure(content, settings_class, location)
+    return setting_files.load_file(path, Settings)
