--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -174,6 +174,11 @@
             self.peers,
             read_boot_clock,
             self.runtime.sleep,
+            lambda address, reason: self.sink.emit(
+                events.Event.LEADER_NOT_CONFIRMING,
+                leader=address,
+                reason=reason,
+            ),
         )
         self._ports: list[typing.Any] = []
 
--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -74,6 +74,11 @@
         Level.WARNING,
         'store restored from an older copy; everything is read again',
     )
+    LEADER_NOT_CONFIRMING = EventKind(
+        210,
+        Level.INFO,
+        'leader does not confirm the cache; the store is read directly',
+    )
     REQUEST_ENDED = EventKind(301, Level.INFO, 'request ended')
     REQUEST_REFUSED = EventKind(302, Level.INFO, 'request refused')
     REQUEST_RETRIED = EventKind(303, Level.WARNING, 'request retried')
--- a/packages/pistachioseam/src/pistachioseam/forwarding/confirmations.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/confirmations.py
@@ -227,8 +227,16 @@
         """Record that the cache was up to date at `confirmed_at`."""
 
 
+def ignore_report(address: str, reason: str) -> None:
+    """Do nothing with the report of a missing confirmation."""
+
+
 class Follower:
-    """Keeps this host's watches up to date by long polls of the leader."""
+    """Keeps this host's watches up to date by long polls of the leader.
+
+    `report_unconfirmed` gets the leader's address and the reason whenever the
+    leader does not confirm.
+    """
 
     def __init__(
         self,
@@ -237,7 +245,10 @@
         leader: LeaderClient,
         read_boot_clock: abc.Callable[[], float],
         sleep: abc.Callable[[float], abc.Awaitable[None]],
+        report_unconfirmed: abc.Callable[[str, str], None] = ignore_report,
     ) -> None:
+        self._report_unconfirmed = report_unconfirmed
+        self._reason = ''
         self._desired = desired
         self._targets = targets
         self._leader = leader
@@ -261,6 +272,7 @@
             elif await self.poll_leader(address):
                 self._set_direct(False)
             else:
+                self._report_unconfirmed(address, self._reason)
                 self._set_direct(True)
                 await self._sleep(DIRECT_SECONDS)
 
@@ -297,11 +309,13 @@
         """Poll the leader once; return whether this host is up to date."""
         desired = self._desired.progress.cursor
         targets = self._targets.progress.cursor
+        self._reason = 'a table has not been read'
         if desired is None or targets is None:
             return False
         sent_at = self._read_boot_clock()
         query = StoreQuery(desired_cursor=desired, targets_cursor=targets)
         status = await self._leader.fetch_store_status(address, query)
+        self._reason = 'no response'
         if status is None:
             return False
         # Earliest possible time of the response; latencies are unknown.
@@ -325,13 +339,17 @@
             or status.last_change_cursor > cursor
             or status.cursor.era > cursor.era
         ):
+            self._reason = 'the change could not be read'
             return await reader.read(0.0)
         if status.cursor.era < cursor.era:
+            self._reason = 'it has not read the restored store'
             # The leader has not read the restored store, so it cannot confirm
             # that this host has all changes.
             return False
         confirmed_at = responded_at - status.age_seconds
-        if self._read_boot_clock() - confirmed_at > MAX_AGE_SECONDS:
+        age_seconds = self._read_boot_clock() - confirmed_at
+        if age_seconds > MAX_AGE_SECONDS:
+            self._reason = f'its confirmation is {age_seconds:.2f} s old'
             return False
         reader.progress.record_status(status, confirmed_at)
         reader.record_confirmation(confirmed_at)
