Accept older confirmations of targets' entries than of the desired state

Cause: on the large site followers rejected confirmations that were 2.02 to 2.24 s old (event 210, 26 hosts logged; no other reason): entries are read with a pause of 1 s, so through two leaders their age passes the bound of 2.0 s made for the desired state, whose long poll is 0.8 s. Each rejection costs 2 s of direct reads. Change: 3.0 s for the entries, on whose age no key depends. A host that turns to the store first reads it without a wait, as its long poll would confirm nothing for 0.8 s more (a test showed an age of 3.18 s).

--- a/packages/pistachioseam/src/pistachioseam/forwarding/confirmations.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/confirmations.py
@@ -21,12 +21,14 @@
 LONG_POLL_SECONDS = 0.5
 """Time for which a follower's query waits for a change."""
 MAX_AGE_SECONDS = 2.0
-"""Age beyond which a confirmation is rejected and the store is read directly.
-The
-long poll of the region's leader at the store takes up to 0.8 s, that of the
-domain's leader there up to 0.5 s more. A host stays ready
-without a confirmation for `freshness.READY_FRACTION` of the setting
-`revocation_ms`: 3 s if the setting is 5 s."""
+"""Age beyond which a confirmation of the desired state is rejected and the
+store is read directly. The long poll of the region's leader takes up to 0.8 s,
+those of the domain's leader and of its followers up to 0.5 s each. A host
+stays ready without a confirmation for `freshness.READY_FRACTION` of the
+setting `revocation_ms`: 3 s if the setting is 5 s."""
+MAX_TARGETS_AGE_SECONDS = 3.0
+"""The same for the entries of targets, which the region's leader reads about
+once a second. No key depends on their age."""
 DIRECT_SECONDS = 2.0
 """Time for which the store is read directly after the leader has failed to
 confirm."""
@@ -273,6 +275,8 @@
                 self._set_direct(False)
             else:
                 self._report_unconfirmed(address, self._reason)
+                # The long poll that follows would confirm nothing for a while.
+                await self._desired.read(0.0)
                 self._set_direct(True)
                 await self._sleep(DIRECT_SECONDS)
 
@@ -321,13 +325,20 @@
         # Earliest possible time of the response; latencies are unknown.
         responded_at = sent_at + status.held_seconds
         return await self._apply_status(
-            self._desired, status.desired, responded_at
+            self._desired, status.desired, responded_at, MAX_AGE_SECONDS
         ) and await self._apply_status(
-            self._targets, status.targets, responded_at
+            self._targets,
+            status.targets,
+            responded_at,
+            MAX_TARGETS_AGE_SECONDS,
         )
 
     async def _apply_status(
-        self, reader: TableReader, status: TableStatus, responded_at: float
+        self,
+        reader: TableReader,
+        status: TableStatus,
+        responded_at: float,
+        max_age_seconds: float,
     ) -> bool:
         """Apply a confirmation, or read the table if it has changed.
 
@@ -348,7 +359,7 @@
             return False
         confirmed_at = responded_at - status.age_seconds
         age_seconds = self._read_boot_clock() - confirmed_at
-        if age_seconds > MAX_AGE_SECONDS:
+        if age_seconds > max_age_seconds:
             self._reason = f'its confirmation is {age_seconds:.2f} s old'
             return False
         reader.progress.record_status(status, confirmed_at)
