--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -12,6 +12,7 @@
 from tests.soak import proxies
 
 MAX_FREEZE_SECONDS = 1.5
+MAX_COPY_AGE_SECONDS = 1.5
 STORE_MODES = ('busy', 'silent', 'lose', 'forget', 'none', 'none')
 """Modes of the store stand-in; `none` is repeated to be likelier."""
 
@@ -49,7 +50,19 @@
 Fault = abc.Callable[[FaultContext], None]
 REGISTRY: dict[str, Fault] = {}
 """Faults by name. The soak test draws from the sorted names, so a new or
-renamed fault changes the faults of every seed."""
+renamed fault changes the faults of every seed but the regression cases."""
+FIRST_FAULTS = (
+    'change_desired_state',
+    'freeze_host',
+    'kill_host',
+    'kill_server',
+    'publish_weights',
+    'reload_host',
+    'restart_host',
+    'set_proxy_fault',
+    'set_store_fault',
+)
+"""Faults from which the seeds of the regression cases were drawn."""
 
 
 def register(fault: Fault) -> Fault:
@@ -67,6 +80,30 @@
     context.fleet.entries[number] = context.fleet.start_host(number, host)
 
 
+@register
+def kill_all_hosts(context: FaultContext) -> None:
+    """SIGKILL all hosts at the same moment and start them again."""
+    hosts = list(context.fleet.entries)
+    for host in hosts:
+        context.fleet.kill(host)
+    for number, host in enumerate(hosts):
+        context.fleet.entries[number] = context.fleet.start_host(number, host)
+
+
+@register
+def restore_store(context: FaultContext) -> None:
+    """Restore the store from a copy of up to `MAX_COPY_AGE_SECONDS`.
+
+    The operators write again what the copy may lack; the servers do so with
+    their next heartbeat.
+    """
+    context.fleet.set_store_fault('copy')
+    time.sleep(context.random.random() * MAX_COPY_AGE_SECONDS)
+    context.fleet.set_store_fault('restore')
+    context.fleet.write_desired_state()
+    context.fleet.set_weights_version(context.weights_version)
+
+
 @register
 def restart_host(context: FaultContext) -> None:
     """SIGTERM a host, wait for its exit, and start it again.
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -58,9 +58,14 @@
             stack.enter_context(callers.Caller(context.fleet, seed * 100 + n))
             for n in range(CALLER_COUNT)
         ]
+        names = (
+            faults.FIRST_FAULTS
+            if seed in REGRESSIONS
+            else sorted(faults.REGISTRY)
+        )
         deadline = time.monotonic() + DURATION_SECONDS
         while time.monotonic() < deadline:
-            name = context.random.choice(sorted(faults.REGISTRY))
+            name = context.random.choice(names)
             faults.REGISTRY[name](context)
             pause_seconds = context.random.uniform(
                 MIN_PAUSE_SECONDS, MAX_PAUSE_SECONDS
