Close a connection that brought a response to another request

Cause: a server's second copy of a response, on a connection in use again, was rejected by its id, but when it was complete the connection was kept: the call's own response then met the next call, and so on. Control calls did not look at the id, so a copy could pass as a report or as the answer to an order. Change: such a connection is closed; control calls check the id.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -250,6 +250,12 @@
         if not pipeline.is_successful(sent):
             return result.Failure(sent.failure())
         response = sent.unwrap()
+        if response.head.request_id != call.request_id:
+            response.drop()
+            failure = interfaces.CallFailure(
+                Kind.BROKEN, 'response to another request'
+            )
+            return result.Failure(failure)
         try:
             body = await delivery.read_body(response)
         finally:
@@ -388,6 +394,10 @@
         """Return the next bytes, empty at the end of a complete body."""
         return await self._reader.read()
 
+    def drop(self) -> None:
+        """Close the connection, so that no other request meets its bytes."""
+        self._connection.drop()
+
     def abort(self) -> None:
         """Close the connection unless the body has ended."""
         if not self._reader.is_ended():
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -146,6 +146,9 @@
         self._record_weights_version(target, head)
         failure = check_head(self._call, head)
         if failure is not None:
+            if failure.kind is Kind.BROKEN:
+                # The response that the call waits for may still come.
+                response.drop()
             return failure
         assert self._call.route is not None
         is_stream = self._call.route.semantics.is_stream()
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -112,6 +112,9 @@
     def abort(self) -> None:
         """Close the connection unless the body has been read to its end."""
 
+    def drop(self) -> None:
+        """Close the connection, so that no other call gets its bytes."""
+
 
 SendResult: typing.TypeAlias = result.Result[
     OpenResponse, interfaces.CallFailure
--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -131,7 +131,12 @@
 
     def abort(self) -> None:
         """Record whether the body was aborted before its end."""
-        self.is_aborted = not self.is_ended
+        self.is_aborted = self.is_aborted or not self.is_ended
+
+    def drop(self) -> None:
+        """Record that the connection was closed."""
+        self.is_aborted = True
+        self.is_ended = True
 
 
 Step: typing.TypeAlias = FakeResponse | interfaces.CallFailure | float
--- a/tests/core/forwarding/test_forward.py
+++ b/tests/core/forwarding/test_forward.py
@@ -156,6 +156,24 @@
     clocks.run(run())
 
 
+def test_late_copy_of_a_response_closes_its_connection(
+    case: support.Case,
+) -> None:
+    """The copy is complete, and the call's own response may still come.
+
+    On the same connection it would meet the next call, and so on.
+    """
+
+    async def run() -> None:
+        fixture = create_plain_fixture()
+        copy = respond(request_id='earlier')
+        copy.is_ended = True
+        await fixture.serve('/once/', [copy])
+        case.assertTrue(copy.is_aborted)
+
+    clocks.run(run())
+
+
 def test_incomplete_body_is_not_delivered(case: support.Case) -> None:
     """Nothing is sent to the caller if the connection breaks in the body."""
 
--- a/tests/entry/test_target_connections.py
+++ b/tests/entry/test_target_connections.py
@@ -7,6 +7,7 @@
 import struct
 import typing
 
+import attrs
 from returns import pipeline
 
 from pistachioseam.forwarding import delivery
@@ -227,6 +228,30 @@
     run(work)
 
 
+def test_late_copy_of_a_response_is_no_report(case: support.Case) -> None:
+    """A control call gets the second copy of a response to a caller's call.
+
+    It must not be read as the target's report or as its answer to an order.
+    """
+
+    async def work() -> None:
+        async with FakeTarget(RESPONSE, RESPONSE) as target:
+            with target_connections.ConnectionPool(
+                headers.HeaderCodec()
+            ) as pool:
+                case.assertEqual(b'ok', await fetch(pool, target.address))
+                control = attrs.evolve(
+                    create_call(),
+                    request_id='',
+                    headers=((b'Host', b'h'),),
+                )
+                fetched = await pool.fetch(target.address, control)
+                case.assertFalse(pipeline.is_successful(fetched))
+                case.assertIs(Kind.BROKEN, fetched.failure().kind)
+
+    run(work)
+
+
 def test_refused_connection_is_not_sent(case: support.Case) -> None:
     """A call to a port without a listener is reported as not sent."""
 
