Wait only for the first read of both tables before a leader is looked for

Cause: a host whose two first reads were more than 1.2 s apart waited for ever for young caches, as it had stopped to read. Change: it waits for both reads, then for a leader.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/confirmations.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/confirmations.py
@@ -286,7 +286,10 @@
         Load pattern: all hosts start at once. Each has read the store once and
         would go on, until it knows of the hosts that read it for all.
         """
-        while self._get_age() > SETTLE_SECONDS:
+        while None in (
+            self._desired.progress.cursor,
+            self._targets.progress.cursor,
+        ):
             await self._sleep(SETTLE_CHECK_SECONDS)
         while (
             self._leader.find_leader_address() is None
--- a/tests/core/forwarding/test_confirmations.py
+++ b/tests/core/forwarding/test_confirmations.py
@@ -62,6 +62,7 @@
         self.store = store
         self.calls = 0
         self.is_disconnected = False
+        self.targets_seconds = CALL_SECONDS
 
     async def read_desired(
         self, after: store_versions.StoreVersion | None, wait_seconds: float
@@ -91,7 +92,7 @@
     ) -> result.Result[ports.TargetsRead, ports.StoreFailure]:
         """Return the entries written after a version, or all."""
         self.calls += 1
-        await asyncio.sleep(CALL_SECONDS)
+        await asyncio.sleep(self.targets_seconds)
         if self.is_disconnected:
             return FAILURE
         entries = tuple(
@@ -280,6 +281,21 @@
     clocks.run(run())
 
 
+def test_slow_first_read_does_not_end_the_watch(case: support.Case) -> None:
+    """One table is read seconds after the other, by a host that is alone."""
+
+    async def run() -> None:
+        store, hosts = create_hosts(1)
+        hosts[0].client.targets_seconds = 4.0
+        await asyncio.sleep(6.0)
+        hosts[0].client.targets_seconds = CALL_SECONDS
+        store.replace_document()
+        await asyncio.sleep(1.5)
+        case.assertEqual(store.state_version, hosts[0].get_version())
+
+    clocks.run(run())
+
+
 def test_lost_history_is_read_again(case: support.Case) -> None:
     """A host without a cursor reads the store instead of the leader."""
 
