--- a/packages/pistachioseam/src/pistachioseam/forwarding/confirmations.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/confirmations.py
@@ -250,7 +250,6 @@
         report_unconfirmed: abc.Callable[[str, str], None] = ignore_report,
     ) -> None:
         self._report_unconfirmed = report_unconfirmed
-        self._reason = ''
         self._desired = desired
         self._targets = targets
         self._leader = leader
@@ -271,14 +270,16 @@
             if address is None:
                 self._set_direct(True)
                 await self._sleep(LEADER_CHECK_SECONDS)
-            elif await self.poll_leader(address):
+                continue
+            problem = await self.poll_leader(address)
+            if problem is None:
                 self._set_direct(False)
-            else:
-                self._report_unconfirmed(address, self._reason)
-                # The long poll that follows would confirm nothing for a while.
-                await self._desired.read(0.0)
-                self._set_direct(True)
-                await self._sleep(DIRECT_SECONDS)
+                continue
+            self._report_unconfirmed(address, problem)
+            # The long poll that follows would confirm nothing for a while.
+            await self._desired.read(0.0)
+            self._set_direct(True)
+            await self._sleep(DIRECT_SECONDS)
 
     async def _settle(self) -> None:
         """Wait for a leader, at most until the first reads are too old.
@@ -312,24 +313,26 @@
             else:
                 reader.progress.direct_watch.clear()
 
-    async def poll_leader(self, address: str) -> bool:
-        """Poll the leader once; return whether this host is up to date."""
+    async def poll_leader(self, address: str) -> str | None:
+        """Poll the leader once.
+
+        Return None if this host is up to date, otherwise why it is not known
+        to be.
+        """
         desired = self._desired.progress.cursor
         targets = self._targets.progress.cursor
-        self._reason = 'a table has not been read'
         if desired is None or targets is None:
-            return False
+            return 'a table has not been read'
         sent_at = self._read_boot_clock()
         query = StoreQuery(desired_cursor=desired, targets_cursor=targets)
         status = await self._leader.fetch_store_status(address, query)
-        self._reason = 'no response'
         if status is None:
-            return False
+            return 'no response'
         # Earliest possible time of the response; latencies are unknown.
         responded_at = sent_at + status.held_seconds
         return await self._apply_status(
             self._desired, status.desired, responded_at, MAX_AGE_SECONDS
-        ) and await self._apply_status(
+        ) or await self._apply_status(
             self._targets,
             status.targets,
             responded_at,
@@ -342,10 +345,11 @@
         status: TableStatus,
         responded_at: float,
         max_age_seconds: float,
-    ) -> bool:
+    ) -> str | None:
         """Apply a confirmation, or read the table if it has changed.
 
-        Return whether this host is up to date with the table.
+        Return None if this host is up to date with the table, otherwise why
+        it is not known to be.
         """
         cursor = reader.progress.cursor
         if (
@@ -353,18 +357,14 @@
             or status.last_change_cursor > cursor
             or status.cursor.era > cursor.era
         ):
-            self._reason = 'the change could not be read'
-            return await reader.read(0.0)
+            is_read = await reader.read(0.0)
+            return None if is_read else 'the change could not be read'
         if status.cursor.era < cursor.era:
-            self._reason = 'it has not read the restored store'
-            # The leader has not read the restored store, so it cannot confirm
-            # that this host has all changes.
-            return False
+            return 'it has not read the restored store'
         confirmed_at = responded_at - status.age_seconds
         age_seconds = self._read_boot_clock() - confirmed_at
         if age_seconds > max_age_seconds:
-            self._reason = f'its confirmation is {age_seconds:.2f} s old'
-            return False
+            return f'its confirmation is {age_seconds:.2f} s old'
         reader.progress.record_status(status, confirmed_at)
         reader.record_confirmation(confirmed_at)
-        return True
+        return None
