--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -37,9 +37,10 @@
 """Number of standbys that read the lease while no engine is outdated. One that
 does not know for how long the row has been unchanged must first wait for that
 long."""
-MAX_STANDBYS = 4
-"""Number of hosts that may take over; when one is lost, the next host in the
-order of ranks replaces it."""
+MAX_STANDBYS = 8
+"""Rank below which hosts may take over; when one is lost, the next host in the
+order of ranks replaces it. In a large fleet these are the leaders and deputies
+of all domains: the store may turn away a third of the hosts at once."""
 MAX_LOADING_FRACTION = 1 / 3
 """Fraction of the engines that may load at once; more slow each other down."""
 FIRST_REPORT_DELAY_SECONDS = 0.4
