--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_admin.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_admin.py
@@ -24,6 +24,7 @@
     'engines_behind',
     'quarantined_parts',
     'limited_targets',
+    'targets_age_seconds',
 )
 """Values of the label `name` of the metric `pistachioseam_state`, in the order
 of the values in `_update_state_gauges`."""
@@ -71,6 +72,7 @@
             len(rollouts.list_outdated(router)),
             len(router.crash_evidence.list_quarantined(process.runtime.now())),
             router.rate_limits.count_limited(),
+            router.targets_freshness.get_age(router.read_boot_clock()),
         )
         for name, value in zip(STATE_NAMES, values, strict=True):
             process.metrics.set_state(name, value)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -37,7 +37,8 @@
     `max_weights_lag_seconds` bounds how long calls may be sent to a weights
     version after it was replaced, `max_begin_lag_seconds` how long they may
     begin to run on it. `cache_store_epochs` holds the epoch of each
-    KV cache store by address. `busy_until` holds, by target name, the
+    KV cache store by address. `targets_freshness` holds the time up to which
+    the entries of targets are known. `busy_until` holds, by target name, the
     monotonic time until which other targets are preferred because this one
     rejected a call as busy. `restore_listeners` are called once when the
     platform's store has been restored from an older copy, in `store_era`.
@@ -67,6 +68,9 @@
     software: software_versions.SoftwareVersions
     max_weights_lag_seconds: float = float('inf')
     max_begin_lag_seconds: float = float('inf')
+    targets_freshness: freshness.Freshness = attrs.field(
+        factory=lambda: freshness.Freshness(notices.DEFAULT_DRAIN_SECONDS)
+    )
     cache_models: residency.CacheModels = attrs.field(
         factory=residency.CacheModels
     )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -218,6 +218,9 @@
         after_event=call.head.after_event,
         configuration=call.desired_version,
         age=round(router.freshness.get_age(router.read_boot_clock()), 3),
+        targets_age=round(
+            router.targets_freshness.get_age(router.read_boot_clock()), 3
+        ),
     )
     router.health.record_sent(target.name)
     failure = await delivery_.forward_to(target)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/watches.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/watches.py
@@ -214,11 +214,12 @@
         self._router.catalog.expire(self._router.runtime.now())
 
     def record_confirmation(self, confirmed_at: float) -> None:
-        """Inform the catalog that its entries are up to date.
+        """Record the time up to which the entries are known.
 
-        Otherwise it would take the time without a read for an outage of the
-        store.
+        Without it the catalog would take the time without a read for an outage
+        of the store.
         """
+        self._router.targets_freshness.record_confirmation(confirmed_at)
         self._router.catalog.apply(
             catalog.NO_CHANGE, self._router.runtime.now()
         )
