--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -30,7 +30,10 @@
 
 
 class Network:
-    """Hosts by address; `messages` counts the one-way messages."""
+    """Hosts by address; `messages` counts the one-way messages.
+
+    `delays` holds the seconds that responses of a host take.
+    """
 
     def __init__(self) -> None:
         self.hosts: dict[str, Host] = {}
@@ -38,6 +41,7 @@
         self.bytes_by_sender: collections.Counter[str] = collections.Counter()
         self.handshakes = 0
         self.cut_domains: set[str] = set()
+        self.delays: dict[str, float] = {}
 
     def find(self, sender: membership.Peer, address: str) -> 'Host | None':
         """Return the host that a message reaches, None if it is lost."""
@@ -83,7 +87,13 @@
         if host.own.domain != self._own.domain:
             await asyncio.sleep(REGION_LATENCY_SECONDS)
         received = messages_pb2.Message.FromString(message.SerializeToString())
-        return result.Success(await host.peers._handle_request(received))
+        try:
+            async with asyncio.timeout(timeout):
+                await asyncio.sleep(self._network.delays.get(host.own.name, 0))
+                response = await host.peers._handle_request(received)
+        except TimeoutError:
+            return result.Failure('TimeoutError')
+        return result.Success(response)
 
     def disconnect(self, address: str) -> None:
         """Do nothing; there are no connections."""
