Take only later confirmations for a sign that the store answers

Cause: found by reading, no run showed it. Change: only a confirmation that is later than the last counts. The fleets of simulated hosts move to tests/.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/confirmations.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/confirmations.py
@@ -273,7 +273,7 @@
         """Read the store once; return whether the read succeeded."""
 
     def record_confirmation(self, confirmed_at: float) -> None:
-        """Record that the cache was up to date at `confirmed_at`."""
+        """Record that the store has confirmed the cache at `confirmed_at`."""
 
 
 def ignore_report(address: str, reason: str) -> None:
@@ -460,6 +460,8 @@
             is_read = await reader.read(0.0)
             problem = f'its confirmation is {age_seconds:.2f} s old'
             return None if is_read else problem
+        progress_seconds = confirmed_at - reader.progress.confirmed_at
         reader.progress.record_status(status, confirmed_at)
-        reader.record_confirmation(confirmed_at)
+        if progress_seconds > MIN_ADVANCE_SECONDS:
+            reader.record_confirmation(confirmed_at)
         return None
--- a/tests/core/forwarding/test_confirmations.py
+++ b/tests/core/forwarding/test_confirmations.py
@@ -36,6 +36,7 @@
         self.version = 1
         self.state_version = 1
         self.targets: dict[int, int] = {1: 1}
+        self.removed: dict[int, int] = {}
         self.changed = asyncio.Event()
 
     def get_cursor(self) -> store_versions.StoreVersion:
@@ -49,6 +50,12 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def remove(self, number: int) -> None:
+        """Remove a target's entry."""
+        self.version += 1
+        self.removed[number] = self.version
+        del self.targets[number]
+
     def heartbeat(self, number: int) -> None:
         """Write a target's entry; it is unchanged if it was there before."""
         self.version += 1
@@ -100,8 +107,13 @@
             for number, version in self.store.targets.items()
             if after is None or version > after.number
         )
+        removed = tuple(
+            call_fakes.create_target(number).name
+            for number, version in self.store.removed.items()
+            if after is not None and version > after.number
+        )
         change = catalog.TargetChange(
-            entries=entries, removed=(), is_complete=after is None
+            entries=entries, removed=removed, is_complete=after is None
         )
         return result.Success(
             ports.TargetsRead(change=change, cursor=self.store.get_cursor())
@@ -271,6 +283,30 @@
         clocks.run(run())
 
 
+def test_old_confirmations_do_not_hide_an_outage(case: support.Case) -> None:
+    """Entries that lapse during an outage are kept for their targets' return.
+
+    The leader goes on responding while the store is down.
+    """
+
+    async def run(down_seconds: float) -> None:
+        store, hosts = create_hosts(2)
+        await asyncio.sleep(3.0)
+        for host in hosts:
+            host.client.is_disconnected = True
+        await asyncio.sleep(down_seconds)
+        store.remove(1)
+        for host in hosts:
+            host.client.is_disconnected = False
+        await asyncio.sleep(1.5)
+        case.assertEqual([1, 1], [host.count_targets() for host in hosts])
+        await asyncio.sleep(3.0)
+        case.assertEqual([0, 0], [host.count_targets() for host in hosts])
+
+    for down_seconds in (3.7, 4.3, 5.1, 5.9):
+        clocks.run(run(down_seconds))
+
+
 def test_hosts_cannot_confirm_each_other(case: support.Case) -> None:
     """Two hosts that take each other for the leader report their true age.
 
--- a/tests/entry/test_fleet_departures.py
+++ b/tests/entry/test_fleet_departures.py
@@ -13,7 +13,7 @@
 from pistachioseam_entry import target_connections
 from tests import clocks
 from tests import support
-from tests.entry import watching_fleets
+from tests import watching_fleets
 
 MAX_PLACEMENT_SECONDS = (
     notices.DEFAULT_DRAIN_SECONDS - target_connections.CONNECT_TIMEOUT_SECONDS
