Tell peers which targets the store shows as leaving

What callers saw: hosts that the store refuses went on sending requests to targets that had left (DRAIN). Cause: only the store and the hosts that follow it showed a departure; a host that is refused, the leader among them, had no other way to learn of it, and took its own gap in reads for an outage, after which removed entries are kept for 2 s more. Class: knowledge with one channel. Change: the first sight of a departure is told to all peers, urgently and for 3 s in regular statuses; such targets get no calls, whatever this host's own entries show, until a read sent later shows them ready again.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/status_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/status_messages.py
@@ -90,10 +90,11 @@
     ) -> messages_pb2.HostStatus:
         """Return a status without loads, to be sent between regular ones.
 
-        For the domain it holds the relayed updates; for this host it is empty
-        until `add_updates`.
+        For the domain it holds the relayed updates, for this host only the
+        departures until `add_updates`.
         """
         status = messages_pb2.HostStatus(is_partial=True, is_domain=is_domain)
+        self._add_departures(status)
         if is_domain:
             self._add_relayed(status)
             self._add_part_reports(status)
@@ -188,6 +189,7 @@
             )
         for name, born_ms in self._router.notices.list_recently_leaving(now):
             status.leaving.add(target=name, born_ms=born_ms)
+        self._add_departures(status)
         max_age_seconds = (
             float('inf') if is_handshake else rate_limits.ANNOUNCE_SECONDS
         )
@@ -200,6 +202,11 @@
             if epoch is not None:
                 status.store_epochs.add(address=store.address, epoch=epoch)
 
+    def _add_departures(self, status: messages_pb2.HostStatus) -> None:
+        now = self._router.runtime.now()
+        for name, born_ms in self._router.catalog.list_recent_departures(now):
+            status.leaving.add(target=name, born_ms=born_ms, is_listed=True)
+
     def _add_part_reports(
         self, status: messages_pb2.HostStatus, is_handshake: bool = False
     ) -> None:
@@ -279,9 +286,11 @@
                 peer_messages.decode_part_reports(status), now
             )
         for leaving in status.leaving:
-            self._router.notices.record_leaving(
-                (leaving.target, leaving.born_ms), now
-            )
+            incarnation = (leaving.target, leaving.born_ms)
+            if leaving.is_listed:
+                self._router.catalog.record_departure(incarnation, now)
+            else:
+                self._router.notices.record_leaving(incarnation, now)
         for begun in status.begun_streams:
             self._router.stream_origins.merge(
                 begun.keys, peer_messages.decode_origin(begun), now
--- a/packages/pistachioseam/src/pistachioseam/forwarding/catalog.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/catalog.py
@@ -12,6 +12,11 @@
 platform."""
 MAX_ENDED = 1024
 """Removed incarnations whose last entry is remembered."""
+ANNOUNCE_SECONDS = 3.0
+"""Time for which a departure is reported to peers."""
+MAX_READ_SECONDS = 1.0
+"""Longest time that a read of the entries takes. One that returns later was
+sent after a departure that is known for so long."""
 MAX_READ_GAP_SECONDS = 1.0
 """Twice this without a read is an outage, in which entries may expire."""
 
@@ -64,7 +69,11 @@
 
 
 class TargetCatalog:
-    """Registered targets by name, as of the last read."""
+    """Registered targets by name, as of the last read.
+
+    A target departs when its entry shows that it leaves, or is removed. Hosts
+    tell each other, as the store may refuse some of them.
+    """
 
     def __init__(self, sink: interfaces.EventSink) -> None:
         self._sink = sink
@@ -73,7 +82,41 @@
         self._ended: dict[tuple[str, int], int] = {}
         self._read_at: float | None = None
         self._outage_ended_at: float | None = None
+        self._departed_at: dict[Incarnation, float] = {}
         self._listeners: list[abc.Callable[[LiveTarget], None]] = []
+        self._departure_listeners: list[abc.Callable[[], None]] = []
+
+    def add_departure_listener(self, listener: abc.Callable[[], None]) -> None:
+        """Call `listener` after each departure that was not known."""
+        self._departure_listeners.append(listener)
+
+    def record_departure(self, incarnation: Incarnation, now: float) -> None:
+        """Record that this host or a peer has seen a target depart."""
+        if incarnation in self._departed_at:
+            return
+        self._departed_at[incarnation] = now
+        if len(self._departed_at) > MAX_ENDED:
+            del self._departed_at[next(iter(self._departed_at))]
+        target = self._targets.get(incarnation[0])
+        if target is not None and target.get_incarnation() == incarnation:
+            self._emit(events.Event.TARGET_LEAVING, target)
+        for listener in self._departure_listeners:
+            listener()
+
+    def list_recent_departures(self, now: float) -> tuple[Incarnation, ...]:
+        """Return the departures that peers may not know yet."""
+        return tuple(
+            incarnation
+            for incarnation, departed_at in self._departed_at.items()
+            if now - departed_at < ANNOUNCE_SECONDS
+        )
+
+    def is_available(self, target: LiveTarget) -> bool:
+        """Return whether a target is ready and has not departed."""
+        return (
+            target.is_ready
+            and target.get_incarnation() not in self._departed_at
+        )
 
     def add_listener(self, listener: abc.Callable[[LiveTarget], None]) -> None:
         """Call `listener` with each target whose incarnation has ended."""
@@ -96,7 +139,7 @@
             removed |= self._targets.keys() - listed
         has_changes = any(self._is_changed(entry) for entry in change.entries)
         for entry in change.entries:
-            self._update(entry)
+            self._update(entry, now)
         for name in removed:
             self._remove(name, now)
         self.expire(now)
@@ -123,7 +166,7 @@
             self._outage_ended_at = now
         self._read_at = now
 
-    def _update(self, entry: LiveTarget) -> None:
+    def _update(self, entry: LiveTarget, now: float) -> None:
         known = self._targets.get(entry.name)
         if known is not None and entry.born_ms < known.born_ms:
             return
@@ -133,11 +176,18 @@
         self._targets[entry.name] = entry
         if known is None:
             self._emit(events.Event.TARGET_ADDED, entry)
-            return
-        if known.get_incarnation() != entry.get_incarnation():
+        elif known.get_incarnation() != entry.get_incarnation():
             self._notify_ended(known)
-        if known.is_ready and not entry.is_ready:
-            self._emit(events.Event.TARGET_LEAVING, entry)
+        if not entry.is_ready:
+            self.record_departure(entry.get_incarnation(), now)
+        else:
+            self._record_return(entry.get_incarnation(), now)
+
+    def _record_return(self, incarnation: Incarnation, now: float) -> None:
+        """Forget a departure, unless the read may have been sent before it."""
+        departed_at = self._departed_at.get(incarnation)
+        if departed_at is not None and now - departed_at > MAX_READ_SECONDS:
+            del self._departed_at[incarnation]
 
     def _is_stale(self, entry: LiveTarget, known: LiveTarget | None) -> bool:
         """Return whether a later entry of the incarnation has been read.
@@ -159,15 +209,15 @@
                 name, ended + REREGISTRATION_GRACE_SECONDS
             )
             return
-        self._drop(name)
+        self._drop(name, now)
 
     def expire(self, now: float) -> None:
         """Drop removed entries whose grace period is over."""
         expired = [name for name, at in self._expires_at.items() if at <= now]
         for name in expired:
-            self._drop(name)
+            self._drop(name, now)
 
-    def _drop(self, name: str) -> None:
+    def _drop(self, name: str, now: float) -> None:
         self._expires_at.pop(name, None)
         removed = self._targets.pop(name, None)
         if removed is not None:
@@ -175,6 +225,7 @@
             if len(self._ended) > MAX_ENDED:
                 del self._ended[next(iter(self._ended))]
             self._emit(events.Event.TARGET_REMOVED, removed)
+            self.record_departure(removed.get_incarnation(), now)
             self._notify_ended(removed)
 
     def _notify_ended(self, target: LiveTarget) -> None:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -57,7 +57,7 @@
     ready = [
         target
         for target in router.catalog.list_service(call.service.name)
-        if target.is_ready
+        if router.catalog.is_available(target)
         and router.notices.accepts_calls(target, now)
         and not router.get_pause_seconds(target.get_incarnation(), now)
         and _fits_stream(call, router, target)
@@ -112,7 +112,7 @@
     pauses = [
         router.get_pause_seconds(target.get_incarnation(), now)
         for target in router.catalog.list_service(call.service.name)
-        if target.is_ready
+        if router.catalog.is_available(target)
     ]
     return min((pause for pause in pauses if pause > 0), default=None)
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -84,7 +84,9 @@
                 continue
             if router.notices.is_leaving(target):
                 continue
-            if model not in service.engine.models or not target.is_ready:
+            if model not in service.engine.models or (
+                not router.catalog.is_available(target)
+            ):
                 continue
             if router.weights.get_confirmed(target, model) < version:
                 outdated.append(OutdatedEngine(target, model, version))
@@ -388,7 +390,7 @@
         target = self._router.catalog.get(engine.target.name)
         if (
             target is None
-            or not target.is_ready
+            or not self._router.catalog.is_available(target)
             or not self.lease.is_last_holder()
         ):
             return False
