--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -141,7 +141,11 @@
     if not await router.permits.acquire(limit):
         return False
     known = router.catalog.get(target.name)
-    is_current = known is not None and known.get_incarnation() == incarnation
+    is_current = (
+        known is not None
+        and known.get_incarnation() == incarnation
+        and router.catalog.is_available(known)
+    )
     key_check = authenticate.check_key_freshness(call, router)
     return (
         is_current
--- a/tests/core/forwarding/test_rate_limits.py
+++ b/tests/core/forwarding/test_rate_limits.py
@@ -6,6 +6,7 @@
 from pistachioseam import events
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import rate_limits
+from pistachioseam.forwarding import rate_permits
 from tests import call_fakes
 from tests import clocks
 from tests import support
@@ -92,6 +93,40 @@
     clocks.run(run())
 
 
+def test_target_that_departs_while_a_permit_is_awaited_gets_no_call(
+    case: support.Case,
+) -> None:
+    """The call was sent on the permit, though the target had left."""
+
+    async def run() -> None:
+        fixture = call_fakes.RouterFixture(
+            [call_fakes.create_target(n) for n in range(2)]
+        )
+        router = fixture.router
+        limited = router.catalog.list_all()[0].get_incarnation()
+        router.rate_limits.record_response(
+            limited, receive(9.0, router.runtime.now()), router.runtime.now()
+        )
+
+        async def grant(
+            request: rate_permits.PermitRequest,
+        ) -> rate_permits.PermitDecision:
+            router.catalog.record_departure(limited, router.runtime.now())
+            return rate_permits.PermitDecision(True)
+
+        router.permits = rate_permits.PermitClient(
+            'host', fixture.runtime, grant
+        )
+        other = router.catalog.list_all()[1]
+        router.busy_until[other.name] = router.runtime.now() + 0.1
+        await fixture.serve('/safe/', [call_fakes.respond()])
+        case.assertEqual(
+            [other.address], [address for address, _ in fixture.targets.sent]
+        )
+
+    clocks.run(run())
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
