Notice when this host reaches no target

Log lines name single targets that fail; nothing told a host without a path from targets that are lost. No decision uses it yet.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_admin.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_admin.py
@@ -25,6 +25,7 @@
     'quarantined_parts',
     'limited_targets',
     'targets_age_seconds',
+    'target_paths_lost',
 )
 """Values of the label `name` of the metric `pistachioseam_state`, in the order
 of the values in `_update_state_gauges`."""
@@ -73,6 +74,7 @@
             len(router.crash_evidence.list_quarantined(process.runtime.now())),
             router.rate_limits.count_limited(),
             router.targets_freshness.get_age(router.read_boot_clock()),
+            int(process.paths.is_lost()),
         )
         for name, value in zip(STATE_NAMES, values, strict=True):
             process.metrics.set_state(name, value)
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -22,6 +22,7 @@
 from pistachioseam.forwarding import leases
 from pistachioseam.forwarding import loads
 from pistachioseam.forwarding import notices
+from pistachioseam.forwarding import paths
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import rate_limits
 from pistachioseam.forwarding import rate_permits
@@ -44,6 +45,7 @@
 from pistachioseam_entry import measured_store
 from pistachioseam_entry import metrics
 from pistachioseam_entry import reactors
+from pistachioseam_entry import routed_connections
 from pistachioseam_entry import runtime
 from pistachioseam_entry import target_connections
 
@@ -146,6 +148,13 @@
         self.runtime = runtime.AsyncioRuntime(self.sink)
         self.lifecycle = lifecycle.create_lifecycle(self.sink)
         self.connections = adapter.connections
+        self.paths = paths.TargetPaths(
+            self.runtime,
+            runtime.SystemRandom(),
+            self.sink,
+            lambda: [t.address for t in self.router.catalog.list_all()],
+            self.connections.is_reachable,
+        )
         store = measured_store.MeasuredStore(
             adapter.store, self.metrics, self.runtime
         )
@@ -214,7 +223,9 @@
             read_boot_clock=read_boot_clock,
             random=random,
             sink=self.sink,
-            connections=self.connections,
+            connections=routed_connections.RoutedConnections(
+                self.connections, self.paths
+            ),
             topology=links.Topology(
                 domain=options.host.domain, regions=options.regions
             ),
@@ -297,6 +308,7 @@
         self.runtime.start(self._run_rollout())
         self.runtime.start(self._flush_logs())
         self.runtime.start(self.cache_store_watch.run())
+        self.runtime.start(self.paths.run())
         self.peers.__enter__()
         return self
 
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -71,7 +71,8 @@
     """Connection to a target, for one request at a time.
 
     `on_idle` is called when the connection can take the next request,
-    `on_lost` when it has been closed. `is_reset` is set if it was not closed
+    `on_received` when bytes have arrived, `on_lost` when it has been closed.
+    `is_reset` is set if it was not closed
     cleanly.
     """
 
@@ -80,6 +81,7 @@
         address: str,
         on_idle: abc.Callable[['Connection'], None],
         on_lost: abc.Callable[['Connection'], None],
+        on_received: abc.Callable[[], None],
     ) -> None:
         super().__init__(on_idle)
         self.address = address
@@ -88,6 +90,7 @@
         self.is_reset = False
         self._head_bytes = 0
         self._on_lost = on_lost
+        self._on_received = on_received
 
     def connectionMade(self) -> None:  # noqa: N802
         """Bound the time until a dead connection is detected."""
@@ -107,6 +110,7 @@
 
         The parser limits the length of a line but not the number of lines.
         """
+        self._on_received()
         super().dataReceived(data)
         if not self._is_reading_head():
             self._head_bytes = 0
@@ -146,6 +150,11 @@
             self.transport.abortConnection()
 
 
+OpenResult: typing.TypeAlias = result.Result[
+    Connection, interfaces.CallFailure
+]
+
+
 def choose_idle_seconds(keep_alive: abc.Sequence[bytes]) -> float:
     """Return the maximum idle time of a connection, in seconds.
 
@@ -173,10 +182,18 @@
         handle.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
+def ignore_received() -> None:
+    """Do nothing with the fact that bytes have arrived."""
+
+
 class ConnectionPool:
-    """Connections to targets by address; closes them all on exit."""
+    """Connections to targets by address; closes them all on exit.
+
+    `on_received` is called when any target has sent bytes.
+    """
 
     def __init__(self, codec: Codec) -> None:
+        self.on_received: abc.Callable[[], None] = ignore_received
         self._codec = codec
         self._idle: dict[str, collections.deque[Connection]] = {}
         self._open: set[Connection] = set()
@@ -205,17 +222,37 @@
         for connection in self._idle.pop(address, ()):
             connection.drop()
 
+    def close_all_idle(self) -> None:
+        """Close the idle connections to all addresses."""
+        for address in list(self._idle):
+            self.close_idle(address)
+
     async def send(
         self, address: str, call: ports.OutgoingCall
     ) -> ports.SendResult:
         """Send once, without a retry; return when the head has arrived."""
+        opened = await self.open(address, call)
+        if not pipeline.is_successful(opened):
+            return result.Failure(opened.failure())
+        return await self.send_on(opened.unwrap(), call)
+
+    async def open(self, address: str, call: ports.OutgoingCall) -> OpenResult:
+        """Return an idle or a new connection for a call."""
         connection = self._take_idle(address, call.max_idle_seconds)
-        if connection is None:
-            connected = await self._connect(address)
-            if not pipeline.is_successful(connected):
-                return result.Failure(connected.failure())
-            connection = connected.unwrap()
-        return await self._send_request(connection, call)
+        if connection is not None:
+            return result.Success(connection)
+        return await self._connect(address)
+
+    async def is_reachable(self, address: str, seconds: float) -> bool:
+        """Return whether an address accepts a connection in some seconds.
+
+        A connection that opens is added to the pool.
+        """
+        connected = await self._connect(address, seconds)
+        if not pipeline.is_successful(connected):
+            return False
+        self._add_idle(connected.unwrap())
+        return True
 
     async def is_connection_refused(self, address: str) -> bool:
         """Return whether an address refuses connections.
@@ -290,16 +327,18 @@
         return None
 
     async def _connect(
-        self, address: str
-    ) -> result.Result[Connection, interfaces.CallFailure]:
+        self, address: str, seconds: float = CONNECT_TIMEOUT_SECONDS
+    ) -> OpenResult:
         host, _, port = address.rpartition(':')
         endpoint = endpoints.TCP4ClientEndpoint(
             reactors.get_reactor(),
             host,
             int(port),
-            timeout=CONNECT_TIMEOUT_SECONDS,
+            timeout=seconds,
+        )
+        connection = Connection(
+            address, self._add_idle, self._remove, lambda: self.on_received()
         )
-        connection = Connection(address, self._add_idle, self._remove)
         self.opened_count += 1
         try:
             connecting = endpoints.connectProtocol(endpoint, connection)
@@ -327,9 +366,10 @@
             if not idle:
                 del self._idle[connection.address]
 
-    async def _send_request(
+    async def send_on(
         self, connection: Connection, call: ports.OutgoingCall
     ) -> ports.SendResult:
+        """Send on an open connection; return when the head has arrived."""
         headers = http_headers.Headers()
         for name, value in self._codec.encode_call(call):
             headers.addRawHeader(name, value)
--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -195,6 +195,15 @@
         Level.WARNING,
         'no answer to a request for a permit; the limited target is left out',
     )
+    TARGET_PATHS_LOST = EventKind(
+        515,
+        Level.WARNING,
+        'this host reaches no target; none of those probed accepts a'
+        ' connection',
+    )
+    TARGET_PATHS_BACK = EventKind(
+        516, Level.INFO, 'this host reaches targets again'
+    )
     PEER_ALIVE = EventKind(
         601, Level.INFO, 'peer joined, returned or restarted'
     )
