Show that callers of hosts without a path to servers are not served

Four hosts as processes, each with proxies of its own before the servers; the store's stand-in names each host the addresses of its proxies.

--- a/packages/pistachioseam-standins/src/pistachioseam_standins/metadata.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/metadata.py
@@ -13,9 +13,13 @@
 `restore`: the rows of the last copy replace the current ones, versions are
 given out again from there, and the era in all responses (`Store-Era`) rises by
 one; the mode returns to `none`.
+`POST /standin/views` sets by which other addresses the hosts that call the
+store under the address `store` reach servers: `addresses` maps those that the
+servers registered. So each host may have proxies of its own.
 """
 
 import base64
+import json
 import typing
 
 import attrs
@@ -60,6 +64,7 @@
         self._compacted_version = 0
         self.era = 1
         self._copy: tuple[int, list[Change]] = (0, [])
+        self._views: dict[str, dict[str, str]] = {}
 
     @app.route('/standin/faults', methods=['POST'])
     def set_faults(self, request: typing.Any) -> bytes:
@@ -97,6 +102,13 @@
         'restore': _restore_copy,
     }
 
+    @app.route('/standin/views', methods=['POST'])
+    def set_view(self, request: typing.Any) -> bytes:
+        """Set the addresses at which some hosts reach servers."""
+        view = serving.read_json(request)
+        self._views[view['store']] = view['addresses']
+        return serving.encode_json(request, {})
+
     @app.route('/standin/calls')
     def count_calls(self, request: typing.Any) -> bytes:
         """Return the number of calls by hosts, failed ones included."""
@@ -258,6 +270,16 @@
             return True
         return False
 
+    def _apply_view(self, request: typing.Any, row: Change) -> Change:
+        """Return a server's row with the address that the caller gets."""
+        view = self._views.get(request.getHeader('host') or '')
+        if view is None or row.table != 'servers' or row.value is None:
+            return row
+        content = json.loads(row.value)
+        address = content.get('address')
+        content['address'] = view.get(address, address)
+        return attrs.evolve(row, value=json.dumps(content).encode())
+
     def _encode_rows(
         self,
         request: typing.Any,
@@ -269,7 +291,9 @@
             'ver': self.version,
             'nowMs': 0,
             'hasMore': has_more,
-            'rows': [_encode_row(row) for row in rows],
+            'rows': [
+                _encode_row(self._apply_view(request, row)) for row in rows
+            ],
         }
         return serving.encode_json(request, content)
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/paths.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/paths.py
@@ -4,7 +4,7 @@
 and other hosts reach it. Its connections to targets hang, are reset, or live
 on while new ones are refused. Calls would fail one after another, and each
 target would be taken for lost. A single target that fails shows nothing, so a
-failed connect, or silence while calls wait, is checked by connecting to others.
+failed connect, or silence while calls wait, is checked with other targets.
 """
 
 import asyncio
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,7 @@
 
 from pistachioseam_standins import deployment
 from pistachioseam_standins import fleet
+from tests import partitions
 from tests.soak import checks
 from tests.soak import proxies
 
@@ -22,8 +23,8 @@
 """Modes of the store stand-in; `none` is repeated to be likelier."""
 
 
-class SoakFleet(fleet.Fleet):
-    """Fleet in which each host reaches the store through its own proxy.
+class SoakFleet(partitions.PartitionedFleet):
+    """Fleet that records the faults.
 
     `kills` records each process that was killed while it ran. Faults on
     several threads hold the lock of a process's name while they restart it,
@@ -32,7 +33,6 @@
 
     def __init__(self, spec: fleet.FleetSpec, folder: pathlib.Path) -> None:
         super().__init__(spec, folder)
-        self.proxies: list[proxies.Proxy] = []
         self.kills: list[checks.Kill] = []
         self.weights_version = 1
         self.locks: collections.defaultdict[str, threading.Lock] = (
@@ -42,14 +42,6 @@
         self._start_lock = threading.Lock()
         self._start_times: dict[int, float] = {}
 
-    def get_store_address(self, number: int) -> str:
-        """Return the address of a host's proxy, created at its first start."""
-        while len(self.proxies) <= number:
-            self.proxies.append(
-                proxies.Proxy(self.platform.address).__enter__()
-            )
-        return self.proxies[number].address
-
     def start_host(
         self, number: int, previous: deployment.ServerProcess | None = None
     ) -> deployment.ServerProcess:
@@ -96,12 +88,6 @@
             )
         server.process.wait()
 
-    def __exit__(self, *_: object) -> None:
-        """End the processes, then the proxies."""
-        super().__exit__()
-        for proxy in self.proxies:
-            proxy.__exit__()
-
 
 @attrs.define
 class FaultContext:
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -1,66 +1,167 @@
-"""Loopback TCP proxies that delay, block and reset connections."""
+"""Loopback TCP proxies that delay, block, reset and refuse connections."""
 
 import asyncio
+import socket
 import threading
 import typing
 
 MODES = ('pass', 'delay', 'silent', 'one_way', 'reset')
+"""Modes of a network that is in trouble."""
+PARTITION_MODES = ('hang', 'cut', 'refuse')
+"""Modes of a network that lets no connection through."""
 DELAY_SECONDS = 0.3
 """Delay of each chunk, and interval at which a blocked one checks the mode."""
 CHUNK_BYTES = 65_536
+FILLER_CONNECTIONS = 4
+"""Connections that fill the queue of a socket which accepts none, so that the
+kernel drops the packets of further ones."""
 
 
 class Proxy:
-    """TCP proxy in front of the store, with an event loop on its own thread.
+    """TCP proxy in front of one or several servers, on a thread of its own.
 
-    Modes: `pass` forwards, `delay` forwards each chunk after DELAY_SECONDS,
-    `silent` blocks both directions, `one_way` blocks responses, `reset` aborts
-    the open connections once, then forwards.
+    `addresses` maps each server's address to the proxy's; `address` is that
+    of the first. Modes: `pass` forwards, `delay` forwards each chunk after
+    DELAY_SECONDS, `silent` blocks both directions, `one_way` blocks responses,
+    `reset` aborts the open connections once, then forwards. `hang` blocks both
+    directions and lets new connections hang, `refuse` refuses new connections
+    and forwards on the open ones, `cut` also aborts these.
     """
 
-    def __init__(self, store_address: str) -> None:
+    def __init__(self, *servers: str) -> None:
         self.mode = 'pass'
-        self.address = ''
-        self._store_address = store_address
+        self.addresses: dict[str, str] = {}
+        self._servers = servers
         self._loop = asyncio.new_event_loop()
+        self._sockets: dict[str, socket.socket] = {}
+        self._acceptors: list[asyncio.Task[None]] = []
+        self._fillers: list[socket.socket] = []
         self._writers: set[asyncio.StreamWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
         self._thread = threading.Thread(target=self._run, daemon=True)
 
+    @property
+    def address(self) -> str:
+        """Return the address of the proxy before the first server."""
+        return self.addresses[self._servers[0]]
+
     def __enter__(self) -> 'Proxy':
-        """Listen on a free loopback port and start the thread."""
-        asyncio.set_event_loop(self._loop)
-        start_coroutine = asyncio.start_server(self._serve, '127.0.0.1', 0)
-        self._server = self._loop.run_until_complete(start_coroutine)
-        port = self._server.sockets[0].getsockname()[1]
-        self.address = f'127.0.0.1:{port}'
-        asyncio.set_event_loop(None)
+        """Listen on free loopback ports and start the thread."""
+        for server in self._servers:
+            listening = self._listen(0)
+            port = listening.getsockname()[1]
+            self.addresses[server] = f'127.0.0.1:{port}'
         self._thread.start()
+        self._call(self._start_accepting)
         return self
 
     def __exit__(self, *_: object) -> None:
-        """Stop the event loop and end the thread."""
+        """Close all connections and end the thread."""
+        self._call(self._close)
+        for listening in self._sockets.values():
+            listening.close()
         self._loop.call_soon_threadsafe(self._loop.stop)
         self._thread.join()
 
+    def _close(self) -> None:
+        self._stop_accepting()
+        self._abort_connections()
+        for task in self._tasks:
+            task.cancel()
+
+    def _abort_connections(self) -> None:
+        for writer in self._writers:
+            transport: typing.Any = writer.transport
+            transport.abort()
+
     def _run(self) -> None:
         asyncio.set_event_loop(self._loop)
         self._loop.run_forever()
 
+    def _call(self, action: typing.Callable[[], None]) -> None:
+        """Run an action on the proxy's thread and wait for its end."""
+
+        async def run() -> None:
+            action()
+
+        asyncio.run_coroutine_threadsafe(run(), self._loop).result()
+
+    def _listen(self, port: int) -> socket.socket:
+        listening = socket.socket()
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind(('127.0.0.1', port))
+        listening.listen(128)
+        listening.setblocking(False)
+        return self._sockets.setdefault(self._find_server(port), listening)
+
+    def _find_server(self, port: int) -> str:
+        for server, address in self.addresses.items():
+            if address.endswith(f':{port}'):
+                return server
+        return self._servers[len(self._sockets)]
+
     def set_mode(self, mode: str) -> None:
-        """Set the mode; `reset` aborts the open connections at once."""
+        """Set the mode, for open connections too."""
+        self._call(lambda: self._set_mode(mode))
+
+    def _set_mode(self, mode: str) -> None:
+        self._stop_accepting()
         self.mode = mode
-        if mode == 'reset':
-            self._loop.call_soon_threadsafe(self._reset_all)
+        if mode in ('reset', 'cut'):
+            self._abort_connections()
+        if mode in ('refuse', 'cut'):
+            self._close_sockets()
+        elif mode == 'hang':
+            self._fill_queues()
+        else:
+            self._start_accepting()
 
-    def _reset_all(self) -> None:
-        for writer in self._writers:
-            transport: typing.Any = writer.transport
-            transport.abort()
+    def _close_sockets(self) -> None:
+        for listening in self._sockets.values():
+            listening.close()
+        self._sockets.clear()
 
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        host, _, port = self._store_address.rpartition(':')
+    def _reopen_sockets(self) -> None:
+        for address in self.addresses.values():
+            self._listen(int(address.rpartition(':')[2]))
+
+    def _fill_queues(self) -> None:
+        self._close_sockets()
+        self._reopen_sockets()
+        for listening in self._sockets.values():
+            listening.listen(0)
+            for _ in range(FILLER_CONNECTIONS):
+                filler = socket.socket()
+                filler.setblocking(False)
+                filler.connect_ex(listening.getsockname())
+                self._fillers.append(filler)
+
+    def _start_accepting(self) -> None:
+        if self._fillers or not self._sockets:
+            self._close_sockets()
+            self._reopen_sockets()
+        for filler in self._fillers:
+            filler.close()
+        self._fillers.clear()
+        for server, listening in self._sockets.items():
+            task = self._loop.create_task(self._accept(server, listening))
+            self._acceptors.append(task)
+
+    def _stop_accepting(self) -> None:
+        for task in self._acceptors:
+            task.cancel()
+        self._acceptors.clear()
+
+    async def _accept(self, server: str, listening: socket.socket) -> None:
+        while True:
+            accepted, _ = await self._loop.sock_accept(listening)
+            task = self._loop.create_task(self._serve(server, accepted))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _serve(self, server: str, accepted: socket.socket) -> None:
+        reader, writer = await asyncio.open_connection(sock=accepted)
+        host, _, port = server.rpartition(':')
         try:
             upstream = await asyncio.open_connection(host, int(port))
         except OSError:
@@ -83,7 +184,7 @@
             while data := await reader.read(CHUNK_BYTES):
                 if self.mode == 'delay':
                     await asyncio.sleep(DELAY_SECONDS)
-                while self.mode == 'silent' or (
+                while self.mode in ('silent', 'hang') or (
                     self.mode == 'one_way' and is_response
                 ):
                     await asyncio.sleep(DELAY_SECONDS)
