Send calls through other hosts while this host reaches no target

Cause: a host used its own path to a target or none. Class: a part of the fleet that fails whole where its neighbour holds what it lacks. Made worse by three more effects of the same loss: connects that hang took 1 s for each target tried, calls that hang counted as load so that admission refused others, and a refused connect counted as a crash of the target by the request. Change: when probes show that no target accepts a connection, calls go through hosts that do, over the peer port, each accepted by the other host before anything can run; that host keeps what targets have told it, sends only by its own connections (no circles) and relays 256 calls at most. Calls that may run again and hang are given up 0.5 s after the loss; failures of that time are forgotten.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -10,12 +10,14 @@
 from pistachioseam.forwarding import contacts
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import relays
 from pistachioseam.forwarding import rollouts
 from pistachioseam.forwarding import router as routers
 from pistachioseam import interfaces
 from pistachioseam import membership
 from pistachioseam_entry import peer_messages
 from pistachioseam_entry import permit_exchange
+from pistachioseam_entry import relay_service
 from pistachioseam_entry import status_messages
 from pistachioseam_peer import clients
 from pistachioseam_peer import envelopes
@@ -97,8 +99,17 @@
         rollout: rollouts.Rollout,
         store: ports.Platform,
         confirmer: confirmations.Confirmer,
+        relay_service: relay_service.RelayService | None = None,
     ) -> None:
         self.members = membership.Members(own, router.runtime, router.sink)
+        self.relay_peers = relays.RelayPeers(
+            own,
+            router.topology,
+            router.random,
+            self.members.list_alive,
+            self.members.list_known,
+        )
+        self._relay_service = relay_service
         self.rejected_messages = 0
         self._router = router
         self._rollout = rollout
@@ -264,6 +275,9 @@
             self._handle_request,
             self._handle_message,
             self._handle_rejection,
+            self._relay_service.serve
+            if self._relay_service
+            else servers.refuse_relay,
         )
         host, _, port = self.members.own.address.rpartition(':')
         await self._server.start(host, int(port))
@@ -524,7 +538,7 @@
             return
         if self.members.own.name in [peer.name for peer in status.leaders]:
             self._received_at[sender.name] = self._router.runtime.now()
-        self._statuses.apply_host_status(sender.name, status)
+        self._apply_host_status(sender.name, status)
         self._apply_reports(status)
         if (
             self._contacts.is_leader
@@ -532,6 +546,19 @@
         ):
             self._relay(message)
 
+    def _apply_host_status(
+        self, name: str, status: messages_pb2.HostStatus
+    ) -> None:
+        self._statuses.apply_host_status(name, status)
+        if not status.is_partial:
+            self.relay_peers.record_status(
+                name, status.reaches_no_target, self._router.runtime.now()
+            )
+
+    def get_relay_link(self) -> clients.PeerClient | None:
+        """Return the client by which calls are relayed, None at first."""
+        return self._client
+
     def _apply_reports(self, status: messages_pb2.HostStatus) -> None:
         """Apply the statuses of other hosts that the leader has relayed."""
         self._announced_hosts = max(self._announced_hosts, status.known_hosts)
@@ -540,9 +567,7 @@
                 self.members.record_heartbeat(
                     peer_messages.decode_peer(report.sender)
                 )
-                self._statuses.apply_host_status(
-                    report.sender.name, report.status
-                )
+                self._apply_host_status(report.sender.name, report.status)
         self.members.add_discovered(
             peer_messages.decode_peer(leader) for leader in status.leaders
         )
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -45,6 +45,8 @@
 from pistachioseam_entry import measured_store
 from pistachioseam_entry import metrics
 from pistachioseam_entry import reactors
+from pistachioseam_entry import relay_client
+from pistachioseam_entry import relay_service
 from pistachioseam_entry import routed_connections
 from pistachioseam_entry import runtime
 from pistachioseam_entry import target_connections
@@ -76,11 +78,17 @@
 weights were named."""
 
 
+class Codec(
+    call_listener.CallDecoder, relay_client.HeadDecoder, typing.Protocol
+):
+    """Wire format of callers' requests and of targets' responses."""
+
+
 @attrs.frozen(kw_only=True)
 class Adapter:
     """Access to one platform: wire format, connections, store and engines."""
 
-    codec: call_listener.CallDecoder
+    codec: Codec
     connections: target_connections.ConnectionPool
     store: ports.Platform
     engines: ports.EngineControl
@@ -148,9 +156,10 @@
         self.runtime = runtime.AsyncioRuntime(self.sink)
         self.lifecycle = lifecycle.create_lifecycle(self.sink)
         self.connections = adapter.connections
+        self._random = runtime.SystemRandom()
         self.paths = paths.TargetPaths(
             self.runtime,
-            runtime.SystemRandom(),
+            self._random,
             self.sink,
             lambda: [t.address for t in self.router.catalog.list_all()],
             self.connections.is_reachable,
@@ -158,11 +167,16 @@
         store = measured_store.MeasuredStore(
             adapter.store, self.metrics, self.runtime
         )
-        self.router = self._create_router(store)
+        own_peer = self._create_own_peer()
+        self.router = self._create_router(store, own_peer, adapter.codec)
+        self.paths.add_listener(self._handle_paths_change)
         set_weights_limits(self.router, options.bounds)
         self.listener = call_listener.CallListener(
             self.router, adapter.codec, self.metrics
         )
+        self.relay_service = relay_service.RelayService(
+            self.router, self.paths, self.connections
+        )
         self.desired_watch = watches.DesiredWatch(self.router, store)
         self.targets_watch = watches.TargetsWatch(self.router, store)
         self.rollout = rollouts.Rollout(
@@ -178,7 +192,7 @@
             lambda domain: self.peers.is_region_leader(domain),
         )
         self.peers = call_peers.CallPeers(
-            self._create_own_peer(),
+            own_peer,
             self.router,
             self.rollout,
             store,
@@ -187,6 +201,7 @@
                 self.targets_watch.progress,
                 read_boot_clock,
             ),
+            self.relay_service,
         )
         self.follower = confirmations.Follower(
             self.desired_watch,
@@ -213,9 +228,11 @@
         )
         self._ports: list[typing.Any] = []
 
-    def _create_router(self, store: ports.Platform) -> routers.CallRouter:
+    def _create_router(
+        self, store: ports.Platform, own: membership.Peer, codec: Codec
+    ) -> routers.CallRouter:
         options = self.settings
-        random = runtime.SystemRandom()
+        random = self._random
         desired = known_versions.DesiredStateCache(self.sink)
         targets = catalog.TargetCatalog(self.sink)
         return routers.CallRouter(
@@ -224,8 +241,12 @@
             random=random,
             sink=self.sink,
             connections=routed_connections.RoutedConnections(
-                self.connections, self.paths
+                self.connections,
+                self.paths,
+                self._create_relay_client(own, codec),
+                self.runtime,
             ),
+            is_cut_off=self.paths.is_lost,
             topology=links.Topology(
                 domain=options.host.domain, regions=options.regions
             ),
@@ -268,6 +289,29 @@
             ),
         )
 
+    def _create_relay_client(
+        self, own: membership.Peer, codec: Codec
+    ) -> relay_client.RelayClient:
+        return relay_client.RelayClient(
+            own,
+            lambda: self.peers.relay_peers,
+            self.runtime,
+            self.sink,
+            codec,
+            lambda: self.peers.get_relay_link(),
+            lambda call: (
+                not call.account
+                or self.router.freshness.can_verify_keys(read_boot_clock())
+            ),
+        )
+
+    def _handle_paths_change(self) -> None:
+        """Forget what calls have shown of targets that were out of reach."""
+        self.router.health.forget_failures()
+        if self.paths.is_lost():
+            self.router.loads.finish_prefills()
+        self.peers.send_status()
+
     def _create_lease(self) -> leases.Lease:
         return leases.Lease(
             holder=self.settings.host.name,
@@ -277,7 +321,7 @@
 
     def _create_own_peer(self) -> membership.Peer:
         host = self.settings.host
-        token = self.router.random.token()
+        token = self._random.token()
         return membership.Peer(
             name=host.name,
             incarnation=f'{host.name}:{token}',
@@ -420,12 +464,15 @@
         """
         self.lifecycle.drain()
         self.listener.is_draining = True
+        self.relay_service.is_refusing = True
         seconds = self.settings.bounds.shutdown_seconds - EXIT_RESERVE_SECONDS
         try:
             async with asyncio.timeout(seconds):
                 await asyncio.sleep(BALANCER_REACTION_SECONDS)
                 self.listener.is_refusing_calls = True
-                while self.listener.active_requests:
+                while (
+                    self.listener.active_requests or self.relay_service.active
+                ):
                     await asyncio.sleep(DRAIN_CHECK_SECONDS)
                 await self.peers.leave()
         except TimeoutError:
--- /dev/null
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_messages.py
@@ -0,0 +1,106 @@
+"""Conversion of relayed calls to and from Protocol Buffers messages."""
+
+from pistachioseam.forwarding import ports
+from pistachioseam import interfaces
+from pistachioseam_peer.generated import messages_pb2
+
+MS_PER_SECOND = 1000.0
+NO_IDLE_LIMIT = float('inf')
+
+
+def encode_request(call: ports.OutgoingCall) -> messages_pb2.RelayRequest:
+    """Return a call to a target as a `RelayRequest` message."""
+    request = messages_pb2.RelayRequest(
+        incarnation=call.incarnation,
+        request_id=call.request_id,
+        method=call.method,
+        uri=call.uri,
+        headers=_encode_headers(call.headers),
+        body=call.body,
+        time_left_ms=max(0, int(call.seconds_left * MS_PER_SECOND)),
+        account=call.account,
+        cache_salt=call.cache_salt,
+        weights_version=call.weights_version,
+        priority=call.priority,
+        fetch_from=call.fetch_from,
+        save_to=call.save_to,
+        after_event=call.after_event,
+    )
+    if call.max_idle_seconds != NO_IDLE_LIMIT:
+        request.max_idle_ms = int(call.max_idle_seconds * MS_PER_SECOND)
+    return request
+
+
+def decode_request(
+    request: messages_pb2.RelayRequest, waited_seconds: float
+) -> ports.OutgoingCall:
+    """Return the call of a `RelayRequest` that has waited for some seconds."""
+    seconds_left = request.time_left_ms / MS_PER_SECOND - waited_seconds
+    max_idle_seconds = NO_IDLE_LIMIT
+    if request.HasField('max_idle_ms'):
+        max_idle_seconds = request.max_idle_ms / MS_PER_SECOND
+    has_version = request.HasField('weights_version')
+    has_priority = request.HasField('priority')
+    return ports.OutgoingCall(
+        request_id=request.request_id,
+        method=request.method,
+        uri=request.uri,
+        headers=decode_headers(request.headers),
+        body=request.body,
+        seconds_left=seconds_left,
+        incarnation=request.incarnation,
+        account=request.account,
+        cache_salt=request.cache_salt,
+        weights_version=request.weights_version if has_version else None,
+        priority=request.priority if has_priority else None,
+        fetch_from=request.fetch_from,
+        save_to=request.save_to,
+        after_event=request.after_event,
+        max_idle_seconds=max_idle_seconds,
+    )
+
+
+def encode_head(response: ports.OpenResponse) -> messages_pb2.RelayHead:
+    """Return the head of a target's response as a `RelayHead` message."""
+    return messages_pb2.RelayHead(
+        status=response.head.status,
+        headers=_encode_headers(response.head.headers),
+        declared_bytes=response.declared_bytes,
+    )
+
+
+def encode_failure(
+    failure: interfaces.CallFailure,
+) -> messages_pb2.RelayFailure:
+    """Return the failure of a relayed call as a `RelayFailure` message."""
+    return messages_pb2.RelayFailure(
+        kind=failure.kind.value, detail=failure.detail
+    )
+
+
+def decode_failure(
+    failure: messages_pb2.RelayFailure,
+) -> interfaces.CallFailure:
+    """Return the failure of a relayed call.
+
+    One of an unknown kind may have run.
+    """
+    try:
+        kind = interfaces.FailureKind(failure.kind)
+    except ValueError:
+        kind = interfaces.FailureKind.BROKEN
+    return interfaces.CallFailure(kind, f'relayed: {failure.detail}')
+
+
+def _encode_headers(
+    headers: ports.HeaderPairs,
+) -> list[messages_pb2.HeaderPair]:
+    return [
+        messages_pb2.HeaderPair(name=name, value=value)
+        for name, value in headers
+    ]
+
+
+def decode_headers(headers: object) -> ports.HeaderPairs:
+    """Return the headers of a message as pairs."""
+    return tuple((pair.name, pair.value) for pair in headers)  # type: ignore
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/status_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/status_messages.py
@@ -65,7 +65,9 @@
         self, is_handshake: bool = False
     ) -> messages_pb2.HostStatus:
         """Return this host's status; in a handshake with all suspects."""
-        status = messages_pb2.HostStatus()
+        status = messages_pb2.HostStatus(
+            reaches_no_target=self._router.is_cut_off()
+        )
         _add_loads(status, self._router.loads.get_own_loads())
         self._add_observations(status, is_handshake)
         for name, born_ms in self._rollout.loading:
--- a/packages/pistachioseam-peer/src/pistachioseam_peer/clients.py
+++ b/packages/pistachioseam-peer/src/pistachioseam_peer/clients.py
@@ -2,9 +2,11 @@
 
 import asyncio
 from collections import abc
+import contextlib
 
 import attrs
 from grpclib import client
+from grpclib import config
 from returns import pipeline
 from returns import result
 
@@ -17,6 +19,20 @@
 """Further messages to a peer that reads too slowly are dropped."""
 
 
+RELAY_CONFIGURATION = config.Configuration(
+    http2_connection_window_size=4_194_304, http2_stream_window_size=262_144
+)
+"""Bytes that a host buffers of one relayed response, and of all through one
+other host."""
+
+
+def _open_connection(
+    address: str, configuration: config.Configuration | None = None
+) -> client.Channel:
+    host, _, port = address.rpartition(':')
+    return client.Channel(host.strip('[]'), int(port), config=configuration)
+
+
 @attrs.define
 class Traffic:
     """One-way messages to peers.
@@ -69,10 +85,62 @@
             return
 
 
+class ClientRelayStream:
+    """Client's end of the stream of a relayed call.
+
+    `close` ends it; the other host then cancels the call unless it has ended.
+    """
+
+    def __init__(self, connection: client.Channel, secret: bytes) -> None:
+        self._secret = secret
+        self._stream = messages_grpc.PeerStub(connection).Relay.open()
+        self._is_entered = False
+        self._closing: asyncio.Future[None] | None = None
+
+    async def send(self, message: messages_pb2.Message) -> None:
+        """Send a message; raises an exception if the stream is broken."""
+        if not self._is_entered:
+            await self._stream.__aenter__()
+            self._is_entered = True
+        envelope = envelopes.create_envelope(
+            self._secret, message, servers.get_now_ms()
+        )
+        await self._stream.send_message(envelope)
+
+    async def receive(self) -> messages_pb2.Message | None:
+        """Return the next message, None at the end.
+
+        Raises an exception if the stream is broken or a message not authentic.
+        """
+        envelope = await self._stream.recv_message()
+        if envelope is None:
+            return None
+        opened = envelopes.open_envelope(
+            self._secret, envelope, servers.get_now_ms()
+        )
+        if not pipeline.is_successful(opened):
+            raise ValueError(opened.failure().value)
+        return opened.unwrap()
+
+    def close(self) -> None:
+        """End the stream in the background."""
+        if self._is_entered and self._closing is None:
+            self._closing = asyncio.ensure_future(self._close())
+
+    async def _close(self) -> None:
+        # The stream may have ended or broken before; then nothing is left to
+        # cancel.
+        with contextlib.suppress(Exception):
+            await self._stream.cancel()
+        with contextlib.suppress(Exception):
+            await self._stream.__aexit__(None, None, None)
+
+
 class PeerClient:
     """Connections to other hosts by address, `IP:port`.
 
-    `secret` authenticates the messages; it may be replaced.
+    `secret` authenticates the messages; it may be replaced. Relayed calls have
+    connections of their own, so that they do not delay statuses.
     """
 
     def __init__(self, secret: bytes) -> None:
@@ -80,6 +148,7 @@
         self._traffic = Traffic()
         self._connections: dict[str, client.Channel] = {}
         self._streams: dict[str, _MessageStream] = {}
+        self._relay_connections: dict[str, client.Channel] = {}
 
     def take_traffic(self) -> Traffic:
         """Return the one-way messages since the last call."""
@@ -97,6 +166,23 @@
         """Close all connections."""
         for address in list(self._connections):
             self.disconnect(address)
+        for connection in self._relay_connections.values():
+            connection.close()
+
+    def open_relay(self, address: str) -> ClientRelayStream:
+        """Return a new stream to relay a call through a host."""
+        connection = self._relay_connections.get(address)
+        if connection is None:
+            connection = self._relay_connections[address] = _open_connection(
+                address, RELAY_CONFIGURATION
+            )
+        return ClientRelayStream(connection, self.secret)
+
+    def disconnect_relay(self, address: str) -> None:
+        """Close the connection for relayed calls to an address."""
+        connection = self._relay_connections.pop(address, None)
+        if connection is not None:
+            connection.close()
 
     def disconnect(self, address: str) -> None:
         """Close the connection to an address; the next message reopens it."""
@@ -110,8 +196,7 @@
     def _get_connection(self, address: str) -> client.Channel:
         connection = self._connections.get(address)
         if connection is None:
-            host, _, port = address.rpartition(':')
-            connection = client.Channel(host.strip('[]'), int(port))
+            connection = _open_connection(address)
             self._connections[address] = connection
         return connection
 
--- a/packages/pistachioseam-peer/src/pistachioseam_peer/servers.py
+++ b/packages/pistachioseam-peer/src/pistachioseam_peer/servers.py
@@ -22,6 +22,50 @@
 RejectionHandler: typing.TypeAlias = abc.Callable[[envelopes.Rejection], None]
 
 
+class RelayStream(typing.Protocol):
+    """Messages of one relayed call, to and from the other host."""
+
+    async def send(self, message: messages_pb2.Message) -> None:
+        """Send a message, waiting while the other host reads too slowly."""
+
+    async def receive(self) -> messages_pb2.Message | None:
+        """Return the next message, None at the end of the stream."""
+
+
+RelayHandler: typing.TypeAlias = abc.Callable[
+    [RelayStream], abc.Awaitable[None]
+]
+
+
+async def refuse_relay(stream: RelayStream) -> None:
+    """Refuse to relay any call."""
+    raise grpclib.GRPCError(const.Status.UNIMPLEMENTED, 'no relay')
+
+
+class _ServerRelayStream:
+    """Server's end of the stream of a relayed call."""
+
+    def __init__(self, stream: typing.Any, server: 'PeerServer') -> None:
+        self._stream = stream
+        self._server = server
+        self._secret = b''
+
+    async def send(self, message: messages_pb2.Message) -> None:
+        """Send a message with the secret of the last one received."""
+        envelope = envelopes.create_envelope(
+            self._secret, message, get_now_ms()
+        )
+        await self._stream.send_message(envelope)
+
+    async def receive(self) -> messages_pb2.Message | None:
+        """Return the next authentic message, None at the end."""
+        envelope = await self._stream.recv_message()
+        if envelope is None:
+            return None
+        message, self._secret = self._server.open_envelope(envelope)
+        return message
+
+
 def get_now_ms() -> int:
     """Return the current Unix time in milliseconds."""
     return time.time_ns() // 1_000_000
@@ -32,7 +76,7 @@
 
     `handle_request` returns the response to a message, `handle_message`
     processes a one-way message, `handle_rejection` gets the reason of a
-    rejection.
+    rejection, `handle_relay` the stream of a call to relay.
     """
 
     def __init__(
@@ -41,11 +85,13 @@
         handle_request: RequestHandler,
         handle_message: MessageHandler,
         handle_rejection: RejectionHandler,
+        handle_relay: RelayHandler = refuse_relay,
     ) -> None:
         self._secrets = [secret]
         self._handle_request = handle_request
         self._handle_message = handle_message
         self._handle_rejection = handle_rejection
+        self._handle_relay = handle_relay
         self._server = server.Server([self])
 
     def add_secret(self, secret: bytes) -> None:
@@ -65,7 +111,7 @@
 
     async def Exchange(self, stream: typing.Any) -> None:  # noqa: N802
         """Respond to one message."""
-        message, secret = self._open_envelope(await stream.recv_message())
+        message, secret = self.open_envelope(await stream.recv_message())
         response = await self._handle_request(message)
         envelope = envelopes.create_envelope(secret, response, get_now_ms())
         await stream.send_message(envelope)
@@ -73,10 +119,14 @@
     async def Tell(self, stream: typing.Any) -> None:  # noqa: N802
         """Handle one-way messages until the peer ends the stream."""
         async for envelope in stream:
-            self._handle_message(self._open_envelope(envelope)[0])
+            self._handle_message(self.open_envelope(envelope)[0])
         await stream.send_message(messages_pb2.Envelope())
 
-    def _open_envelope(
+    async def Relay(self, stream: typing.Any) -> None:  # noqa: N802
+        """Relay a call until the other host resets the stream."""
+        await self._handle_relay(_ServerRelayStream(stream, self))
+
+    def open_envelope(
         self, envelope: messages_pb2.Envelope
     ) -> tuple[messages_pb2.Message, bytes]:
         """Return the message and its secret.
--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -135,6 +135,13 @@
         'stream not resumed: the software version that began it is not known',
     )
     INTERNAL_ERROR = EventKind(399, Level.ERROR, 'internal error')
+    CALL_RELAYED = EventKind(317, Level.INFO, 'call sent through another host')
+    RELAY_REFUSED = EventKind(
+        318, Level.WARNING, 'another host does not relay a call'
+    )
+    CALL_SENT_FOR_PEER = EventKind(
+        319, Level.INFO, 'call of another host sent to a target'
+    )
     CLAIM_DROPPED = EventKind(
         401,
         Level.WARNING,
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -411,6 +411,7 @@
         max_idle_seconds=float('inf')
         if call.is_retryable()
         else NON_RETRYABLE_MAX_IDLE_SECONDS,
+        is_retryable=call.is_retryable(),
         after_event=call.head.after_event
         if last_event_id is None
         else (str(last_event_id)),
--- a/packages/pistachioseam/src/pistachioseam/forwarding/loads.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/loads.py
@@ -121,6 +121,15 @@
         work.has_first_byte = True
         self._own.pop(work.target, None)
 
+    def finish_prefills(self) -> None:
+        """Record that no byte of the calls in flight will tell of them.
+
+        The targets prefill them all the same, so they soon cause no more load.
+        """
+        for in_flight in self._in_flight.values():
+            for work in in_flight:
+                self.finish_prefill(work)
+
     def finish(self, work: InFlightWork) -> None:
         """Remove an ended call or transfer from the load of its target."""
         in_flight = self._in_flight.get(work.target, set())
--- a/packages/pistachioseam/src/pistachioseam/forwarding/paths.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/paths.py
@@ -85,15 +85,19 @@
         """Record that a call has got a response, or waits no longer."""
         self._waiting.pop(call, None)
 
-    async def check(self) -> bool:
-        """Return whether the path is lost, after a check unless it is recent.
+    def was_heard_since(self, time: float) -> bool:
+        """Return whether a target has sent bytes after a time."""
+        return self._heard_at > time
+
+    async def check(
+        self, max_age_seconds: float = CHECK_VALID_SECONDS
+    ) -> bool:
+        """Return whether the path is lost, by a check of no greater age.
 
         Called when a target did not accept a connection.
         """
         now = self._runtime.now()
-        if self._check is None and (
-            now - self._checked_at < CHECK_VALID_SECONDS
-        ):
+        if self._check is None and now - self._checked_at < max_age_seconds:
             return self.is_lost()
         await asyncio.shield(self._start_check())
         return self.is_lost()
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -53,6 +53,7 @@
     address of an engine or KV cache store from which the engine fetches
     missing KV cache, `save_to` that of the store to which it saves.
     `max_idle_seconds` bounds how long a reused connection may have been idle.
+    `is_retryable` is set if the call may run more than once.
     """
 
     request_id: str
@@ -70,6 +71,7 @@
     save_to: str = ''
     after_event: str = ''
     max_idle_seconds: float = float('inf')
+    is_retryable: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -42,6 +42,7 @@
     monotonic time until which other targets are preferred because this one
     rejected a call as busy. `restore_listeners` are called once when the
     platform's store has been restored from an older copy, in `store_era`.
+    `is_cut_off` returns whether this host reaches no target.
     `prefill_listeners` are called when a call makes
     an engine prefill tokens that other calls share.
     """
@@ -81,6 +82,7 @@
     slowdown_tracker: paces.SlowdownTracker = attrs.field(
         factory=paces.SlowdownTracker
     )
+    is_cut_off: abc.Callable[[], bool] = lambda: False
     prefill_listeners: list[abc.Callable[[], None]] = attrs.field(factory=list)
     rendezvous_hash: rendezvous.RendezvousHash = attrs.field(
         factory=rendezvous.RendezvousHash
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -275,6 +275,7 @@
     is_failed = failure is not None and failure.kind not in (
         Kind.WRONG_TARGET,
         Kind.OUTDATED,
+        Kind.PATH_LOST,
     )
     router.failure_tracker.record(name, is_failed, now)
     if failure is None or failure.kind is Kind.FAILED:
@@ -297,7 +298,7 @@
         router.slowdown_tracker.record(
             name, attempt.expected_seconds, now - attempt.started_at, now
         )
-    elif failure.kind is not Kind.WRONG_TARGET:
+    elif failure.kind not in (Kind.WRONG_TARGET, Kind.PATH_LOST):
         router.health.record_failure(name)
     if failure.kind is Kind.BROKEN:
         router.runtime.start(crashes.confirm_crash(call, router, attempt))
--- a/packages/pistachioseam/src/pistachioseam/health.py
+++ b/packages/pistachioseam/src/pistachioseam/health.py
@@ -160,6 +160,13 @@
             self._suspected.discard(target)
             self._sink.emit(events.Event.TARGET_RECOVERED, target=target)
 
+    def forget_failures(self) -> None:
+        """Forget all failures, as they were not those of the targets."""
+        self._health_by_target.clear()
+        for target in sorted(self._suspected):
+            self._sink.emit(events.Event.TARGET_RECOVERED, target=target)
+        self._suspected.clear()
+
     def is_suspected(self, target: str) -> bool:
         """Return whether the target is suspected or probing."""
         return target in self._suspected
--- a/packages/pistachioseam/src/pistachioseam/interfaces.py
+++ b/packages/pistachioseam/src/pistachioseam/interfaces.py
@@ -135,6 +135,9 @@
     OUTDATED = 'outdated'
     """Given up in the engine's queue, as its weights had become too old; the
     call may have run."""
+    PATH_LOST = 'path-lost'
+    """Given up as the host has no path to any target; the call may have run.
+    """
     BUSY = 'busy'
     """The target rejected the request; the call has not run."""
     WRONG_TARGET = 'wrong-target'
