Leave brittle targets alone after a rejection, and pace calls to them

Cause: the header was not known; each host met a full target for itself and sent a rejected call to up to three more. Class: as with the limits, a bound of the whole fleet that no host meets alone. Change: a rejection is told to all hosts with an id and a pause, 3/N seconds; then each host paces its calls to that target, lower by up to 0.6, 8 % a second more while none is rejected.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -26,7 +26,7 @@
 
 CACHE_UPDATE_DELAY_SECONDS = 0.02
 """Time for which updates of new prefills, and of streams that have begun, are
-batched for peers; also that of departures."""
+batched for peers; also that of targets that get no more calls."""
 RELAY_DELAY_SECONDS = 0.1
 """Time for which urgent statuses of one domain are batched for another."""
 HOST_LIST_POLL_SECONDS = 10.0
@@ -125,8 +125,8 @@
         self._begun_streams_timer = CoalescingTimer(
             runtime, CACHE_UPDATE_DELAY_SECONDS, self._send_direct_updates
         )
-        self._departures_timer = CoalescingTimer(
-            runtime, CACHE_UPDATE_DELAY_SECONDS, self._send_departures
+        self._urgent_timer = CoalescingTimer(
+            runtime, CACHE_UPDATE_DELAY_SECONDS, self._send_urgent_updates
         )
         self._inbound_relay_timer = CoalescingTimer(
             runtime, RELAY_DELAY_SECONDS, self._send_direct_updates
@@ -159,8 +159,9 @@
         self._router.prefill_listeners.append(self._schedule_cache_update)
         self._router.stream_origins.add_listener(self._schedule_begun_streams)
         self._router.catalog.add_departure_listener(
-            self._departures_timer.schedule
+            self._urgent_timer.schedule
         )
+        self._router.brittleness.add_listener(self._urgent_timer.schedule)
         self._router.restore_listeners.append(
             lambda: self._router.runtime.start(self.rewrite_entries())
         )
@@ -434,8 +435,8 @@
         if self._router.software.has_several():
             self._begun_streams_timer.schedule()
 
-    def _send_departures(self) -> None:
-        """Tell the direct peers and other domains which targets departed."""
+    def _send_urgent_updates(self) -> None:
+        """Tell the direct peers and other domains what cannot wait."""
         self._send_direct_updates()
         if self._contacts.remote_peers:
             self._send_relayed_updates()
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -12,6 +12,7 @@
 from twisted.web import server
 
 from pistachioseam import events
+from pistachioseam.forwarding import brittleness
 from pistachioseam.forwarding import budgets
 from pistachioseam.forwarding import cache_store_watches
 from pistachioseam.forwarding import catalog
@@ -282,6 +283,7 @@
                 count_hosts=lambda: self.peers.count_hosts(),
             ),
             rate_limits=rate_limits.RateLimits(self.sink),
+            brittleness=brittleness.BrittleTargets(self.sink, random),
             permits=rate_permits.PermitClient(
                 options.host.name,
                 self.runtime,
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/status_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/status_messages.py
@@ -6,6 +6,7 @@
 
 from collections import abc
 
+from pistachioseam.forwarding import brittleness
 from pistachioseam.forwarding import cache_store_watches
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import known_versions
@@ -93,10 +94,10 @@
         """Return a status without loads, to be sent between regular ones.
 
         For the domain it holds the relayed updates, for this host only the
-        departures until `add_updates`.
+        targets that get no more calls until `add_updates`.
         """
         status = messages_pb2.HostStatus(is_partial=True, is_domain=is_domain)
-        self._add_departures(status)
+        self._add_urgent(status)
         if is_domain:
             self._add_relayed(status)
             self._add_part_reports(status)
@@ -191,7 +192,7 @@
             )
         for name, born_ms in self._router.notices.list_recently_leaving(now):
             status.leaving.add(target=name, born_ms=born_ms)
-        self._add_departures(status)
+        self._add_urgent(status)
         max_age_seconds = (
             float('inf') if is_handshake else rate_limits.ANNOUNCE_SECONDS
         )
@@ -204,8 +205,17 @@
             if epoch is not None:
                 status.store_epochs.add(address=store.address, epoch=epoch)
 
-    def _add_departures(self, status: messages_pb2.HostStatus) -> None:
+    def _add_urgent(self, status: messages_pb2.HostStatus) -> None:
+        """Add the targets that peers must stop sending calls to."""
         now = self._router.runtime.now()
+        for full in self._router.brittleness.list_full(now):
+            name, born_ms = full.incarnation
+            status.full_targets.add(
+                target=name,
+                born_ms=born_ms,
+                pause_ms=int(full.pause_seconds * plans.MS_PER_SECOND),
+                rejection_id=full.rejection_id,
+            )
         for name, born_ms in self._router.catalog.list_recent_departures(now):
             status.leaving.add(target=name, born_ms=born_ms, is_listed=True)
 
@@ -293,6 +303,15 @@
                 self._router.catalog.record_departure(incarnation, now)
             else:
                 self._router.notices.record_leaving(incarnation, now)
+        for full in status.full_targets:
+            self._router.brittleness.merge(
+                brittleness.FullTarget(
+                    (full.target, full.born_ms),
+                    full.pause_ms / plans.MS_PER_SECOND,
+                    full.rejection_id,
+                ),
+                now,
+            )
         for begun in status.begun_streams:
             self._router.stream_origins.merge(
                 begun.keys, peer_messages.decode_origin(begun), now
--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -211,6 +211,15 @@
     TARGET_PATHS_BACK = EventKind(
         516, Level.INFO, 'this host reaches targets again'
     )
+    TARGETS_BRITTLE = EventKind(
+        517,
+        Level.WARNING,
+        'targets of a service changed how many calls a second they can reject'
+        ' before they crash',
+    )
+    TARGET_FULL = EventKind(
+        518, Level.INFO, 'brittle target rejected a call; it gets a pause'
+    )
     PEER_ALIVE = EventKind(
         601, Level.INFO, 'peer joined, returned or restarted'
     )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -59,7 +59,7 @@
         for target in router.catalog.list_service(call.service.name)
         if router.catalog.is_available(target)
         and router.notices.accepts_calls(target, now)
-        and not router.get_pause_seconds(target.get_incarnation(), now)
+        and not router.get_pause_seconds(target, now)
         and _fits_stream(call, router, target)
     ]
     ready = _filter_by_weights(call, router, ready)
@@ -110,7 +110,7 @@
     assert call.service is not None
     now = router.runtime.now()
     pauses = [
-        router.get_pause_seconds(target.get_incarnation(), now)
+        router.get_pause_seconds(target, now)
         for target in router.catalog.list_service(call.service.name)
         if router.catalog.is_available(target)
     ]
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -85,8 +85,9 @@
     incarnation that responded instead of the expected one. `is_leaving` is set
     if the target states that it leaves. `retry_after_seconds` is the time for
     which the target wants no requests, `max_request_rate` the number of
-    requests a second that it takes from all hosts together: None if it states
-    none, not a number (NaN) if the value is malformed.
+    requests a second that it takes from all hosts together, `max_rejections`
+    the number of requests that it can reject in a second before it crashes:
+    None if it states none, not a number (NaN) if the value is malformed.
     """
 
     status: int
@@ -100,6 +101,7 @@
     is_leaving: bool = False
     retry_after_seconds: float | None = None
     max_request_rate: float | None = None
+    max_rejections: float | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -1,11 +1,13 @@
 """State and ports that the filters of forwarded calls use."""
 
 from collections import abc
+import typing
 
 import attrs
 
 from pistachioseam import events
 from pistachioseam import filter_chains
+from pistachioseam.forwarding import brittleness
 from pistachioseam.forwarding import budgets
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import catalog
@@ -29,6 +31,9 @@
 from pistachioseam import quarantine
 
 
+Target: typing.TypeAlias = catalog.LiveTarget
+
+
 @attrs.define(kw_only=True)
 class CallRouter:
     """State and ports with which one host routes forwarded calls.
@@ -68,6 +73,7 @@
     notices: notices.TargetNotices
     rate_limits: rate_limits.RateLimits
     permits: rate_permits.PermitClient
+    brittleness: brittleness.BrittleTargets
     stream_origins: stream_origins.StreamOrigins
     software: software_versions.SoftwareVersions
     max_weights_lag_seconds: float = float('inf')
@@ -123,21 +129,27 @@
         now = self.runtime.now()
         self.notices.record(incarnation, notices.read_notice(head), now)
         self.rate_limits.record_response(incarnation, received, now)
+        if target is not None:
+            self.brittleness.record_response(target, received, now)
 
     def forget_incarnation(self, incarnation: tuple[str, int]) -> None:
         """Drop what an incarnation that has ended has said."""
         self.notices.forget(incarnation)
         self.rate_limits.forget(incarnation)
         self.permits.forget(incarnation)
+        self.brittleness.forget(incarnation)
 
-    def get_pause_seconds(
-        self, incarnation: tuple[str, int], now: float
-    ) -> float:
+    def get_pause_seconds(self, target: Target, now: float) -> float:
         """Return for how long a target takes no calls of this host, 0 if any.
 
-        It has asked for a pause, or this host has no permit under its limit.
+        It has asked for a pause, it is brittle and full, or this host has no
+        permit under its limit.
         """
-        pause_seconds = self.notices.get_pause_seconds(incarnation, now)
+        incarnation = target.get_incarnation()
+        pause_seconds = max(
+            self.notices.get_pause_seconds(incarnation, now),
+            self.brittleness.get_pause_seconds(target, now),
+        )
         if self.rate_limits.get(incarnation) is None:
             return pause_seconds
         return max(
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -227,6 +227,7 @@
         ),
     )
     router.health.record_sent(target.name)
+    router.brittleness.record_sent(target, now)
     failure = await delivery_.forward_to(target)
     attempt.failure = failure.kind.value if failure else ''
     record_attempt_result(call, router, attempt, failure)
--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from pistachioseam import events
+from pistachioseam.forwarding import brittleness
 from pistachioseam.forwarding import budgets
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import catalog
@@ -373,6 +374,7 @@
                 self.row_store,
             ),
             rate_limits=rate_limits.RateLimits(self.sink),
+            brittleness=brittleness.BrittleTargets(self.sink, SeededRandom()),
             permits=rate_permits.PermitClient(
                 'host', self.runtime, self._issue_permit
             ),
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -173,6 +173,15 @@
         case.assertTrue(math.isnan(decode(odd) or 0.0), odd)
 
 
+def test_brittleness_of_a_response_is_decoded(case: support.Case) -> None:
+    """Rejections a second, NaN if malformed, None without the header."""
+    codec = headers.HeaderCodec()
+    for value, expected in ((b'4', 4.0), (b'0.5', 0.5), (b'x', math.nan)):
+        head = codec.decode_response(503, ((b'server-brittle', value),))
+        case.assertEqual(str(expected), str(head.max_rejections))
+    case.assertIsNone(codec.decode_response(200, ()).max_rejections)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
