Soak: cut hosts off all servers; say what TCP_USER_TIMEOUT decides

The user timeout also decides when keepalive probes give up, whatever their count, so the count that we set had no effect; 2.5 s is above the second or so for which a sound server may be silent. Change: the count is gone, a test holds the timeout; the soak cuts up to all hosts off the servers, with channels that hang, are reset or live on, for up to 4 s.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -45,12 +45,11 @@
 MAX_HEAD_BYTES = 65_536
 """Longest head of a response, interim responses (1xx) included."""
 USER_TIMEOUT_MS = 2_500
-"""`TCP_USER_TIMEOUT`: the kernel closes a connection whose sent data has not
-been acknowledged for this long."""
+"""`TCP_USER_TIMEOUT`: the kernel closes a connection whose sent data, or
+keepalive probes, have not been acknowledged for this long; the number of
+probes has no effect then. A sound target may be silent for a second or so."""
 KEEPALIVE_SECONDS = 1
 """Silence before the first TCP keepalive probe, and probe interval."""
-KEEPALIVE_PROBES = 2
-"""Unanswered keepalive probes after which a connection is closed."""
 
 Kind = interfaces.FailureKind
 
@@ -177,7 +176,6 @@
         (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
         (socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS),
         (socket.TCP_KEEPINTVL, KEEPALIVE_SECONDS),
-        (socket.TCP_KEEPCNT, KEEPALIVE_PROBES),
     ):
         handle.setsockopt(socket.IPPROTO_TCP, option, value)
 
--- a/tests/entry/test_target_connections.py
+++ b/tests/entry/test_target_connections.py
@@ -22,6 +22,8 @@
 HEAD = b'HTTP/1.1 200 OK\r\nX-Pistachioseam-Request-Id: 1\r\n'
 RESPONSE = HEAD + b'Content-Length: 2\r\n\r\nok'
 TEST_TIMEOUT_SECONDS = 10.0
+MAX_SILENCE_MS = 2000
+"""A sound target may be silent for a second or so."""
 
 
 class FakeTarget:
@@ -292,6 +294,26 @@
     run(work)
 
 
+def test_target_that_is_silent_for_a_while_is_waited_for(
+    case: support.Case,
+) -> None:
+    """The limits of the kernel are above a sound target's silence."""
+
+    async def work() -> None:
+        async with FakeTarget(RESPONSE) as target:
+            with target_connections.ConnectionPool(
+                headers.HeaderCodec()
+            ) as pool:
+                connected = await pool.connect(target.address)
+                handle = connected.unwrap().transport.getHandle()
+                user_timeout_ms = handle.getsockopt(
+                    socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
+                )
+                case.assertGreaterEqual(user_timeout_ms, MAX_SILENCE_MS)
+
+    run(work)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -18,6 +18,7 @@
 from tests.soak import proxies
 
 MAX_FREEZE_SECONDS = 1.5
+MAX_PARTITION_SECONDS = 4.0
 MAX_COPY_AGE_SECONDS = 1.5
 STORE_MODES = ('busy', 'silent', 'lose', 'forget', 'none', 'none')
 """Modes of the store stand-in; `none` is repeated to be likelier."""
@@ -209,6 +210,20 @@
     host.process.send_signal(signal.SIGCONT)
 
 
+@register
+def partition_hosts(context: FaultContext) -> None:
+    """Cut some hosts off all servers for up to `MAX_PARTITION_SECONDS`."""
+    paths = context.fleet.paths
+    count = context.random.randint(1, len(paths))
+    mode = context.random.choice(proxies.PARTITION_MODES)
+    cut = context.random.sample(paths, count)
+    for path in cut:
+        path.set_mode(mode)
+    time.sleep(context.random.random() * MAX_PARTITION_SECONDS)
+    for path in cut:
+        path.set_mode('pass')
+
+
 @register
 def reload_host(context: FaultContext) -> None:
     """SIGHUP a host, so that it reads its settings again.
@@ -294,5 +309,5 @@
 def clear_faults(running: SoakFleet) -> None:
     """End the fault modes of the store and the proxies."""
     running.set_store_fault('none')
-    for proxy in running.proxies:
+    for proxy in (*running.proxies, *running.paths):
         proxy.set_mode('pass')
