Leave the lease to others while this host reaches no target

The holder of the lease for weights orders reaches no engine but the store, so it went on renewing the lease and no other host could order. Change: a host without a path neither renews nor takes the lease. Hosts that were not heard of lately now come after all others when a relay is chosen, as they may be lost; before, a loaded host was passed over for a dead one.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/relays.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/relays.py
@@ -14,21 +14,17 @@
 from pistachioseam import links
 from pistachioseam import membership
 
+NEVER = float('-inf')
 MAX_HOSTS_TRIED = 3
 """Hosts that are asked to relay one call before it is refused."""
 STATUS_EXPIRY_SECONDS = 2.0
 """Time for which a host counts as without a path after it has said so."""
 REFUSAL_PAUSE_SECONDS = 1.0
 """Time for which a host that refused, or did not answer, is asked last."""
-REFUSED_COST = 1000.0
-"""Cost of such a host; above all others."""
 OTHER_DOMAIN_COST = 2.0
 OTHER_REGION_COST = 8.0
 """Cost of a host that is farther away, in relayed calls in flight. A call to
 another region takes 60 ms longer, and its bytes are limited."""
-UNSEEN_COST = 4.0
-"""Cost of a host that is known but was not heard of lately. In a large fleet
-most hosts of other domains are known only so."""
 
 
 @attrs.define
@@ -68,30 +64,32 @@
             del self._in_flight[name]
 
     def choose(self, now: float) -> tuple[membership.Peer, ...]:
-        """Return the hosts to ask for the next call, in order."""
+        """Return the hosts to ask for the next call, in order.
+
+        Those that were not heard of lately come after the others. In a large
+        fleet most hosts of other domains are known only so.
+        """
         alive = {peer.name: peer for peer in self.list_alive()}
         candidates = {peer.name: peer for peer in self.list_known()} | alive
-        costs = {
-            name: self._compute_cost(peer, name in alive, now)
-            for name, peer in candidates.items()
+        usable = [
+            peer
+            for peer in candidates.values()
             if not peer.is_leaving
-            and now - self._cut_off_at.get(name, float('-inf'))
+            and now - self._cut_off_at.get(peer.name, NEVER)
             > STATUS_EXPIRY_SECONDS
-        }
-        ordered = sorted(costs, key=lambda name: costs[name])
-        return tuple(candidates[name] for name in ordered[:MAX_HOSTS_TRIED])
+        ]
+
+        def get_order(peer: membership.Peer) -> tuple[bool, bool, float]:
+            refused_at = self._refused_at.get(peer.name, NEVER)
+            has_refused = now - refused_at < REFUSAL_PAUSE_SECONDS
+            return has_refused, peer.name not in alive, self._get_cost(peer)
+
+        return tuple(sorted(usable, key=get_order)[:MAX_HOSTS_TRIED])
 
-    def _compute_cost(
-        self, peer: membership.Peer, is_alive: bool, now: float
-    ) -> float:
+    def _get_cost(self, peer: membership.Peer) -> float:
         cost = self._in_flight.get(peer.name, 0) + self.random.random()
         if self.topology.is_remote(peer.domain):
-            cost += OTHER_REGION_COST
-        elif peer.domain != self.own.domain:
-            cost += OTHER_DOMAIN_COST
-        if not is_alive:
-            cost += UNSEEN_COST
-        refused_at = self._refused_at.get(peer.name, float('-inf'))
-        if now - refused_at < REFUSAL_PAUSE_SECONDS:
-            cost += REFUSED_COST
+            return cost + OTHER_REGION_COST
+        if peer.domain != self.own.domain:
+            return cost + OTHER_DOMAIN_COST
         return cost
--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -181,6 +181,8 @@
             return
         if self._outdated_since is None:
             self._outdated_since = now
+        if self._router.is_cut_off():
+            return
         if not self.lease.is_last_holder() and not await self._can_take_over(
             now
         ):
@@ -251,8 +253,10 @@
         """Renew the lease if needed; return whether this host holds it.
 
         Concurrent upgrades share one write, and a failed write is followed by
-        a pause.
+        a pause. A host that reaches no target leaves the lease to others.
         """
+        if self._router.is_cut_off():
+            return False
         async with self._renewal_lock:
             if not self.lease.needs_renewal():
                 return True
--- a/tests/core/forwarding/test_rollouts.py
+++ b/tests/core/forwarding/test_rollouts.py
@@ -394,6 +394,34 @@
     clocks.run(run())
 
 
+def test_holder_without_a_path_to_engines_leaves_the_lease(
+    case: support.Case,
+) -> None:
+    """It went on renewing the lease, and no engine got an order."""
+
+    async def run() -> None:
+        cut_off, sound = create_fixture(6), create_fixture(6)
+        lost, engines = Engines(cut_off), Engines(sound)
+        store = Store()
+        start(cut_off, store, lost, 'host-1', 0)
+        start(sound, store, engines, 'host-2', 1)
+        await asyncio.sleep(0.5)
+        cut_off.set_state(None, {MODEL: 2})
+        await asyncio.sleep(1.0)
+        case.assertEqual('host-1', store.row.holder)
+        cut_off.router.is_cut_off = lambda: True
+        for engine in lost.engines.values():
+            engine.is_unreachable = True
+        for fixture in (cut_off, sound):
+            fixture.set_state(None, {MODEL: 3})
+        await asyncio.sleep(9.0)
+        case.assertEqual(
+            {'host-2'}, {holder for _, holder, _, _ in engines.accepted_orders}
+        )
+
+    clocks.run(run())
+
+
 def test_only_the_holder_sends_orders(case: support.Case) -> None:
     """Of two hosts that compete for the lease only one sends orders."""
 
