Take the first target that accepts a connection for a path

Cause: found by reading. Two of four probed targets had to accept a connection before a lost path counted as back. If all targets crash, and one of nine is back, calls would be refused although it could serve them. Change: up to twelve are probed while the path is lost, and one is enough. Result: the new test fails before and passes.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/paths.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/paths.py
@@ -16,8 +16,9 @@
 
 PROBED_TARGETS = 4
 """Targets that a check connects to at most."""
-MIN_ACCEPTING_TARGETS = 2
-"""Targets that must accept a connection before a lost path counts as back."""
+PROBED_TARGETS_WHEN_LOST = 12
+"""The same while the path is lost. If all targets have crashed, the first one
+that is back must soon be found."""
 PROBE_TIMEOUT_SECONDS = 0.5
 """Time in which a target must accept a connection during a check. It is well
 above the round trip to another region and below the time in which a caller
@@ -148,7 +149,8 @@
         """Return some addresses in random order."""
         addresses = sorted(set(self._list_addresses()))
         addresses.sort(key=lambda _: self._random.random())
-        return addresses[:PROBED_TARGETS]
+        limit = PROBED_TARGETS_WHEN_LOST if self.is_lost() else PROBED_TARGETS
+        return addresses[:limit]
 
     def _record_check(self, probed: int, accepting: int) -> None:
         if accepting:
@@ -161,9 +163,7 @@
                 probed=probed,
                 waiting=len(self._waiting),
             )
-        elif self._lost_at is not None and accepting >= min(
-            MIN_ACCEPTING_TARGETS, max(1, probed)
-        ):
+        elif self._lost_at is not None and accepting:
             lost_seconds = self._runtime.now() - self._lost_at
             self._lost_at = None
             self._lost_signal = self._runtime.create_signal()
--- a/tests/core/forwarding/test_paths.py
+++ b/tests/core/forwarding/test_paths.py
@@ -103,6 +103,23 @@
     clocks.run(run())
 
 
+def test_first_target_that_is_back_ends_the_loss(case: support.Case) -> None:
+    """All targets had crashed, and one has started again."""
+
+    async def run() -> None:
+        probes = Probes(9)
+        probes.refuses = True
+        running = asyncio.ensure_future(probes.paths.run())
+        probes.accepting.clear()
+        case.assertTrue(await probes.paths.check())
+        probes.accepting = {probes.addresses[5]}
+        await asyncio.sleep(2 * paths.CHECK_VALID_SECONDS + 0.1)
+        case.assertFalse(probes.paths.is_lost())
+        running.cancel()
+
+    clocks.run(run())
+
+
 def test_silent_target_that_goes_on_is_no_lost_path(
     case: support.Case,
 ) -> None:
