Keep relayed calls in flight when another call to their host gets no answer

Cause: found by reading. When a host did not accept a call in time, the connection for relayed calls to it was closed, and with it the calls that it still carried, also those that may run only once. Change: such a connection takes no further calls and is closed after a minute. Heads of relayed responses are reported by the pool's own method; tests share what they repeated.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
@@ -43,7 +43,7 @@
         """Return a new stream to a host."""
 
     def disconnect_relay(self, address: str) -> None:
-        """Close the connection to a host that does not answer."""
+        """Open a new connection for the next call to a host."""
 
 
 class HeadDecoder(typing.Protocol):
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/routed_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/routed_connections.py
@@ -47,14 +47,12 @@
         self._relay = relay
         self._runtime = runtime
         self._waiting: set[_WaitingCall] = set()
-        self._listeners: list[ports.ResponseListener] = []
         pool.on_received = target_paths.record_received
         target_paths.add_listener(self._handle_change)
 
     def add_listener(self, listener: ports.ResponseListener) -> None:
         """Call `listener` with the head of each response."""
         self._pool.add_listener(listener)
-        self._listeners.append(listener)
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to an address."""
@@ -122,16 +120,9 @@
         sent_at = self._runtime.now()
         sent = await self._relay.send(call)
         if pipeline.is_successful(sent):
-            head = sent.unwrap().head
-            received = ports.ReceivedHead(
-                address=address,
-                incarnation=call.incarnation,
-                sent_at=sent_at,
-                is_own=head.request_id == call.request_id != '',
-                head=head,
+            self._pool.report_response(
+                address, call, sent_at, sent.unwrap().head
             )
-            for listener in self._listeners:
-                listener(received)
         return sent
 
     def _handle_change(self) -> None:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -393,8 +393,19 @@
         head = self._codec.decode_response(
             response.code, tuple(_list_headers(response.headers))
         )
+        self.report_response(connection.address, call, sent_at, head)
+        return result.Success(TargetResponse(connection, response, head))
+
+    def report_response(
+        self,
+        address: str,
+        call: ports.OutgoingCall,
+        sent_at: float,
+        head: ports.ResponseHead,
+    ) -> None:
+        """Call the listeners with the head of a response."""
         received = ports.ReceivedHead(
-            address=connection.address,
+            address=address,
             incarnation=call.incarnation,
             sent_at=sent_at,
             is_own=head.request_id == call.request_id != '',
@@ -402,7 +413,6 @@
         )
         for listener in self._listeners:
             listener(received)
-        return result.Success(TargetResponse(connection, response, head))
 
 
 def _fail(kind: interfaces.FailureKind, detail: str) -> ports.SendResult:
--- a/packages/pistachioseam-peer/src/pistachioseam_peer/clients.py
+++ b/packages/pistachioseam-peer/src/pistachioseam_peer/clients.py
@@ -19,6 +19,9 @@
 """Further messages to a peer that reads too slowly are dropped."""
 
 
+RETIRED_SECONDS = 60.0
+"""Time after which a connection that takes no further relayed calls is closed;
+longer than callers wait."""
 RELAY_CONFIGURATION = config.Configuration(
     http2_connection_window_size=4_194_304, http2_stream_window_size=262_144
 )
@@ -179,10 +182,14 @@
         return ClientRelayStream(connection, self.secret)
 
     def disconnect_relay(self, address: str) -> None:
-        """Close the connection for relayed calls to an address."""
+        """Relay no further calls on the connection to an address.
+
+        Calls that it carries may still end, so it is closed later.
+        """
         connection = self._relay_connections.pop(address, None)
         if connection is not None:
-            connection.close()
+            loop = asyncio.get_running_loop()
+            loop.call_later(RETIRED_SECONDS, connection.close)
 
     def disconnect(self, address: str) -> None:
         """Close the connection to an address; the next message reopens it."""
--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -182,15 +182,9 @@
             elif isinstance(step, interfaces.CallFailure):
                 return result.Failure(step)
             else:
-                received = ports.ReceivedHead(
-                    address=address,
-                    incarnation=call.incarnation,
-                    sent_at=sent_at,
-                    is_own=step.head.request_id == call.request_id,
-                    head=step.head,
+                report_response(
+                    self.listeners, address, call, sent_at, step.head
                 )
-                for listener in self.listeners:
-                    listener(received)
                 return result.Success(step)
         raise AssertionError(
             'the script of a send has neither response nor failure'
@@ -208,6 +202,25 @@
         self.listeners.append(listener)
 
 
+def report_response(
+    listeners: abc.Iterable[ports.ResponseListener],
+    address: str,
+    call: ports.OutgoingCall,
+    sent_at: float,
+    head: ports.ResponseHead,
+) -> None:
+    """Call listeners with the head of a response to a call."""
+    received = ports.ReceivedHead(
+        address=address,
+        incarnation=call.incarnation,
+        sent_at=sent_at,
+        is_own=head.request_id == call.request_id,
+        head=head,
+    )
+    for listener in listeners:
+        listener(received)
+
+
 def respond(
     status: int = 200,
     chunks: abc.Sequence[Chunk] = (b'whole',),
--- a/tests/entry/test_fleet_brittle.py
+++ b/tests/entry/test_fleet_brittle.py
@@ -12,7 +12,6 @@
 
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import router as routers
-from pistachioseam import membership
 from tests import call_fakes
 from tests import clocks
 from tests import fleets
@@ -96,15 +95,9 @@
             is_not_run=not is_run,
             max_rejections=target.max_rejections,
         )
-        received = ports.ReceivedHead(
-            address=address,
-            incarnation=call.incarnation,
-            sent_at=sent_at,
-            is_own=True,
-            head=response.head,
+        call_fakes.report_response(
+            self.listeners, address, call, sent_at, response.head
         )
-        for listener in self.listeners:
-            listener(received)
         return result.Success(response)
 
 
@@ -119,15 +112,8 @@
             for number in range(targets)
         ]
         self.targets = {entry.address: BrittleTarget() for entry in entries}
-        peers = [
-            membership.Peer(
-                name=f'host-{number}',
-                incarnation=f'host-{number}:1',
-                domain=f'd{number % domains}',
-                address=f'10.0.1.{number}:1',
-            )
-            for number in range(hosts)
-        ]
+        domain_names = [f'd{number}' for number in range(domains)]
+        peers = fleets.create_peers(hosts, domain_names)
         self.hosts = []
         for peer in peers:
             fixture = call_fakes.RouterFixture(
--- a/tests/entry/test_fleet_limits.py
+++ b/tests/entry/test_fleet_limits.py
@@ -79,15 +79,9 @@
         await asyncio.sleep(RESPONSE_SECONDS)
         rate = self._targets.limits.get(address)
         response = call_fakes.respond(max_request_rate=rate)
-        received = ports.ReceivedHead(
-            address=address,
-            incarnation=call.incarnation,
-            sent_at=sent_at,
-            is_own=True,
-            head=response.head,
+        call_fakes.report_response(
+            self.listeners, address, call, sent_at, response.head
         )
-        for listener in self.listeners:
-            listener(received)
         return result.Success(response)
 
 
@@ -103,15 +97,7 @@
             call_fakes.create_target(number, domain=self.domains[0])
             for number in range(targets)
         ]
-        self.peers = [
-            membership.Peer(
-                name=f'host-{number}',
-                incarnation=f'host-{number}:1',
-                domain=self.domains[number % domains],
-                address=f'10.0.1.{number}:1',
-            )
-            for number in range(hosts)
-        ]
+        self.peers = fleets.create_peers(hosts, self.domains)
         self.hosts = [self._start_host(peer) for peer in self.peers]
         self.refused = 0
 
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -19,6 +19,21 @@
 """Time that a response of a host of another domain takes, at most."""
 
 
+def create_peers(
+    hosts: int, domains: abc.Sequence[str]
+) -> list[membership.Peer]:
+    """Return hosts, spread evenly over the domains."""
+    return [
+        membership.Peer(
+            name=f'host-{number}',
+            incarnation=f'host-{number}:1',
+            domain=domains[number % len(domains)],
+            address=f'10.0.1.{number}:1',
+        )
+        for number in range(hosts)
+    ]
+
+
 @attrs.define
 class Rollout:
     """Stand-in for a rollout without loading engines."""
--- a/tests/partitioned_hosts.py
+++ b/tests/partitioned_hosts.py
@@ -165,17 +165,23 @@
             return result.Failure(interfaces.CallFailure(Kind.BROKEN, 'reset'))
         chunks = [call_fakes.event(n) for n in range(1, EVENTS + 1)]
         response = Response(connection, run, call.request_id, chunks)
-        received = ports.ReceivedHead(
-            address=connection.address,
-            incarnation=call.incarnation,
-            sent_at=run.started_at,
-            is_own=True,
-            head=response.head,
+        self.report_response(
+            connection.address, call, run.started_at, response.head
         )
-        for listener in self.listeners:
-            listener(received)
         return result.Success(response)
 
+    def report_response(
+        self,
+        address: str,
+        call: ports.OutgoingCall,
+        sent_at: float,
+        head: ports.ResponseHead,
+    ) -> None:
+        """Call the listeners with the head of a response."""
+        call_fakes.report_response(
+            self.listeners, address, call, sent_at, head
+        )
+
     async def pass_time(self, connection: Connection, seconds: float) -> bool:
         """Wait, and while nothing passes; return whether bytes arrive."""
         loop = asyncio.get_running_loop()
@@ -471,15 +477,7 @@
             for n in range(10, 16)
         ]
         self.targets = targets
-        peers = [
-            membership.Peer(
-                name=f'host-{number}',
-                incarnation=f'host-{number}:1',
-                domain=names[number % domains],
-                address=f'10.0.1.{number}:1',
-            )
-            for number in range(hosts)
-        ]
+        peers = fleets.create_peers(hosts, names)
         self.hosts = [
             Host(peer, self.network, targets, regions) for peer in peers
         ]
--- a/tests/watching_fleets.py
+++ b/tests/watching_fleets.py
@@ -186,15 +186,7 @@
             links.Region(name='r1', domains=tuple(names[:half])),
             links.Region(name='r2', domains=tuple(names[half:])),
         )
-        self.peers = [
-            membership.Peer(
-                name=f'host-{number}',
-                incarnation=f'host-{number}:1',
-                domain=names[number % domains],
-                address=f'10.0.1.{number}:1',
-            )
-            for number in range(hosts)
-        ]
+        self.peers = fleets.create_peers(hosts, names)
         self.hosts = [self._start_host(peer) for peer in self.peers]
 
     def _start_host(self, peer: membership.Peer) -> WatchingHost:
