Soak: stop accepting before sockets of a proxy are closed

Cause: a proxy's cancelled accept met a closed socket; the loop logged that. Change: the reader is removed first.

--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -153,6 +153,9 @@
         for task in self._acceptors:
             task.cancel()
         self._acceptors.clear()
+        # The loop may be about to accept although the task is cancelled.
+        for listening in self._sockets.values():
+            self._loop.remove_reader(listening)
 
     async def _accept(self, server: str, listening: socket.socket) -> None:
         while True:
