--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
@@ -73,7 +73,6 @@
         get_link: abc.Callable[[], RelayLink | None],
         may_send: abc.Callable[[ports.OutgoingCall], bool],
     ) -> None:
-        self.relayed_count = 0
         self._own = own
         self._get_peers = get_peers
         self._runtime = runtime
@@ -126,7 +125,6 @@
         peer: membership.Peer,
         call: ports.OutgoingCall,
     ) -> ports.SendResult:
-        self.relayed_count += 1
         self._sink.emit(
             events.Event.CALL_RELAYED,
             request_id=call.request_id,
