Show that relayed calls are authenticated, bounded and cancelled

A real gRPC server and client: messages with another secret do not reach the handler, closing a stream cancels the call within half a second, a retired connection carries its calls to their end. Simulated: a relay sends nothing without the nonce of its acceptance, and refuses calls beyond its limit as not run.

--- a/tests/entry/test_fleet_partitions.py
+++ b/tests/entry/test_fleet_partitions.py
@@ -6,6 +6,12 @@
 import asyncio
 import collections
 
+import attrs
+from returns import result
+
+from pistachioseam.forwarding import delivery
+from pistachioseam_entry import relay_client
+from pistachioseam_entry import relay_service
 from tests import clocks
 from tests import partitioned_hosts
 from tests import support
@@ -269,6 +275,53 @@
     clocks.run(run())
 
 
+def test_relay_sends_nothing_without_its_nonce(case: support.Case) -> None:
+    """A recorded confirmation of another call is of no use."""
+
+    async def run() -> None:
+        fleet = partitioned_hosts.Fleet(2, 1)
+        await asyncio.sleep(3.0)
+        host, relay = fleet.hosts
+        call = host.fixture.create_call('/once/')
+        outgoing = delivery.create_outgoing(
+            call, host.router, fleet.targets[0], None
+        )
+        stream = host.link.open_relay(relay.own.address)
+        relayed = relay_client.RelayedCall(stream, host.own)
+        call.deadline = host.router.runtime.now() + 3.0
+        outgoing = attrs.evolve(outgoing, seconds_left=3.0)
+        answer = await relayed.request_relay(outgoing)
+        case.assertNotEqual(b'', answer.nonce)
+        sent = await relayed.send(b'other', partitioned_hosts.Decoder())
+        case.assertIsInstance(sent, result.Failure)
+        case.assertEqual([], fleet.list_runs())
+        case.assertEqual(0, relay.relay_service.active)
+
+    clocks.run(run())
+
+
+def test_relayed_calls_are_bounded(case: support.Case) -> None:
+    """Further ones are refused as not run."""
+
+    async def run() -> None:
+        fleet = partitioned_hosts.Fleet(2, 1)
+        await asyncio.sleep(3.0)
+        host, relay = fleet.hosts
+        host.pool.set_mode('cut')
+        await host.paths.check(max_age_seconds=0.0)
+        relay.relay_service.active = relay_service.MAX_RELAYED_CALLS
+        call = await host.serve('/once/', 'refused')
+        assert call.refusal is not None
+        case.assertEqual(503, call.refusal.status)
+        case.assertEqual([], fleet.list_runs())
+        relay.relay_service.active = 0
+        await asyncio.sleep(2.0)
+        call = await host.serve('/once/', 'served')
+        case.assertTrue(call.is_served, call.refusal)
+
+    clocks.run(run())
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
--- a/tests/partitioned_hosts.py
+++ b/tests/partitioned_hosts.py
@@ -338,7 +338,7 @@
         """Do nothing; streams are independent."""
 
 
-class _Decoder:
+class Decoder:
     """Wire format of the simulated targets."""
 
     def decode_response(
@@ -383,7 +383,7 @@
             lambda: self.peers.relay_peers,
             own_runtime,
             sink,
-            _Decoder(),
+            Decoder(),
             lambda: self.link,
             lambda _: self.may_send,
         )
--- /dev/null
+++ b/tests/peer/test_servers.py
@@ -0,0 +1,149 @@
+"""Streams of relayed calls are authenticated and end with their caller."""
+
+import asyncio
+from collections import abc
+import typing
+
+import grpclib
+from grpclib import exceptions
+
+from pistachioseam_entry import reactors
+from pistachioseam_peer import clients
+from pistachioseam_peer.generated import messages_pb2
+from pistachioseam_peer import servers
+from pistachioseam_standins import deployment
+from tests import support
+
+TEST_TIMEOUT_SECONDS = 10.0
+SECRET = b'secret'
+REJECTIONS = (grpclib.GRPCError, exceptions.StreamTerminatedError)
+
+
+class Relay:
+    """Handler that answers each message with one of its own."""
+
+    def __init__(self) -> None:
+        self.received: list[bytes] = []
+        self.cancelled = asyncio.Event()
+
+    async def serve(self, stream: servers.RelayStream) -> None:
+        """Answer until the other host ends the stream."""
+        try:
+            while (message := await stream.receive()) is not None:
+                self.received.append(message.relay_go.nonce)
+                await stream.send(create_message(b'answer'))
+        except asyncio.CancelledError:
+            self.cancelled.set()
+            raise
+
+
+def create_message(nonce: bytes) -> messages_pb2.Message:
+    """Return a message with some content."""
+    return messages_pb2.Message(relay_go=messages_pb2.RelayGo(nonce=nonce))
+
+
+def run(
+    work: abc.Callable[
+        [Relay, str], abc.Coroutine[typing.Any, typing.Any, None]
+    ],
+) -> None:
+    """Run a test beside a server on a free port."""
+
+    async def serve() -> None:
+        relay = Relay()
+
+        async def respond(
+            message: messages_pb2.Message,
+        ) -> messages_pb2.Message:
+            return message
+
+        server = servers.PeerServer(
+            SECRET, respond, lambda _: None, lambda _: None, relay.serve
+        )
+        address = deployment.find_free_address()
+        host, _, port = address.rpartition(':')
+        await server.start(host, int(port))
+        try:
+            await work(relay, address)
+        finally:
+            server.close()
+
+    loop = reactors.get_reactor()._asyncioEventloop
+    loop.run_until_complete(asyncio.wait_for(serve(), TEST_TIMEOUT_SECONDS))
+
+
+def test_messages_of_a_relayed_call_pass_both_ways(
+    case: support.Case,
+) -> None:
+    """Several calls share the connection to a host."""
+
+    async def work(relay: Relay, address: str) -> None:
+        with clients.PeerClient(SECRET) as client:
+            for _ in range(2):
+                stream = client.open_relay(address)
+                for nonce in (b'1', b'2'):
+                    await stream.send(create_message(nonce))
+                    answer = await stream.receive()
+                    assert answer is not None
+                    case.assertEqual(b'answer', answer.relay_go.nonce)
+                stream.close()
+            case.assertEqual([b'1', b'2'] * 2, relay.received)
+
+    run(work)
+
+
+def test_relayed_call_with_another_secret_is_rejected(
+    case: support.Case,
+) -> None:
+    """The handler does not see the message."""
+
+    async def work(relay: Relay, address: str) -> None:
+        with clients.PeerClient(b'another') as client:
+            stream = client.open_relay(address)
+            await stream.send(create_message(b'1'))
+            with case.assertRaises(REJECTIONS):
+                await stream.receive()
+            stream.close()
+        case.assertEqual([], relay.received)
+
+    run(work)
+
+
+def test_host_that_closes_a_relayed_call_cancels_it(
+    case: support.Case,
+) -> None:
+    """The relaying host must stop the work within half a second."""
+
+    async def work(relay: Relay, address: str) -> None:
+        with clients.PeerClient(SECRET) as client:
+            stream = client.open_relay(address)
+            await stream.send(create_message(b'1'))
+            await stream.receive()
+            stream.close()
+            async with asyncio.timeout(0.5):
+                await relay.cancelled.wait()
+
+    run(work)
+
+
+def test_retired_connection_carries_its_calls_to_their_end(
+    case: support.Case,
+) -> None:
+    """Another call to the same host got no answer."""
+
+    async def work(relay: Relay, address: str) -> None:
+        with clients.PeerClient(SECRET) as client:
+            stream = client.open_relay(address)
+            await stream.send(create_message(b'1'))
+            await stream.receive()
+            client.disconnect_relay(address)
+            await stream.send(create_message(b'2'))
+            case.assertIsNotNone(await stream.receive())
+            stream.close()
+
+    run(work)
+
+
+def load_tests(*_: object) -> object:
+    """Load the functions of this module."""
+    return support.load_functions(globals())
