--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -5,6 +5,8 @@
 import threading
 import typing
 
+from pistachioseam_standins import deployment
+
 MODES = ('pass', 'delay', 'silent', 'one_way', 'reset')
 """Modes of a network that is in trouble."""
 PARTITION_MODES = ('hang', 'cut', 'refuse')
@@ -46,11 +48,14 @@
         return self.addresses[self._servers[0]]
 
     def __enter__(self) -> 'Proxy':
-        """Listen on free loopback ports and start the thread."""
+        """Listen on free loopback ports and start the thread.
+
+        The ports are none that the system gives to outgoing connections, as
+        they must be free again after a while without a listener.
+        """
         for server in self._servers:
-            listening = self._listen(0)
-            port = listening.getsockname()[1]
-            self.addresses[server] = f'127.0.0.1:{port}'
+            self.addresses[server] = deployment.find_free_address()
+        self._reopen_sockets()
         self._thread.start()
         self._call(self._start_accepting)
         return self
@@ -88,19 +93,14 @@
 
         asyncio.run_coroutine_threadsafe(run(), self._loop).result()
 
-    def _listen(self, port: int) -> socket.socket:
+    def _listen(self, address: str) -> socket.socket:
+        host, _, port = address.rpartition(':')
         listening = socket.socket()
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listening.bind(('127.0.0.1', port))
+        listening.bind((host, int(port)))
         listening.listen(128)
         listening.setblocking(False)
-        return self._sockets.setdefault(self._find_server(port), listening)
-
-    def _find_server(self, port: int) -> str:
-        for server, address in self.addresses.items():
-            if address.endswith(f':{port}'):
-                return server
-        return self._servers[len(self._sockets)]
+        return listening
 
     def set_mode(self, mode: str) -> None:
         """Set the mode, for open connections too."""
@@ -124,8 +124,8 @@
         self._sockets.clear()
 
     def _reopen_sockets(self) -> None:
-        for address in self.addresses.values():
-            self._listen(int(address.rpartition(':')[2]))
+        for server, address in self.addresses.items():
+            self._sockets[server] = self._listen(address)
 
     def _fill_queues(self) -> None:
         self._close_sockets()
