Tell peers of removed entries only when no outage may have lapsed them

Cause: a fault of the change that tells departures to peers: entries of sound targets lapse during an outage, and may be missing for longer than the 2 s of grace if the store is slow; each host dropped some of them, told all others, and so every host lost all that any host had dropped.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/catalog.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/catalog.py
@@ -14,6 +14,9 @@
 """Removed incarnations whose last entry is remembered."""
 ANNOUNCE_SECONDS = 3.0
 """Time for which a departure is reported to peers."""
+LAPSE_SECONDS = 10.0
+"""Time after an outage in which a removed entry may have lapsed although its
+target serves on. Peers that still have the entry are then not told."""
 MAX_READ_SECONDS = 1.0
 """Longest time that a read of the entries takes. One that returns later was
 sent after a departure that is known for so long."""
@@ -225,9 +228,15 @@
             if len(self._ended) > MAX_ENDED:
                 del self._ended[next(iter(self._ended))]
             self._emit(events.Event.TARGET_REMOVED, removed)
-            self.record_departure(removed.get_incarnation(), now)
+            if not self._may_have_lapsed(now):
+                self.record_departure(removed.get_incarnation(), now)
             self._notify_ended(removed)
 
+    def _may_have_lapsed(self, now: float) -> bool:
+        """Return whether entries may be missing because of an outage."""
+        ended_at = self._outage_ended_at
+        return ended_at is not None and now - ended_at < LAPSE_SECONDS
+
     def _notify_ended(self, target: LiveTarget) -> None:
         for listener in self._listeners:
             listener(target)
--- a/tests/core/forwarding/test_catalog.py
+++ b/tests/core/forwarding/test_catalog.py
@@ -107,6 +107,36 @@
     case.assertTrue(found is not None and found.is_ready)
 
 
+def test_removal_after_an_outage_is_not_told_to_peers(
+    case: support.Case,
+) -> None:
+    """Hosts that still had the entries of sound targets lost them too."""
+    targets, _ = create_catalog()
+    change(targets, 10.0, [], removed=('plain-1',))
+    targets.expire(10.0 + GRACE)
+    case.assertEqual(['plain-2'], list_names(targets))
+    case.assertEqual((), targets.list_recent_departures(10.0 + GRACE))
+    for second in range(12, 24):
+        change(targets, float(second), [])
+    change(targets, 24.0, [], removed=('plain-2',))
+    case.assertEqual((('plain-2', 1),), targets.list_recent_departures(24.0))
+
+
+def test_departure_told_by_a_peer_lasts_until_a_later_read(
+    case: support.Case,
+) -> None:
+    """A read that was sent before shows the target as ready."""
+    targets, _ = create_catalog()
+    target = targets.get('plain-1')
+    assert target is not None
+    targets.record_departure(target.get_incarnation(), 1.0)
+    case.assertFalse(targets.is_available(target))
+    change(targets, 1.5, [1])
+    case.assertFalse(targets.is_available(target))
+    change(targets, 2.5, [1])
+    case.assertTrue(targets.is_available(target))
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
