Take a rejection as such only if it bears the id of its call

Cause: check_head returned "not run" for 421 and Not-Executed before it compared ids, so a late second copy of an earlier rejection on the same kept connection decided about the next order. Change: ids first; the pool fails a response to another request and closes its connection, so control calls and calls relayed for other hosts are held to it; a connection that is being closed is not reused, which the last test found; 421 of another call no longer tells weights. Why it works: PROTOCOL.md says that servers echo the id, and only the response that echoes it can prove anything about the call. The stand-ins' rejections bear the id now.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -87,6 +87,7 @@
         self.idle_since = 0.0
         self.max_idle_seconds = DEFAULT_IDLE_SECONDS
         self.is_reset = False
+        self._is_dropped = False
         self._head_bytes = 0
         self._on_lost = on_lost
         self._on_received = on_received
@@ -141,10 +142,12 @@
 
     def is_idle(self) -> bool:
         """Return whether a request may be sent."""
-        return self.state == 'QUIESCENT'
+        return self.state == 'QUIESCENT' and not self._is_dropped
 
     def drop(self) -> None:
         """Close the connection at once, without sending buffered data."""
+        # The transport reports the loss only in a later iteration of the loop.
+        self._is_dropped = True
         if self.transport is not None:
             self.transport.abortConnection()
 
@@ -281,12 +284,6 @@
         if not pipeline.is_successful(sent):
             return result.Failure(sent.failure())
         response = sent.unwrap()
-        if response.head.request_id != call.request_id:
-            response.drop()
-            failure = interfaces.CallFailure(
-                Kind.BROKEN, 'response to another request'
-            )
-            return result.Failure(failure)
         try:
             body = await delivery.read_body(response)
         finally:
@@ -364,7 +361,11 @@
     async def send_on(
         self, connection: Connection, call: ports.OutgoingCall
     ) -> ports.SendResult:
-        """Send on an open connection; return when the head has arrived."""
+        """Send on an open connection; return when the head has arrived.
+
+        A response to another request closes the connection, as the one to this
+        call may follow.
+        """
         headers = http_headers.Headers()
         for name, value in self._codec.encode_call(call):
             headers.addRawHeader(name, value)
@@ -394,6 +395,9 @@
             response.code, tuple(_list_headers(response.headers))
         )
         self.report_response(connection.address, call, sent_at, head)
+        if head.request_id != call.request_id:
+            connection.drop()
+            return _fail(Kind.BROKEN, 'response to another request')
         return result.Success(TargetResponse(connection, response, head))
 
     def report_response(
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
@@ -181,6 +181,8 @@
         ends in `shed`, or weights are being loaded.
         """
         self.received_at.append(time.time())
+        request_id = request.getHeader('x-pistachioseam-request-id') or ''
+        request.setHeader('x-pistachioseam-request-id', request_id)
         behaviour = request.path.decode().rpartition('/')[2]
         self.is_leaving = self.is_leaving or behaviour == 'leave'
         if self.is_leaving:
@@ -203,10 +205,11 @@
             request.setResponseCode(503)
             request.setHeader('x-pistachioseam-not-executed', '1')
             return b''
-        return await self._execute(request, behaviour)
+        return await self._execute(request, request_id, behaviour)
 
-    async def _execute(self, request: typing.Any, behaviour: str) -> bytes:
-        request_id = request.getHeader('x-pistachioseam-request-id') or ''
+    async def _execute(
+        self, request: typing.Any, request_id: str, behaviour: str
+    ) -> bytes:
         self.executed_request_ids.append(request_id)
         # Flushed so that the log keeps the execution if the process crashes.
         print(f'{RUN_LOG_PREFIX}{request_id}', flush=True)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -169,7 +169,8 @@
         Return the failure if it was not delivered in full, otherwise None.
         """
         head = response.head
-        self._record_weights_version(target, head)
+        if head.request_id == self._call.request_id:
+            self._record_weights_version(target, head)
         failure = check_head(self._call, head)
         if failure is not None:
             if failure.kind is Kind.BROKEN:
@@ -340,7 +341,15 @@
 def check_head(
     call: calls.Call, head: ports.ResponseHead
 ) -> interfaces.CallFailure | None:
-    """Return the failure if a response must be discarded, otherwise None."""
+    """Return the failure if a response must be discarded, otherwise None.
+
+    The request id is checked first: a late copy of another response, a
+    rejection too, says nothing about this call.
+    """
+    if head.request_id != call.request_id:
+        return interfaces.CallFailure(
+            Kind.BROKEN, 'response with another request id'
+        )
     if head.status == 421:
         return interfaces.CallFailure(
             Kind.WRONG_TARGET,
@@ -349,10 +358,6 @@
         )
     if head.is_not_run:
         return interfaces.CallFailure(Kind.BUSY, f'status {head.status}')
-    if head.request_id != call.request_id:
-        return interfaces.CallFailure(
-            Kind.BROKEN, 'response with another request id'
-        )
     if not head.stamp and head.status < 400:
         return interfaces.CallFailure(
             Kind.BROKEN, 'response without a server stamp'
--- a/tests/core/forwarding/test_forward.py
+++ b/tests/core/forwarding/test_forward.py
@@ -175,6 +175,52 @@
     clocks.run(run())
 
 
+def test_late_copy_of_a_rejection_does_not_show_that_a_call_did_not_run(
+    case: support.Case,
+) -> None:
+    """Guards against TWICE and REFUSED: the target may run the call."""
+
+    async def run() -> None:
+        for status in (421, 429, 503):
+            for request_id in ('earlier', ''):
+                fixture = create_plain_fixture()
+                copy = respond(status, is_not_run=True, request_id=request_id)
+                copy.is_ended = True
+                call, _ = await fixture.serve('/once/', [copy], [respond()])
+                assert call.refusal is not None
+                case.assertEqual(502, call.refusal.status)
+                case.assertIs(refusals.Outcome.UNKNOWN, call.refusal.outcome)
+                case.assertEqual(1, len(fixture.targets.sent))
+                case.assertTrue(copy.is_aborted)
+
+    clocks.run(run())
+
+
+def test_response_to_another_request_tells_no_weights_version(
+    case: support.Case,
+) -> None:
+    """A late copy of a 421 may be about weights that were loaded since."""
+
+    async def run() -> None:
+        target = call_fakes.create_target(1, call_fakes.ENGINE_SERVICE)
+        fixture = call_fakes.RouterFixture([target])
+        fixture.set_state(None, {call_fakes.MODEL: 3})
+        fixture.router.weights.record(target, call_fakes.MODEL, 2)
+        prompt = prompts.Prompt(
+            model=call_fakes.MODEL,
+            prompt_tokens=10,
+            output_tokens=5,
+            parts=(prompts.Part('p', 10),),
+        )
+        copy = respond(421, is_not_run=True, request_id='earlier')
+        await fixture.serve('/stream/', [copy], [respond()], prompt=prompt)
+        case.assertEqual(
+            2, fixture.router.weights.get(target, call_fakes.MODEL)
+        )
+
+    clocks.run(run())
+
+
 def test_incomplete_body_is_not_delivered(case: support.Case) -> None:
     """Nothing is sent to the caller if the connection breaks in the body."""
 
--- a/tests/entry/test_target_connections.py
+++ b/tests/entry/test_target_connections.py
@@ -254,6 +254,28 @@
     run(work)
 
 
+def test_late_copy_of_a_rejection_closes_its_connection(
+    case: support.Case,
+) -> None:
+    """Guards against TWICE: the next call would get this call's response."""
+    copy = (
+        b'HTTP/1.1 503 Service Unavailable\r\n'
+        b'X-Pistachioseam-Request-Id: earlier\r\n'
+        b'X-Pistachioseam-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+    )
+
+    async def work() -> None:
+        async with FakeTarget(copy, RESPONSE, RESPONSE) as target:
+            with target_connections.ConnectionPool(
+                headers.HeaderCodec()
+            ) as pool:
+                case.assertIs(Kind.BROKEN, await fetch(pool, target.address))
+                case.assertEqual(b'ok', await fetch(pool, target.address))
+                case.assertEqual(2, target.connections)
+
+    run(work)
+
+
 def test_refused_connection_is_not_sent(case: support.Case) -> None:
     """A call to a port without a listener is reported as not sent."""
 
