Do not end a call as a success because its relaying host was lost

Cause: grpclib wakes a waiting task by cancelling it and leaves the cancellation counted, so that an asyncio.timeout entered before raises CancelledError when it expires; CallListener took each cancellation for a caller that left and finished the response. Change: what is awaited of grpclib's client runs in its own task; a response is finished only if it was begun and the call was served or refused, else its connection is closed.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
@@ -110,8 +110,14 @@
             finished = request.notifyFinish()
             finished.addBoth(lambda _: self._handle_disconnect(call, task))
             await asyncio.wait((task,))
-        if not request._disconnected and not reply.is_aborted():
+        if request._disconnected or reply.is_aborted():
+            return
+        is_complete = call.is_served or call.refusal is not None
+        if reply.is_begun() and is_complete:
             request.finish()
+        else:
+            # Finishing it would make a complete response of what is there.
+            reply.abort()
 
     def _handle_disconnect(
         self, call: calls.Call, task: asyncio.Future[None]
@@ -153,6 +159,8 @@
                 await reply.refuse(call.request_id, call.refusal)
         except asyncio.CancelledError:
             has_disconnected = True
+        except Exception as error:
+            self._record_internal_error(call, error)
         finally:
             self.active_requests -= 1
             self._record_end(call, has_disconnected)
@@ -165,15 +173,32 @@
             return
         try:
             await routers.run_filters(call, self._router)
+        except asyncio.CancelledError as error:
+            if request._disconnected:
+                raise
+            self._refuse_after_error(call, error)
         except Exception as error:
-            self._router.sink.emit(
-                events.Event.INTERNAL_ERROR,
-                request_id=call.request_id,
-                error=repr(error),
-            )
-            call.refusal = refusals.Refusal(
-                500, refusals.Reason.INTERNAL_ERROR, 'internal error'
-            )
+            self._refuse_after_error(call, error)
+
+    def _refuse_after_error(
+        self, call: calls.Call, error: BaseException
+    ) -> None:
+        self._record_internal_error(call, error)
+        outcome = refusals.Outcome.NOT_RUN
+        if call.may_have_run:
+            outcome = refusals.Outcome.UNKNOWN
+        call.refusal = refusals.Refusal(
+            500, refusals.Reason.INTERNAL_ERROR, 'internal error', outcome
+        )
+
+    def _record_internal_error(
+        self, call: calls.Call, error: BaseException
+    ) -> None:
+        self._router.sink.emit(
+            events.Event.INTERNAL_ERROR,
+            request_id=call.request_id,
+            error=repr(error),
+        )
 
     def _check_request(
         self, request: typing.Any, call: calls.Call
--- a/packages/pistachioseam-peer/src/pistachioseam_peer/clients.py
+++ b/packages/pistachioseam-peer/src/pistachioseam_peer/clients.py
@@ -13,6 +13,7 @@
 from pistachioseam_peer import envelopes
 from pistachioseam_peer.generated import messages_grpc
 from pistachioseam_peer.generated import messages_pb2
+from pistachioseam_peer import isolation
 from pistachioseam_peer import servers
 
 MAX_QUEUED_MESSAGES = 4
@@ -102,12 +103,15 @@
 
     async def send(self, message: messages_pb2.Message) -> None:
         """Send a message; raises an exception if the stream is broken."""
-        if not self._is_entered:
-            await self._stream.__aenter__()
-            self._is_entered = True
         envelope = envelopes.create_envelope(
             self._secret, message, servers.get_now_ms()
         )
+        await isolation.run_isolated(self._send(envelope))
+
+    async def _send(self, envelope: messages_pb2.Envelope) -> None:
+        if not self._is_entered:
+            await self._stream.__aenter__()
+            self._is_entered = True
         await self._stream.send_message(envelope)
 
     async def receive(self) -> messages_pb2.Message | None:
@@ -115,7 +119,7 @@
 
         Raises an exception if the stream is broken or a message not authentic.
         """
-        envelope = await self._stream.recv_message()
+        envelope = await isolation.run_isolated(self._stream.recv_message())
         if envelope is None:
             return None
         opened = envelopes.open_envelope(
@@ -242,7 +246,9 @@
         envelope = envelopes.create_envelope(secret, message, now_ms)
         try:
             async with asyncio.timeout(timeout_seconds):
-                response = await stub.Exchange(envelope)
+                response = await isolation.run_isolated(
+                    stub.Exchange(envelope)
+                )
         except Exception as error:
             return result.Failure(type(error).__name__)
         opened = envelopes.open_envelope(
--- a/tests/peer/test_servers.py
+++ b/tests/peer/test_servers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import typing
 
 import grpclib
@@ -15,6 +16,7 @@
 from tests import support
 
 TEST_TIMEOUT_SECONDS = 10.0
+DEATH_SECONDS = 0.1
 SECRET = b'secret'
 REJECTIONS = (grpclib.GRPCError, exceptions.StreamTerminatedError)
 
@@ -144,6 +146,74 @@
     run(work)
 
 
+@contextlib.asynccontextmanager
+async def open_dying_host() -> abc.AsyncIterator[str]:
+    """Yield the address of a host that is killed once it has been sent to."""
+
+    async def die(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.read(1)
+        await asyncio.sleep(DEATH_SECONDS)
+        writer.transport.abort()
+
+    server = await asyncio.start_server(die, '127.0.0.1')
+    port = server.sockets[0].getsockname()[1]
+    try:
+        yield f'127.0.0.1:{port}'
+    finally:
+        server.close()
+
+
+def test_loss_of_a_host_does_not_end_its_callers_time_limit(
+    case: support.Case,
+) -> None:
+    """Guards against MIXED: the limit must not look like a cancellation.
+
+    grpclib wakes who waits for the lost host by a cancellation of the task.
+    """
+
+    async def relay(client: clients.PeerClient, address: str) -> None:
+        stream = client.open_relay(address)
+        await stream.send(create_message(b'1'))
+        await stream.receive()
+
+    async def exchange(client: clients.PeerClient, address: str) -> None:
+        await client.exchange(address, create_message(b'1'), 1.0)
+
+    async def work(_: Relay, __: str) -> None:
+        for send in (relay, exchange):
+            with clients.PeerClient(SECRET) as client:
+                async with open_dying_host() as address:
+                    with case.assertRaises(TimeoutError):
+                        async with asyncio.timeout(3 * DEATH_SECONDS):
+                            with contextlib.suppress(Exception):
+                                await send(client, address)
+                            await asyncio.sleep(TEST_TIMEOUT_SECONDS)
+
+    run(work)
+
+
+def test_caller_that_leaves_is_noticed_while_a_host_is_lost(
+    case: support.Case,
+) -> None:
+    """A cancellation in the same moment as the loss is not swallowed."""
+
+    async def work(_: Relay, __: str) -> None:
+        with clients.PeerClient(SECRET) as client:
+            async with open_dying_host() as address:
+                stream = client.open_relay(address)
+                await stream.send(create_message(b'1'))
+                receiving = asyncio.ensure_future(stream.receive())
+                await asyncio.sleep(DEATH_SECONDS / 2)
+                client.__exit__()
+                receiving.cancel()
+                await asyncio.wait((receiving,))
+                case.assertTrue(receiving.cancelled())
+
+    run(work)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
