Leave out an unreadable document of the store instead of stopping

Cause: decode_target listed the errors of malformed content one by one; OverflowError and RecursionError left the read of all entries and ended the watch.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -354,8 +354,12 @@
             return SECOND_LIST_READ_SECONDS
         return HOST_LIST_POLL_SECONDS
 
-    def _apply_host_list(self, hosts: tuple[ports.HostEntry, ...]) -> None:
+    def _apply_host_list(self, read: ports.HostsRead) -> None:
         self._has_host_list = True
+        for finding in read.findings:
+            self._router.sink.emit(
+                events.Event.DOCUMENT_MALFORMED, finding=finding
+            )
         self._announced_hosts = 0
         self.members.add_discovered(
             membership.Peer(
@@ -364,7 +368,7 @@
                 domain=host.domain,
                 address=host.peer_address,
             )
-            for host in hosts
+            for host in read.entries
         )
 
     async def leave(self) -> None:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/measured_store.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/measured_store.py
@@ -78,7 +78,7 @@
         call = self._store.remove_host(name)
         return await self._measure('remove_host', call)
 
-    async def list_hosts(self) -> StoreResult[tuple[ports.HostEntry, ...]]:
+    async def list_hosts(self) -> StoreResult[ports.HostsRead]:
         """Return the entries of all hosts."""
         return await self._measure('list_hosts', self._store.list_hosts())
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -275,6 +275,14 @@
     peer_address: str
 
 
+@attrs.frozen
+class HostsRead:
+    """Entries of all hosts; `findings` names malformed ones."""
+
+    entries: tuple[HostEntry, ...]
+    findings: tuple[str, ...] = ()
+
+
 @attrs.frozen(kw_only=True)
 class EngineReport:
     """State that an engine reports about itself.
@@ -346,9 +354,7 @@
     ) -> result.Result[None, StoreFailure]:
         """Remove the entry of a host that stops."""
 
-    async def list_hosts(
-        self,
-    ) -> result.Result[tuple[HostEntry, ...], StoreFailure]:
+    async def list_hosts(self) -> result.Result[HostsRead, StoreFailure]:
         """Return the entries of all hosts."""
 
     async def share_secret(
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,8 +1,11 @@
 """Rows of the router's own tables are read as they were written."""
 
 import asyncio
+import json
 import typing
+from unittest import mock
 
+from returns import pipeline
 from returns import result
 
 from pistachioseam.forwarding import ports
@@ -17,6 +20,56 @@
 SECOND = stream_origins.StreamOrigin('s', 'v2')
 
 
+ENTRY = {
+    'service': 's',
+    'address': '10.0.0.1:80',
+    'zone': 'z',
+    'version': 'v1',
+    'capacity': 6,
+    'state': 'ready',
+    'seq': 1,
+    'born': 1_700_000_000_000,
+}
+HOST = {
+    'name': 'a',
+    'incarnation': 'a:1',
+    'domain': 'z',
+    'peer_address': '10.0.0.9:7340',
+}
+
+
+def list_unreadable(document: dict[str, typing.Any]) -> list[bytes]:
+    """Return documents that differ from a sound one in one value."""
+    template = json.dumps(dict.fromkeys(document, 0)).encode()
+    values = (
+        b'Infinity',
+        b'-Infinity',
+        b'NaN',
+        b'1e999',
+        b'1' * 5000,
+        b'%d' % 2**64,
+        b'[' * 20_000,
+        b'{"a":' * 20_000,
+        b'"\\ud800"',
+        b'"\xff"',
+        b'null',
+        b'',
+        b'[]',
+    )
+    unreadable = [b'', b'\xff\xfe', b'[]', b'null', b'7', template]
+    for field in document:
+        if field == 'seq':
+            # The count of heartbeats is optional.
+            continue
+        rest = {name: document[name] for name in document if name != field}
+        start = json.dumps(rest).encode()[:-1]
+        unreadable.extend(
+            b'%b, "%b": %b}' % (start, field.encode(), value)
+            for value in values
+        )
+    return unreadable
+
+
 class Client:
     """Client of a store that keeps the rows in memory."""
 
@@ -78,6 +131,99 @@
     )
 
 
+def test_unreadable_entry_of_a_target_hides_no_other(
+    case: support.Case,
+) -> None:
+    """Guards against RECOVER and DRAIN: no entry ends the read of all."""
+    client = Client()
+    platform = create_store(client)
+    client.rows[store.SERVERS_TABLE, 'sound'] = json.dumps(ENTRY).encode()
+    odd = list_unreadable(ENTRY)
+    for number, value in enumerate(odd):
+        client.rows[store.SERVERS_TABLE, f'odd-{number}'] = value
+    read = asyncio.run(platform.read_targets(None)).unwrap()
+    case.assertEqual(['sound'], [e.name for e in read.change.entries])
+    case.assertEqual(len(odd), len(read.findings))
+    case.assertEqual(len(odd), len(read.change.removed))
+
+
+def test_unreadable_entry_of_a_host_hides_no_other(case: support.Case) -> None:
+    """Guards against RECOVER; a later build may have added a field."""
+    client = Client()
+    platform = create_store(client)
+    sound = {**HOST, 'added_later': 1}
+    client.rows[store.HOSTS_TABLE, 'a'] = json.dumps(sound).encode()
+    odd = list_unreadable(HOST)
+    for number, value in enumerate(odd):
+        client.rows[store.HOSTS_TABLE, f'odd-{number}'] = value
+    read = asyncio.run(platform.list_hosts()).unwrap()
+    case.assertEqual([ports.HostEntry(**HOST)], list(read.entries))
+    case.assertEqual(len(odd), len(read.findings))
+
+
+def test_unreadable_documents_of_operators_hide_no_other(
+    case: support.Case,
+) -> None:
+    """Guards against RECOVER in the watch of the desired state."""
+    client = Client()
+    platform = create_store(client)
+    weights = {'model': 'm', 'version': 3}
+    client.rows[store.OPERATOR_TABLE, 'version/m'] = json.dumps(
+        weights
+    ).encode()
+    client.rows[store.OPERATOR_TABLE, store.CONFIG_KEY] = b'[' * 20_000
+    odd = list_unreadable(weights)
+    for number, value in enumerate(odd):
+        client.rows[store.OPERATOR_TABLE, f'version/{number}'] = value
+    read = asyncio.run(platform.read_desired(None, 0.0)).unwrap()
+    case.assertIsNone(read.state)
+    case.assertEqual({'m': 3}, dict(read.weights))
+    case.assertEqual(len(odd) + 1, len(read.findings))
+
+
+def test_unreadable_rows_of_the_routers_own_tables_end_no_read(
+    case: support.Case,
+) -> None:
+    """Guards against RECOVER in the lease, software and stream tables."""
+    client = Client()
+    platform = create_store(client)
+    sources = {
+        store.LEASES_TABLE: {'holder': 'a', 'era': 0},
+        store.SOFTWARE_TABLE: {'versions': ['v1']},
+        store.STREAMS_TABLE: {'streams': []},
+    }
+    for table, document in sources.items():
+        for number, value in enumerate(list_unreadable(document)):
+            client.rows[table, f'odd-{number}'] = value
+            if table == store.LEASES_TABLE:
+                read = platform.read_lease(f'odd-{number}')
+                case.assertNotEqual('', asyncio.run(read).unwrap().holder)
+    asyncio.run(platform.read_software()).unwrap()
+    asyncio.run(platform.read_streams()).unwrap()
+
+
+def test_unreadable_value_of_a_row_ends_no_read(case: support.Case) -> None:
+    """Guards against RECOVER: a value that is not base64 is not a document."""
+    content = {
+        'ver': 3,
+        'rows': [
+            {'key': 'odd', 'ver': 1, 'value': 'abc'},
+            {'key': 'sound', 'ver': 2, 'value': 'e30='},
+        ],
+    }
+
+    async def call(*_: object, **__: object) -> rows.CallResult:
+        return result.Success(rows.StoreResponse(content, 0))
+
+    client = rows.StoreClient('127.0.0.1:1')
+    with mock.patch.object(client, 'call', call):
+        read = asyncio.run(client.read_rows('t')).unwrap()
+        case.assertEqual([b'abc', b'{}'], [row.value for row in read.rows])
+        content['rows'] = [7]
+        failed = asyncio.run(client.read_rows('t'))
+        case.assertFalse(pipeline.is_successful(failed))
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
