Send a call to the same target again only on a new connection

What callers saw: an order that all targets reject at first and one takes when it is asked again ran twice (TWICE). Cause: all attempts of a call bear the caller's request id, so a late second copy of the first rejection, which PROTOCOL.md names, passes for the answer to the second attempt on the same connection. Change: no reuse of a connection for a further attempt at a target, relayed calls included. Why it works: a copy can come only on the connection of its original.

--- a/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
@@ -3,6 +3,10 @@
 It registers itself at the stand-in of the metadata store. The last segment
 of a request's path selects its behaviour:
 `shed`: status 503 without execution;
+`copy`: the same; a second copy of the rejection follows late, when the next
+request comes on the connection;
+`again`: as `copy` when the request comes for the first time, then a complete
+response;
 `pause`: the same with a `Retry-After` of PAUSE_SECONDS;
 `leave`: a complete response; this and all later responses say that the server
 leaves, though it stays registered as ready;
@@ -25,6 +29,7 @@
 import os
 import time
 import typing
+import weakref
 
 import klein
 from twisted.internet import reactor
@@ -45,6 +50,11 @@
 WEIGHTS_LOAD_SECONDS = 0.1
 RUN_LOG_PREFIX = 'ran '
 """Prefix of the log line of each execution, before the request's id."""
+REJECTION = (
+    b'HTTP/1.1 503 Service Unavailable\r\n'
+    b'X-Pistachioseam-Request-Id: %b\r\n'
+    b'X-Pistachioseam-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+)
 FORBIDDEN_HEADERS = ('authorization', 'x-pistachioseam-hold', 'kv-from')
 """Headers that a router must remove; a request with one gets status 418."""
 
@@ -79,6 +89,10 @@
         self._store_address = store
         self._model = model
         self._software = software
+        self._rejected_ids: set[str] = set()
+        self._late_copies: weakref.WeakKeyDictionary[typing.Any, bytes] = (
+            weakref.WeakKeyDictionary()
+        )
         self._started_ms = time.time_ns() // 1_000_000
         self._agent = client.Agent(_REACTOR, connectTimeout=1.0)
         self._heartbeat_count = 0
@@ -183,6 +197,7 @@
         self.received_at.append(time.time())
         request_id = request.getHeader('x-pistachioseam-request-id') or ''
         request.setHeader('x-pistachioseam-request-id', request_id)
+        self._send_late_copy(request.channel)
         behaviour = request.path.decode().rpartition('/')[2]
         self.is_leaving = self.is_leaving or behaviour == 'leave'
         if self.is_leaving:
@@ -201,12 +216,25 @@
             return b''
         if behaviour == 'pause':
             request.setHeader('retry-after', str(PAUSE_SECONDS))
-        if behaviour in ('shed', 'pause') or self.is_loading:
+        if behaviour == 'again' and request_id not in self._rejected_ids:
+            self._rejected_ids.add(request_id)
+            behaviour = 'copy'
+        if behaviour == 'copy':
+            self._late_copies[request.channel] = (
+                REJECTION % request_id.encode()
+            )
+        if behaviour in ('copy', 'shed', 'pause') or self.is_loading:
             request.setResponseCode(503)
             request.setHeader('x-pistachioseam-not-executed', '1')
             return b''
         return await self._execute(request, request_id, behaviour)
 
+    def _send_late_copy(self, channel: typing.Any) -> None:
+        """Send the second copy of a rejection on its connection."""
+        copy = self._late_copies.pop(channel, None)
+        if copy is not None:
+            channel.transport.write(copy)
+
     async def _execute(
         self, request: typing.Any, request_id: str, behaviour: str
     ) -> bytes:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -413,9 +413,7 @@
         seconds_left=call.deadline - router.runtime.now(),
         incarnation=target.name,
         account=call.get_account_name(),
-        max_idle_seconds=float('inf')
-        if call.is_retryable()
-        else NON_RETRYABLE_MAX_IDLE_SECONDS,
+        max_idle_seconds=_get_max_idle_seconds(call, target),
         is_retryable=call.is_retryable(),
         after_event=call.head.after_event
         if last_event_id is None
@@ -423,6 +421,22 @@
     )
 
 
+def _get_max_idle_seconds(
+    call: calls.Call, target: catalog.LiveTarget
+) -> float:
+    """Return for how long the connection may have been idle.
+
+    A second attempt at a target gets a new connection: a late copy of the
+    first response bears the same request id.
+    """
+    for attempt in call.attempts:
+        if attempt.failure and attempt.target.name == target.name:
+            return 0.0
+    if call.is_retryable():
+        return float('inf')
+    return NON_RETRYABLE_MAX_IDLE_SECONDS
+
+
 def add_plan(
     outgoing: ports.OutgoingCall, call: calls.Call, plan: plans.RunPlan
 ) -> ports.OutgoingCall:
--- a/tests/core/forwarding/test_forward.py
+++ b/tests/core/forwarding/test_forward.py
@@ -196,6 +196,25 @@
     clocks.run(run())
 
 
+def test_second_attempt_at_a_target_gets_a_new_connection(
+    case: support.Case,
+) -> None:
+    """Guards against TWICE: a late copy of the rejection bears the same id."""
+
+    async def run() -> None:
+        for prefix in ('/once/', '/safe/'):
+            fixture = call_fakes.RouterFixture([call_fakes.create_target(1)])
+            call, _ = await fixture.serve(
+                prefix, [respond(503, is_not_run=True)], [respond()]
+            )
+            case.assertTrue(call.is_served)
+            first, second = [sent for _, sent in fixture.targets.sent]
+            case.assertGreater(first.max_idle_seconds, 0)
+            case.assertEqual(0, second.max_idle_seconds)
+
+    clocks.run(run())
+
+
 def test_response_to_another_request_tells_no_weights_version(
     case: support.Case,
 ) -> None:
--- a/tests/failures/test_forwarding.py
+++ b/tests/failures/test_forwarding.py
@@ -4,6 +4,7 @@
 `pistachioseam_standins.fleet_server`.
 """
 
+import collections
 from concurrent import futures
 import contextlib
 from http import client
@@ -27,6 +28,7 @@
 )
 MAX_REVOCATION_SECONDS = 5.0
 MAX_APPLY_SECONDS = 3.0
+COPY_ROUNDS = 12
 LIMIT_STABLE_SECONDS = 4.0
 LIMIT_WINDOW_SECONDS = 4.0
 PRESS_SECONDS = 10.0
@@ -209,7 +211,11 @@
 
 def test_draining_server_gets_no_new_calls(case: support.Case) -> None:
     """A server gets no new calls 2 s after it reports that it is draining."""
-    running = start_fleet(case, hosts=1, plain=2)
+    check_draining_server(case, start_fleet(case, hosts=1, plain=2))
+
+
+def check_draining_server(case: support.Case, running: fleet.Fleet) -> None:
+    """Let a plain server drain and check that it gets no new calls."""
     draining_server = running.services[0]
     deployment.call(
         'POST',
@@ -228,6 +234,28 @@
     )
 
 
+def test_late_copies_of_rejections_decide_about_no_other_call(
+    case: support.Case,
+) -> None:
+    """Guards against TWICE and REFUSED, for orders and streams alike."""
+    running = start_fleet(case, hosts=1, engines=2, plain=2)
+    host = running.entries[0].address
+    for prefix in ('/once/', '/stream/'):
+        statuses: dict[str, int] = {}
+        for number in range(COPY_ROUNDS):
+            for behaviour in ('copy', 'whole', 'again'):
+                request_id = f'{prefix}{behaviour}-{number}'
+                response = send(
+                    host, prefix + behaviour, request_id=request_id
+                )
+                statuses[request_id] = response.status
+        runs = collections.Counter(running.list_logged_request_ids())
+        for request_id, status in statuses.items():
+            case.assertLessEqual(runs[request_id], 1, request_id)
+            if status == 503:
+                case.assertEqual(0, runs[request_id], request_id)
+
+
 def count_received(servers: list[deployment.ServerProcess]) -> list[int]:
     """Return the number of requests that each server has received."""
     return [
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -15,9 +15,12 @@
 from tests import deployments
 
 BEHAVIOURS = {
-    '/safe/': ('whole', 'slow', 'fail', 'shed', 'cut'),
-    '/once/': ('whole', 'slow', 'slow', 'fail', 'shed', 'cut', 'foreign'),
-    '/stream/': ('whole', 'whole', 'tear'),
+    '/safe/': ('whole', 'slow', 'fail', 'shed', 'copy', 'again', 'cut'),
+    '/once/': (
+        *('whole', 'slow', 'slow', 'fail', 'shed', 'copy', 'again', 'cut'),
+        'foreign',
+    ),
+    '/stream/': ('whole', 'whole', 'copy', 'again', 'tear'),
     '/resumable/': ('whole', 'tear', 'drag', 'drag'),
 }
 """Behaviours of the server stand-in by route; repeated ones are likelier."""
