--- a/packages/pistachioseam-standins/src/pistachioseam_standins/fleet.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/fleet.py
@@ -199,7 +199,11 @@
 
     def write_row(self, table: str, key: str, content: object) -> None:
         """Write a row without conditions, as operators and servers do."""
-        row = {'table': table, 'key': key, 'value': json.dumps(content)}
+        self.write_raw_row(table, key, json.dumps(content))
+
+    def write_raw_row(self, table: str, key: str, value: str | None) -> None:
+        """Write a row as any writer may, or remove it if `value` is None."""
+        row = {'table': table, 'key': key, 'value': value}
         deployment.call(
             'POST', self.platform.address, '/standin/rows', {'rows': [row]}
         )
--- a/tests/failures/test_forwarding.py
+++ b/tests/failures/test_forwarding.py
@@ -28,6 +28,7 @@
 )
 MAX_REVOCATION_SECONDS = 5.0
 MAX_APPLY_SECONDS = 3.0
+ODD_ENTRY_SECONDS = 1.5
 COPY_ROUNDS = 12
 LIMIT_STABLE_SECONDS = 4.0
 LIMIT_WINDOW_SECONDS = 4.0
@@ -234,6 +235,17 @@
     )
 
 
+def test_draining_server_beside_an_odd_entry_gets_no_new_calls(
+    case: support.Case,
+) -> None:
+    """Guards against DRAIN: another writer's entry ended the watch of all."""
+    running = start_fleet(case, hosts=1, plain=2)
+    running.write_row('servers', 'odd', {'born': float('inf')})
+    running.write_raw_row('servers', 'odd-too', '[' * 20_000)
+    time.sleep(ODD_ENTRY_SECONDS)
+    check_draining_server(case, running)
+
+
 def test_late_copies_of_rejections_decide_about_no_other_call(
     case: support.Case,
 ) -> None:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -3,6 +3,7 @@
 import collections
 from collections import abc
 import contextlib
+import json
 import pathlib
 import random
 import signal
@@ -24,6 +25,29 @@
 """Modes of the store stand-in; `none` is repeated to be likelier."""
 
 
+ODD_ENTRY = {
+    'service': fleet.PLAIN_SERVICE,
+    'address': '127.0.0.1:9',
+    'zone': 'zone-1',
+    'version': 'v1',
+    'capacity': 6,
+    'state': 'ready',
+    'seq': 1,
+}
+ODD_TABLES = ('servers', 'op', 'pistachioseam-hosts', 'pistachioseam-leases')
+ODD_VALUES = (
+    None,
+    '',
+    '{}',
+    '[' * 20_000,
+    json.dumps({**ODD_ENTRY, 'born': float('inf')}),
+    json.dumps({**ODD_ENTRY, 'born': 2**64}),
+    json.dumps({**ODD_ENTRY, 'coldRemainingMs': float('nan')}),
+    json.dumps({**ODD_ENTRY, 'capacity': 'x'}),
+)
+"""Values of rows that another writer leaves; None removes the row."""
+
+
 class SoakFleet(partitions.PartitionedFleet):
     """Fleet that records the faults.
 
@@ -298,6 +322,14 @@
     context.fleet.write_next_state()
 
 
+@register
+def write_odd_document(context: FaultContext) -> None:
+    """Write a document that cannot be read, or remove it."""
+    table = context.random.choice(ODD_TABLES)
+    value = context.random.choice(ODD_VALUES)
+    context.fleet.write_raw_row(table, 'odd', value)
+
+
 @register
 def publish_weights(context: FaultContext) -> None:
     """Publish the next weights version."""
