--- a/packages/pistachioseam-standins/src/pistachioseam_standins/metadata.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/metadata.py
@@ -275,10 +275,13 @@
         view = self._views.get(request.getHeader('host') or '')
         if view is None or row.table != 'servers' or row.value is None:
             return row
-        content = json.loads(row.value)
-        address = content.get('address')
-        content['address'] = view.get(address, address)
-        return attrs.evolve(row, value=json.dumps(content).encode())
+        value = row.value
+        # Replaced in the text, as other writers' entries may be unreadable.
+        for address, seen_as in view.items():
+            value = value.replace(
+                f'"{address}"'.encode(), f'"{seen_as}"'.encode()
+            )
+        return attrs.evolve(row, value=value)
 
     def _encode_rows(
         self,
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,5 +1,6 @@
 """Callers that send calls of all kinds and record the results."""
 
+from collections import abc
 import contextlib
 from http import client
 import json
@@ -166,10 +167,19 @@
 
 
 class Caller:
-    """Caller that sends random calls one after another on its own thread."""
+    """Caller that sends random calls one after another on its own thread.
 
-    def __init__(self, running: fleet.Fleet, seed: int) -> None:
+    `behaviours` are those of the server stand-in, by route.
+    """
+
+    def __init__(
+        self,
+        running: fleet.Fleet,
+        seed: int,
+        behaviours: abc.Mapping[str, abc.Sequence[str]] = BEHAVIOURS,
+    ) -> None:
         self.results: list[CallResult] = []
+        self._behaviours = behaviours
         self._fleet = running
         self._random = random.Random(seed)
         self._should_stop = threading.Event()
@@ -195,8 +205,8 @@
     def _use(self, connection: HostConnection) -> None:
         """Send calls until the connection is closed."""
         while connection.is_open() and not self._should_stop.is_set():
-            prefix = self._random.choice(tuple(BEHAVIOURS))
-            behaviour = self._random.choice(BEHAVIOURS[prefix])
+            prefix = self._random.choice(tuple(self._behaviours))
+            behaviour = self._random.choice(self._behaviours[prefix])
             result = connection.call(prefix, behaviour)
             self.results.append(result)
             if prefix == '/resumable/' and result.list_whole_events():
