--- a/packages/pistachioseam-standins/src/pistachioseam_standins/metadata.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/metadata.py
@@ -19,7 +19,6 @@
 """
 
 import base64
-import json
 import typing
 
 import attrs
