Stand-ins: end the search for a port when none is free

A rehearsal of 40 hosts behind proxies never started and never ended, and one of 63 hosts ended with 'Address already in use': a path for each host and server needs more than the 1,000 ports of a run's block, so ports that were handed out and not yet bound were handed out again, and the search went round for ever once all were bound.

Cause: a search without an end over a range that a large run exhausts.

Change: a run reserves a loopback address, not a block of ports of one address, and so has 22,768 ports; the search tries each port once and then raises an error with the address and the number of ports.

Before: with both ports of a block of two in use, the search still ran after 5 s.

--- a/packages/pistachioseam-standins/src/pistachioseam_standins/deployment.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/deployment.py
@@ -5,6 +5,7 @@
 """
 
 from collections import abc
+import errno
 import fcntl
 import hashlib
 import itertools
@@ -24,12 +25,12 @@
 import attrs
 import yaml
 
-LOOPBACK = '127.0.0.1'
-FIRST_PORT = 10_000
-BLOCK_COUNT = 20
-BLOCK_PORTS = 1_000
-"""All ports are below the ephemeral range (Linux: from 32768 on). Each run has
-a block of its own, as a port that is free may be taken before it is used."""
+LOOPBACK_PATTERN = '127.0.0.{}'
+LOOPBACK_NUMBERS = range(2, 42)
+"""Last parts of the loopback addresses. Each run has one of its own, as a port
+that is free may be taken before it is used."""
+PORTS = range(10_000, 32_768)
+"""They are below the ephemeral range, which begins at 32768 on Linux."""
 TIMEOUT_SECONDS = 20.0
 """Timeout of each call, wait for a condition and graceful stop."""
 CHECK_INTERVAL_SECONDS = 0.05
@@ -66,49 +67,70 @@
     engine_options: dict[str, typing.Any] = attrs.field(factory=dict)
 
 
-def _reserve_block() -> int:
-    """Return the first port of a block that no other process has reserved.
+def _reserve_loopback() -> str:
+    """Return a loopback address that no other process has reserved.
 
     The reservation ends with this process.
     """
     folder = pathlib.Path(tempfile.gettempdir())
-    for number in range(BLOCK_COUNT):
-        lock = (folder / f'pistachioseam-ports-{number}.lock').open('w')
+    for number in LOOPBACK_NUMBERS:
+        lock = (folder / f'pistachioseam-loopback-{number}.lock').open('w')
         try:
             fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
         except BlockingIOError:
             lock.close()
             continue
         _LOCKS.append(lock)
-        return FIRST_PORT + number * BLOCK_PORTS
-    raise OSError(f'all {BLOCK_COUNT} blocks of ports are in use')
-
-
-def _generate_ports() -> abc.Iterator[int]:
-    """Yield the ports of this process's block, in an endless cycle."""
-    first = _reserve_block()
-    for number in itertools.count():
-        yield first + number % BLOCK_PORTS
+        return LOOPBACK_PATTERN.format(number)
+    raise OSError(f'all {len(LOOPBACK_NUMBERS)} loopback addresses are in use')
 
 
 _LOCKS: list[typing.IO[str]] = []
 """Open files that hold the reservation."""
-_PORTS = _generate_ports()
 
 
-def find_free_address() -> str:
-    """Return a loopback address to which no socket is bound.
+class AddressRange:
+    """Ports of a loopback address, handed out in turn.
 
-    It is returned again only after all other ports were tried.
+    An `address` of None is one that no other process has reserved, chosen at
+    the first use.
     """
-    for port in _PORTS:
-        with socket.socket() as probe:
-            try:
-                probe.bind((LOOPBACK, port))
-            except OSError:
-                continue
-            return f'{LOOPBACK}:{port}'
-    raise AssertionError('the iterator of ports ended')
+
+    def __init__(
+        self, ports: abc.Sequence[int], address: str | None = None
+    ) -> None:
+        self._address = address
+        self._ports = ports
+        self._next_ports = itertools.cycle(ports)
+
+    def find_free(self) -> str:
+        """Return `IP:port` to which no socket is bound.
+
+        It is returned again only after all other ports were tried. Raises
+        OSError if none is free.
+        """
+        if self._address is None:
+            self._address = _reserve_loopback()
+        for port in itertools.islice(self._next_ports, len(self._ports)):
+            with socket.socket() as probe:
+                try:
+                    probe.bind((self._address, port))
+                except OSError as error:
+                    if error.errno != errno.EADDRINUSE:
+                        raise
+                    continue
+                return f'{self._address}:{port}'
+        raise OSError(
+            f'all {len(self._ports)} ports of {self._address} are in use'
+        )
+
+
+_ADDRESSES = AddressRange(PORTS)
+
+
+def find_free_address() -> str:
+    """Return a loopback address of this run to which no socket is bound."""
+    return _ADDRESSES.find_free()
 
 
 def call(
