Soak, rehearsals: callers send refused work again and count it by work

Callers of the users' platform send a call that may run once again, under a new id, after a promise that it has not run (408, 421, 429, 503) or after a connection that was reset with the request unread. Ours never did, so a broken promise showed as REFUSED at most, and a reset after the request had been read, which callers take for a promise too, was not looked at.

Change: the callers of soak and rehearsals retry once, each piece of work has the id of its first call, and two checks are new: AGAIN (work that ran under several ids) and UNREAD (a reset request that ran).

--- a/tests/rehearsals/rehearsal.py
+++ b/tests/rehearsals/rehearsal.py
@@ -3,6 +3,7 @@
 import collections
 from collections import abc
 import contextlib
+import os
 import pathlib
 import random
 import threading
@@ -11,6 +12,7 @@
 
 import attrs
 
+from pistachioseam_standins import deployment
 from pistachioseam_standins import fleet
 from tests import builds
 from tests.soak import callers
@@ -28,7 +30,7 @@
 OPEN_STATUSES = (0, 502, 504)
 """Statuses of calls whose outcome their callers do not know."""
 MAX_FAULT_PAUSE_SECONDS = 2.0
-RULES = ('TWICE', 'REFUSED', 'MIXED', 'LOST', 'UNASKED')
+RULES = (*('TWICE', 'AGAIN', 'REFUSED', 'UNREAD', 'MIXED', 'LOST', 'UNASKED'),)
 
 
 @attrs.frozen(kw_only=True)
@@ -36,8 +38,8 @@
     """What is rehearsed; an empty `build` is the code of the checkout.
 
     `faults` are names of `tests.soak.faults.REGISTRY`, injected one after
-    another. `rejected`, `unproven`, `copied` and `garbled` are the fields of
-    `adversary.Faults`.
+    another. With `cores`, all hosts share that many processors. `rejected`,
+    `unproven`, `copied` and `garbled` are the fields of `adversary.Faults`.
     """
 
     seed: int = 1
@@ -47,6 +49,7 @@
     engines: int = 6
     plain: int = 3
     callers: int = 36
+    cores: int = 0
     faults: tuple[str, ...] = ()
     rejected: float = 0.1
     unproven: float = 0.0
@@ -94,6 +97,16 @@
         )
         super().__init__(spec, folder, python_path)
         self.server_options = plan.list_server_options()
+        self._cores = plan.cores
+
+    def start_host(
+        self, number: int, previous: deployment.ServerProcess | None = None
+    ) -> deployment.ServerProcess:
+        """Start a host on the processors that the hosts share."""
+        host = super().start_host(number, previous)
+        if self._cores:
+            os.sched_setaffinity(host.process.pid, range(self._cores))
+        return host
 
     def create_settings(
         self, number: int, address: str, admin_address: str
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import contextlib
+import errno
 from http import client
 import json
 import random
@@ -33,6 +34,9 @@
 CALL_INTERVAL_SECONDS = 0.05
 MAX_TAKE_UPS = 20
 READ_BYTES = 65_536
+MAX_RETRIES = 1
+NOT_RUN_STATUSES = (408, 421, 429, 503)
+"""Statuses that promise that a call has not run and will not run."""
 SOFTWARE_VERSIONS = (fleet_server.FIRST_SOFTWARE, 'v2')
 WHOLE_STREAMS = tuple(
     b''.join(
@@ -55,7 +59,9 @@
     server, false for one that the host created. Times are monotonic;
     `connected_at` is 0 if the host was not reached. `received` holds the
     whole events that the caller had before it took the stream up, `body` of an
-    incomplete response the part that arrived.
+    incomplete response the part that arrived. `is_reset` is true if the host
+    reset the connection before the response: it has not read the request.
+    `work` is the id of the first of the calls that are sent for the same work.
     """
 
     request_id: str
@@ -71,6 +77,12 @@
     is_stamped: bool = False
     error: str = ''
     received: bytes = b''
+    is_reset: bool = False
+    work: str = ''
+
+    def is_refused(self) -> bool:
+        """Return whether the host has shown that the call never runs."""
+        return self.is_reset or self.status in NOT_RUN_STATUSES
 
     def list_whole_events(self) -> bytes:
         """Return the whole events that the caller has of a stream."""
@@ -115,8 +127,12 @@
         prefix: str,
         behaviour: str,
         resumed: CallResult | None = None,
+        work: str = '',
     ) -> CallResult:
-        """Send one call, which may take up a stream; return its result."""
+        """Send one call, which may take up a stream; return its result.
+
+        `work` is empty for the first call of some work.
+        """
         request_id = uuid.uuid4().hex
         headers = {
             'host': fleet.ROUTE_HOST,
@@ -131,6 +147,7 @@
             address=self.address,
             connected_at=self._connected_at,
             sent_at=time.monotonic(),
+            work=work or request_id,
         )
         if resumed is not None:
             received = resumed.list_whole_events()
@@ -151,7 +168,12 @@
         except (OSError, client.HTTPException) as error:
             # A call without a response may have run; its runs are checked.
             self._connection.close()
-            return attrs.evolve(result, error=repr(error), body=body)
+            return attrs.evolve(
+                result,
+                error=repr(error),
+                body=body,
+                is_reset=is_reset_unread(error) and not result.has_begun,
+            )
         is_stamped = 'x-pistachioseam-server-stamp' in response.headers
         return attrs.evolve(
             result,
@@ -171,6 +193,15 @@
         return ''
 
 
+def is_reset_unread(error: Exception) -> bool:
+    """Return whether a host closed a connection with unread bytes.
+
+    The kernel resets it then. `RemoteDisconnected`, an end without a reset,
+    has no error number.
+    """
+    return isinstance(error, OSError) and error.errno == errno.ECONNRESET
+
+
 class Caller:
     """Caller that sends random calls one after another on its own thread.
 
@@ -216,6 +247,21 @@
             self.results.append(result)
             if prefix == '/resumable/' and result.list_whole_events():
                 self._take_up(result)
+            elif prefix != '/resumable/':
+                self._retry(result)
+            time.sleep(CALL_INTERVAL_SECONDS)
+
+    def _retry(self, result: CallResult) -> None:
+        """Send a refused call again, with a new id, at any host."""
+        for _ in range(MAX_RETRIES):
+            if not result.is_refused():
+                return
+            host = self._random.choice(self._fleet.entries)
+            with HostConnection(host.address) as connection:
+                result = connection.call(
+                    result.prefix, result.behaviour, work=result.work
+                )
+            self.results.append(result)
             time.sleep(CALL_INTERVAL_SECONDS)
 
     def _take_up(self, broken: CallResult) -> None:
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -8,7 +8,6 @@
 from tests.soak import callers
 
 AT_MOST_ONCE_PREFIXES = ('/once/', '/stream/')
-NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
 @attrs.frozen
@@ -38,7 +37,9 @@
 
     A call of `AT_MOST_ONCE_PREFIXES` runs at most once. A call that is
     refused with a status of `NOT_RUN_STATUSES` does not run; only a server's
-    own response to a call that may run again promises nothing. A response
+    own response to a call that may run again promises nothing. Work for which
+    several calls were sent, each after a refusal of the one before, runs once
+    too. A call whose host reset the connection does not run. A response
     belongs to its call, and is complete with status 200; the events of a
     stream, over all tries of its caller, are of one software version. A call
     that ran gets a response unless its host was killed: a host that is only
@@ -53,6 +54,7 @@
             violations.append(
                 Violation(rule, f'{message}: {result}', result.request_id)
             )
+    violations += _check_works(results, run_counts)
     sent_request_ids = {result.request_id for result in results}
     violations += [
         Violation('UNASKED', f'ran but was not sent: {name}', name)
@@ -62,6 +64,22 @@
     return violations
 
 
+def _check_works(
+    results: abc.Sequence[callers.CallResult],
+    run_counts: abc.Mapping[str, int],
+) -> abc.Iterator[Violation]:
+    """Yield a violation for each work whose calls ran more than once."""
+    ids_by_work: dict[str, list[str]] = {}
+    for result in results:
+        if result.prefix in AT_MOST_ONCE_PREFIXES:
+            work = result.work or result.request_id
+            ids_by_work.setdefault(work, []).append(result.request_id)
+    for work, request_ids in ids_by_work.items():
+        run_ids = [name for name in request_ids if run_counts[name]]
+        if len(run_ids) > 1:
+            yield Violation('AGAIN', f'work ran as {run_ids}', work)
+
+
 def _check_result(
     result: callers.CallResult,
     run_count: int,
@@ -72,8 +90,10 @@
     if runs_once and run_count > 1:
         yield 'TWICE', f'ran {run_count} times'
     is_promise = runs_once or not result.is_stamped
-    if result.status in NOT_RUN_STATUSES and run_count and is_promise:
+    if result.status in callers.NOT_RUN_STATUSES and run_count and is_promise:
         yield 'REFUSED', 'refused as not run but ran'
+    if result.is_reset and run_count and runs_once:
+        yield 'UNREAD', 'reset as unread but ran'
     if result.response_id not in ('', result.request_id):
         yield 'MIXED', 'response of another call'
     if (
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -55,6 +55,30 @@
     case.assertEqual(['incomplete or foreign response'], _find(swapped, 1))
 
 
+def test_work_that_runs_under_two_ids_is_found(case: support.Case) -> None:
+    """A call that is sent again after a broken promise runs again."""
+    again = attrs.evolve(
+        RESULT, request_id='id-2', response_id='id-2', body=b'id-2'
+    )
+    results = [
+        attrs.evolve(RESULT, work='id-1'),
+        attrs.evolve(again, work='id-1'),
+    ]
+    found = checks.find_violations(results, ['id-1', 'id-2'], [])
+    case.assertEqual(['AGAIN'], [violation.rule for violation in found])
+    case.assertEqual([], checks.find_violations(results, ['id-2'], []))
+
+
+def test_call_that_ran_though_reset_as_unread_is_found(
+    case: support.Case,
+) -> None:
+    """A reset tells callers that the host has not read the request."""
+    kill = checks.Kill(HOST, 5.0, 25.0)
+    reset = attrs.evolve(UNANSWERED, is_reset=True)
+    case.assertEqual(['reset as unread but ran'], _find(reset, 1, kill))
+    case.assertEqual([], _find(reset, 0, kill))
+
+
 def test_streams_of_two_software_versions_are_found(
     case: support.Case,
 ) -> None:
