Stand-ins: adversarial servers reject during a load; 421 has second copies

Hypothesis: rejections around new weights (421 for another version, 503 during a load) bring late copies too, and come more often the more hosts learn late of a version. The adversarial servers sent no copies of 421 and went on serving during a load.

--- a/packages/pistachioseam-standins/src/pistachioseam_standins/adversarial_server.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/adversarial_server.py
@@ -41,10 +41,14 @@
         self._active = 0
 
     def draw_answer(self) -> adversary.Answer:
-        """Return the answer to the next request of a caller."""
-        is_full = self._active >= CAPACITY + QUEUE_LENGTH
+        """Return the answer to a caller; all are rejected during a load."""
+        is_full = self.is_loading or self._active >= CAPACITY + QUEUE_LENGTH
         return adversary.draw_answer(self._generator, self._faults, is_full)
 
+    def draw_mismatch(self) -> adversary.Answer:
+        """Return the answer to a caller who expects another server."""
+        return adversary.draw_mismatch(self._generator, self._faults)
+
     def begin(self, request_id: str) -> float:
         """Record an execution; return the seconds that it waits for room."""
         waiting = max(0, self._active - CAPACITY + 1)
@@ -148,12 +152,7 @@
             self._write(encode_answer(status, fields, body, 'length'))
             self._finish()
         elif self._server.find_mismatch(request):
-            self._send(
-                request,
-                adversary.Answer(
-                    status=421, is_executed=False, has_stamp=False
-                ),
-            )
+            self._send(request, self._server.draw_mismatch())
         else:
             answer = self._server.draw_answer()
             seconds = answer.run_seconds
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/adversary.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/adversary.py
@@ -66,11 +66,20 @@
 """Changes of a whole answer."""
 
 
-def draw_answer(
-    generator: random.Random, faults: Faults, is_full: bool
-) -> Answer:
-    """Return the answer to a request; a full server rejects it."""
-    answer = Answer(
+def draw_mismatch(generator: random.Random, faults: Faults) -> Answer:
+    """Return the answer to a request that expects another server."""
+    return attrs.evolve(
+        _draw_whole(generator, faults),
+        status=421,
+        is_executed=False,
+        has_stamp=False,
+        run_seconds=0.0,
+    )
+
+
+def _draw_whole(generator: random.Random, faults: Faults) -> Answer:
+    """Return a whole answer, of which a second copy may come."""
+    return Answer(
         copy=generator.choice(('next', 'idle'))
         if generator.random() < faults.copied
         else '',
@@ -79,6 +88,13 @@
         run_seconds=generator.random() * MAX_RUN_SECONDS,
         copy_seconds=generator.random() * MAX_COPY_DELAY_SECONDS,
     )
+
+
+def draw_answer(
+    generator: random.Random, faults: Faults, is_full: bool
+) -> Answer:
+    """Return the answer to a request; a full server rejects it."""
+    answer = _draw_whole(generator, faults)
     if is_full or generator.random() < faults.rejected:
         return attrs.evolve(
             answer,
--- a/tests/entry/test_adversary.py
+++ b/tests/entry/test_adversary.py
@@ -24,7 +24,7 @@
 from pistachioseam_standins import adversarial_server
 from pistachioseam_standins import adversary
 from tests import call_fakes
-from tests.soak import checks
+from tests.soak import callers
 from tests import support
 
 SERVERS = 3
@@ -189,7 +189,7 @@
     if is_once and runs > 1:
         return f'ran {runs} times'
     is_own = call.refusal is not None
-    if status in checks.NOT_RUN_STATUSES and runs and (is_once or is_own):
+    if status in callers.NOT_RUN_STATUSES and runs and (is_once or is_own):
         return f'refused with {status}, ran'
     if (
         call.refusal is None
