--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -1,6 +1,6 @@
 """CPU, memory and store reads of idle hosts: the control plane's cost.
 
-Run: `.venv/bin/python benchmarks/control.py`. Gossip and polls run at the
+Run: `.venv/bin/python -m benchmarks.control`. Gossip and polls run at the
 default intervals; deployments of several sizes show the cost per peer.
 """
 
@@ -8,8 +8,7 @@
 import tempfile
 import time
 
-import latency
-
+from benchmarks import latency
 from pistachioseam_standins import deployment
 
 HOST_COUNTS = (1, 3, 9, 17)
--- a/benchmarks/crashes.py
+++ b/benchmarks/crashes.py
@@ -1,6 +1,6 @@
 """Outcomes of streams while one engine of four crashes and restarts.
 
-Run: `.venv/bin/python benchmarks/crashes.py`. Concurrent callers send streams
+Run: `.venv/bin/python -m benchmarks.crashes`. Concurrent callers send streams
 through one host without a pause; one engine is killed and later restarted.
 """
 
@@ -10,8 +10,7 @@
 import tempfile
 import threading
 
-import latency
-
+from benchmarks import latency
 from pistachioseam_standins import deployment
 
 CALLERS = 40
--- a/benchmarks/forwarding.py
+++ b/benchmarks/forwarding.py
@@ -1,6 +1,6 @@
 """Processor time and memory of one host that forwards calls.
 
-Run: `.venv/bin/python benchmarks/forwarding.py [--against CLONE]`. A host runs
+Run: `.venv/bin/python -m benchmarks.forwarding [--against CLONE]`. A host runs
 as a process between the stand-ins of the store, of an engine and of a plain
 server, all on loopback. With a clone of another commit, hosts of both take
 turns, and each line ends with the ratio of this checkout to the clone. Prints
@@ -81,9 +81,10 @@
 
 
 def measure_host(running: fleet.Fleet) -> dict[str, float]:
-    """Start a host, measure it and stop it."""
+    """Start the fleet's host again, measure it and stop it."""
+    running.kill(running.entries[0])
     started_at = time.monotonic()
-    host = running.start_host(0)
+    host = running.start_host(0, running.entries[0])
     running.wait_ready(host)
     figures = {
         'start_to_ready': time.monotonic() - started_at,
@@ -115,17 +116,13 @@
 def measure_checkout(folder: pathlib.Path) -> dict[str, float]:
     """Measure a host of a checkout."""
     path = os.pathsep.join(str(folder / source) for source in SOURCES)
-    previous = os.environ.get('PYTHONPATH', '')
     spec = fleet.FleetSpec(hosts=1, engines=1, plain=1)
     with (
         tempfile.TemporaryDirectory() as temporary,
         fleet.Fleet(spec, pathlib.Path(temporary)) as running,
     ):
-        os.environ['PYTHONPATH'] = path
-        try:
-            return measure_host(running)
-        finally:
-            os.environ['PYTHONPATH'] = previous
+        running.host_environment = {'PYTHONPATH': path}
+        return measure_host(running)
 
 
 def run(against: str = '') -> None:
--- a/benchmarks/latency.py
+++ b/benchmarks/latency.py
@@ -1,6 +1,6 @@
 """Latency that one host adds to a request, and its CPU time and memory.
 
-Run: `.venv/bin/python benchmarks/latency.py`. Direct calls to the engine
+Run: `.venv/bin/python -m benchmarks.latency`. Direct calls to the engine
 stand-in and calls through the host alternate, so that other load on the
 machine affects both alike.
 """
@@ -18,6 +18,7 @@
 CALLS = 400
 TOKENS_PER_STREAM = 2000
 STREAMS = 5
+IDLE_SECONDS = 5.0
 SHORT_RESPONSE_TOKENS = 1
 CHAT_PATH = '/v1/chat/completions'
 
@@ -93,8 +94,9 @@
         host = local.entries[0]
         print(f'memory when idle: {read_memory_mb(host):.1f} MB')
         cpu_before = read_cpu_seconds(host)
-        time.sleep(5.0)
-        idle_fraction = (read_cpu_seconds(host) - cpu_before) / 5.0
+        time.sleep(IDLE_SECONDS)
+        idle_cpu = read_cpu_seconds(host) - cpu_before
+        idle_fraction = idle_cpu / IDLE_SECONDS
         print(f'CPU when idle: {idle_fraction * 100:.2f}% of a core')
         direct, routed = (
             ChatClient(local.engines[0].address),
--- a/benchmarks/slopes.py
+++ b/benchmarks/slopes.py
@@ -2,7 +2,7 @@
 
 Source of the rows marked `benchmarks/slopes.py` in docs/CAPACITY.md.
 
-Run: `.venv/bin/python benchmarks/slopes.py`
+Run: `.venv/bin/python -m benchmarks.slopes`
 """
 
 import collections
