Rehearsals: stop all callers before the end of each is awaited

A rehearsal of 63 hosts that were cut off from the servers went on for over three minutes after its 30 s: callers were stopped one after another, each after its call in progress and up to 20 take-ups, while all others went on.

Change: all stop first; a caller that stops takes up and retries no more.

--- a/tests/rehearsals/rehearsal.py
+++ b/tests/rehearsals/rehearsal.py
@@ -156,6 +156,8 @@
         should_stop.set()
         injector.join()
         faults.clear_faults(running)
+        for caller in running_callers:
+            caller.stop()
     return [result for caller in running_callers for result in caller.results]
 
 
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -228,9 +228,13 @@
 
     def __exit__(self, *_: object) -> None:
         """Wait for the call in progress and end the thread."""
-        self._should_stop.set()
+        self.stop()
         self._thread.join()
 
+    def stop(self) -> None:
+        """Send no further call."""
+        self._should_stop.set()
+
     def _run(self) -> None:
         while not self._should_stop.is_set():
             host = self._random.choice(self._fleet.entries)
@@ -254,7 +258,7 @@
     def _retry(self, result: CallResult) -> None:
         """Send a refused call again, with a new id, at any host."""
         for _ in range(MAX_RETRIES):
-            if not result.is_refused():
+            if not result.is_refused() or self._should_stop.is_set():
                 return
             host = self._random.choice(self._fleet.entries)
             with HostConnection(host.address) as connection:
@@ -271,7 +275,7 @@
         """
         result = broken
         for _ in range(MAX_TAKE_UPS):
-            if result.status:
+            if result.status or self._should_stop.is_set():
                 return
             host = self._random.choice(self._fleet.entries)
             with HostConnection(host.address) as connection:
