--- a/tests/rehearsals/__main__.py
+++ b/tests/rehearsals/__main__.py
@@ -32,7 +32,8 @@
         build = outcome.plan.build or 'checkout'
         print(
             f'seed {outcome.plan.seed} build {build}: {outcome.calls} calls,'
-            f' open {outcome.open_fraction:.3f},',
+            f' open {outcome.open_fraction:.3f}, {outcome.resets} resets,'
+            f' {outcome.retries} retries,',
             ', '.join(f'{rule} {count}' for rule, count in counts.items()),
             flush=True,
         )
--- a/tests/rehearsals/rehearsal.py
+++ b/tests/rehearsals/rehearsal.py
@@ -67,14 +67,17 @@
     """Result of a rehearsal.
 
     `open_fraction` is the part of the calls that may run only once, and
-    reached a host, whose callers do not know the outcome; `stories` holds the
-    log lines of all processes that name a call, by its id.
+    reached a host, whose callers do not know the outcome. `resets` counts the
+    calls that were reset as unread, `retries` those that were sent again.
+    `stories` holds the log lines of all processes that name a call, by its id.
     """
 
     plan: Plan
     calls: int
     statuses: dict[int, int]
     open_fraction: float
+    resets: int
+    retries: int
     violations: tuple[checks.Violation, ...]
     stories: dict[str, list[str]] = attrs.field(repr=False)
 
@@ -131,6 +134,8 @@
         calls=len(results),
         statuses=dict(collections.Counter(r.status for r in results)),
         open_fraction=_compute_open_fraction(results),
+        resets=sum(result.is_reset for result in results),
+        retries=sum(r.work != r.request_id for r in results),
         violations=tuple(violations),
         stories=_tell_stories(folder, {v.request_id for v in violations}),
     )
--- a/tests/rehearsals/test_rehearsal.py
+++ b/tests/rehearsals/test_rehearsal.py
@@ -30,6 +30,8 @@
         calls=2,
         statuses={200: 2},
         open_fraction=0.0,
+        resets=0,
+        retries=0,
         violations=(checks.Violation('TWICE', 'ran 2 times', 'id-1'),),
         stories={},
     )
