Doubt a target that closes an idle connection before the time it states

Cause: only a reset, a cut response or a refused connect made a target doubtful. The kernel closes the idle connections of a killed process cleanly, and a clean end of an idle connection counted for nothing.

Change: a target that states Keep-Alive and closes earlier is doubted until its entry has been read again. One that states no time may close whenever it likes. The servers' stand-in states its idle time now.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -78,7 +78,7 @@
     `on_idle` is called when the connection can take the next request,
     `on_received` when bytes have arrived, `on_lost` when it has been closed.
     `is_reset` is set if it was not closed cleanly, `is_broken` if the target
-    closed it before the end of a response.
+    closed it before the end of a response, or idle earlier than it had stated.
     """
 
     def __init__(
@@ -95,6 +95,7 @@
         self.is_reset = False
         self.is_broken = False
         self._is_dropped = False
+        self._has_stated_idle_time = False
         self._head_bytes = 0
         self._on_lost = on_lost
         self._on_received = on_received
@@ -110,7 +111,7 @@
         """Notify the pool that this connection has been closed."""
         self.is_reset = reason.check(error.ConnectionDone) is None
         self.is_broken = not self._is_dropped and (
-            self.is_reset or self._is_response_cut()
+            self.is_reset or self._is_response_cut() or self._is_idle_cut()
         )
         super().connectionLost(reason)
         self._on_lost(self)
@@ -147,6 +148,9 @@
             keep_alive = self._parser.connHeaders.getRawHeaders(
                 b'keep-alive', []
             )
+            self._has_stated_idle_time = (
+                read_idle_seconds(keep_alive) is not None
+            )
             self.max_idle_seconds = choose_idle_seconds(keep_alive)
         super()._finishResponse_WAITING(rest)
 
@@ -186,6 +190,16 @@
             b'transfer-encoding'
         )
 
+    def _is_idle_cut(self) -> bool:
+        """Return whether the target closes it idle before the stated time.
+
+        The kernel does so for a process that was killed.
+        """
+        if self.state != 'QUIESCENT' or not self._has_stated_idle_time:
+            return False
+        idle_seconds = reactors.get_reactor().seconds() - self.idle_since
+        return idle_seconds < self.max_idle_seconds
+
     def is_idle(self) -> bool:
         """Return whether a request may be sent."""
         return self.state == 'QUIESCENT' and not self._is_dropped
@@ -203,17 +217,29 @@
 ]
 
 
-def choose_idle_seconds(keep_alive: abc.Sequence[bytes]) -> float:
-    """Return the maximum idle time of a connection, in seconds.
+def read_idle_seconds(keep_alive: abc.Sequence[bytes]) -> float | None:
+    """Return the idle timeout that a target states, None if it states none.
 
     `keep_alive` holds the values of the target's `Keep-Alive` headers.
     """
     for value in keep_alive:
         found = KEEP_ALIVE_TIMEOUT_PATTERN.search(value)
         if found:
-            seconds = float(found[1]) - IDLE_MARGIN_SECONDS
-            return min(MAX_IDLE_SECONDS, max(0.0, seconds))
-    return DEFAULT_IDLE_SECONDS
+            return float(found[1])
+    return None
+
+
+def choose_idle_seconds(keep_alive: abc.Sequence[bytes]) -> float:
+    """Return the maximum idle time of a connection, in seconds.
+
+    `keep_alive` is that of `read_idle_seconds`.
+    """
+    stated_seconds = read_idle_seconds(keep_alive)
+    if stated_seconds is None:
+        return DEFAULT_IDLE_SECONDS
+    return min(
+        MAX_IDLE_SECONDS, max(0.0, stated_seconds - IDLE_MARGIN_SECONDS)
+    )
 
 
 def set_socket_options(transport: typing.Any) -> None:
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
@@ -43,6 +43,9 @@
 from pistachioseam_standins import serving
 
 HEARTBEAT_SECONDS = 0.3
+IDLE_SECONDS = 60
+"""Time for which it says that it keeps idle connections; `server.Site` keeps
+them so long."""
 SLOW_SECONDS = 0.7
 SILENT_SECONDS = 60.0
 PAUSE_SECONDS = 1.5
@@ -218,6 +221,7 @@
         self.received_at.append(time.time())
         request_id = request.getHeader('x-pistachioseam-request-id') or ''
         request.setHeader('x-pistachioseam-request-id', request_id)
+        request.setHeader('keep-alive', f'timeout={IDLE_SECONDS}')
         self._send_late_copy(request.channel)
         behaviour = request.path.decode().rpartition('/')[2]
         self.is_leaving = self.is_leaving or behaviour == 'leave'
--- a/tests/entry/test_target_connections.py
+++ b/tests/entry/test_target_connections.py
@@ -374,6 +374,27 @@
     run(work)
 
 
+def test_target_that_states_no_idle_time_may_close_at_any_time(
+    case: support.Case,
+) -> None:
+    """It need not have restarted."""
+
+    async def work() -> None:
+        broken: list[str] = []
+        async with FakeTarget(RESPONSE, None) as target:
+            with target_connections.ConnectionPool(
+                headers.HeaderCodec()
+            ) as pool:
+                pool.on_broken = broken.append
+                case.assertEqual(b'ok', await fetch(pool, target.address))
+                target.close_connections()
+                await asyncio.sleep(WAIT_SECONDS)
+                case.assertEqual(0, pool.count_open())
+                case.assertEqual([], broken)
+
+    run(work)
+
+
 def test_response_without_an_id_ends_the_call(case: support.Case) -> None:
     """Most likely it is that of the call, and none follows."""
 
