Stand-ins: servers that reset idle connections early, and those beyond a limit

The wire of the grown sites, which no rehearsal had: a server may drop an idle connection sooner than usual, and resets connections beyond its limit.

--- a/packages/pistachioseam-standins/src/pistachioseam_standins/adversarial_server.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/adversarial_server.py
@@ -33,9 +33,12 @@
         self,
         *arguments: str,
         seed: int = 0,
+        connections: int = adversary.MAX_CONNECTIONS,
         faults: adversary.Faults,
     ) -> None:
         super().__init__(*arguments)
+        self.max_connections = connections
+        self.connections = 0
         self._generator = random.Random(f'{seed}-{self.name}')
         self._faults = faults
         self._active = 0
@@ -116,8 +119,15 @@
         self._buffer = b''
         self._is_busy = False
         self._is_closed = False
+        self._request_count = 0
         self._late_copy = b''
 
+    def connectionMade(self) -> None:  # noqa: N802
+        """Reset the connection if there are too many."""
+        self._server.connections += 1
+        if self._server.connections > self._server.max_connections:
+            self._abort()
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Read requests; the next one waits for the answer to the last."""
         self._buffer += data
@@ -128,6 +138,7 @@
     ) -> None:
         """Send nothing more."""
         self._is_closed = True
+        self._server.connections -= 1
 
     def _serve_next(self) -> None:
         if self._is_busy or HEAD_END not in self._buffer:
@@ -139,6 +150,7 @@
             return
         request.body, self._buffer = rest[:length], rest[length:]
         self._is_busy = True
+        self._request_count += 1
         self._write(self._late_copy)
         self._late_copy = b''
         self._serve(request)
@@ -181,8 +193,17 @@
         if answer.ending == 'extra':
             self._write(EXTRA_BYTES)
         self._plan_copy(answer, data)
+        if answer.is_dropped:
+            serving.call_later(
+                answer.copy_seconds, self._drop_idle, self._request_count
+            )
         self._finish()
 
+    def _drop_idle(self, request_count: int) -> None:
+        """Reset the connection unless further requests have come."""
+        if request_count == self._request_count and not self._is_closed:
+            self._abort()
+
     def _plan_copy(self, answer: adversary.Answer, data: bytes) -> None:
         """Send a second copy later, the second piece of it later still."""
         first = data[: int(len(data) * answer.split)]
@@ -261,9 +282,13 @@
     model: str = '',
     software: str = fleet_server.FIRST_SOFTWARE,
     seed: int = 0,
+    connections: int = adversary.MAX_CONNECTIONS,
     **faults: float,
 ) -> None:
-    """Serve on `IP:port`; `faults` are the fields of `adversary.Faults`."""
+    """Serve on `IP:port`; `faults` are the fields of `adversary.Faults`.
+
+    Connections beyond `connections` are reset.
+    """
     server = AdversarialServer(
         name,
         service,
@@ -272,6 +297,7 @@
         model,
         software,
         seed=seed,
+        connections=connections,
         faults=adversary.Faults(**faults),
     )
     serving.call_later(0, server.register)
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/adversary.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/adversary.py
@@ -6,6 +6,8 @@
 
 MAX_RUN_SECONDS = 0.12
 MAX_COPY_DELAY_SECONDS = 0.15
+MAX_CONNECTIONS = 10_000
+"""Connection limit of a server that has none to speak of."""
 UNPROVEN_STATUSES = (408, 429, 503)
 """Statuses that promise that a call has not run, sent after it ran."""
 
@@ -22,7 +24,8 @@
     the answer to the next request on the connection, `idle` after
     `copy_seconds`; empty for none. `split` is the part of the copy that comes
     first, between 0 and 1; the rest comes later. `order` sorts the fields of
-    its head.
+    its head. With `is_dropped` its connection is reset `copy_seconds` later,
+    unless a request has come by then.
     """
 
     status: int = 200
@@ -36,6 +39,7 @@
     order: float = 0.0
     run_seconds: float = 0.0
     copy_seconds: float = 0.0
+    is_dropped: bool = False
 
 
 @attrs.frozen(kw_only=True)
@@ -44,13 +48,15 @@
 
     `rejected` is that of a rejection without want of room, `unproven` that of
     a status of `UNPROVEN_STATUSES` after execution, `copied` that of a second
-    copy of an answer, `garbled` that of each other fault together.
+    copy of an answer, `garbled` that of each other fault together, `dropped`
+    that of an idle connection that is reset early.
     """
 
     rejected: float = 0.1
     unproven: float = 0.0
     copied: float = 0.15
     garbled: float = 0.15
+    dropped: float = 0.0
 
 
 GARBLED = (
@@ -87,6 +93,9 @@
         order=generator.random(),
         run_seconds=generator.random() * MAX_RUN_SECONDS,
         copy_seconds=generator.random() * MAX_COPY_DELAY_SECONDS,
+        # Drawn only with this fault, so that seeds keep their answers.
+        is_dropped=bool(faults.dropped)
+        and generator.random() < faults.dropped,
     )
 
 
--- a/tests/rehearsals/rehearsal.py
+++ b/tests/rehearsals/rehearsal.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from pistachioseam_standins import adversary
 from pistachioseam_standins import deployment
 from pistachioseam_standins import fleet
 from tests import builds
@@ -39,7 +40,8 @@
 
     `faults` are names of `tests.soak.faults.REGISTRY`, injected one after
     another. With `cores`, all hosts share that many processors. `rejected`,
-    `unproven`, `copied` and `garbled` are the fields of `adversary.Faults`.
+    `unproven`, `copied`, `garbled` and `dropped` are the fields of
+    `adversary.Faults`, `connections` the limit of each server.
     """
 
     seed: int = 1
@@ -55,10 +57,15 @@
     unproven: float = 0.0
     copied: float = 0.15
     garbled: float = 0.15
+    dropped: float = 0.0
+    connections: int = adversary.MAX_CONNECTIONS
 
     def list_server_options(self) -> tuple[str, ...]:
         """Return the command line of the servers."""
-        names = ('seed', 'rejected', 'unproven', 'copied', 'garbled')
+        names = (
+            *('seed', 'rejected', 'unproven', 'copied', 'garbled'),
+            *('dropped', 'connections'),
+        )
         return tuple(f'--{name}={getattr(self, name)}' for name in names)
 
 
