--- a/tests/rehearsals/rehearsal.py
+++ b/tests/rehearsals/rehearsal.py
@@ -31,7 +31,15 @@
 OPEN_STATUSES = (0, 502, 504)
 """Statuses of calls whose outcome their callers do not know."""
 MAX_FAULT_PAUSE_SECONDS = 2.0
-RULES = (*('TWICE', 'AGAIN', 'REFUSED', 'UNREAD', 'MIXED', 'LOST', 'UNASKED'),)
+RULES = (
+    'TWICE',
+    'AGAIN',
+    'REFUSED',
+    'UNREAD',
+    'MIXED',
+    'LOST',
+    'UNASKED',
+)
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -21,7 +21,11 @@
 
 @attrs.frozen
 class Violation:
-    """Broken promise about one call; `rule` is the users' name of it."""
+    """Broken promise about one call.
+
+    `rule` is the users' name of it; AGAIN (work that ran as several calls) and
+    UNREAD (a call that ran after a reset) are names of our own.
+    """
 
     rule: str
     message: str
