Log within what time weights were named, and the lag at the send

Change: 208 has named_within, the time since the store last confirmed the cache; 309 has weights_lag. No decision changes.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -105,12 +105,20 @@
         """
         if self._plan is None or self._call.prompt is None:
             return float('inf')
-        lag_seconds = self._router.desired.get_lag_seconds(
+        return self._router.max_begin_lag_seconds - self.get_weights_lag()
+
+    def get_weights_lag(self) -> float:
+        """Return for how many seconds the plan's weights are outdated.
+
+        0 for the newest version, and for calls without a prompt.
+        """
+        if self._plan is None or self._call.prompt is None:
+            return 0.0
+        return self._router.desired.get_lag_seconds(
             self._call.prompt.model,
             self._plan.version,
             self._router.runtime.now(),
         )
-        return self._router.max_begin_lag_seconds - lag_seconds
 
     def _finish_work(self) -> None:
         for work in (self._target_work, self._source_work):
@@ -273,20 +281,16 @@
 
     def _report_outdated_begin(self, attempt: calls.CallAttempt) -> None:
         """Log a call that began after its weights were too old to send it."""
-        prompt = self._call.prompt
-        assert prompt is not None and self._plan is not None
-        version = self._plan.version
+        assert self._plan is not None
         now = self._router.runtime.now()
-        lag_seconds = self._router.desired.get_lag_seconds(
-            prompt.model, version, now
-        )
+        lag_seconds = self.get_weights_lag()
         if lag_seconds <= self._router.max_weights_lag_seconds:
             return
         self._router.sink.emit(
             events.Event.CALL_BEGAN_OUTDATED,
             request_id=self._call.request_id,
             target=attempt.target.name,
-            version=version,
+            version=self._plan.version,
             lag=round(lag_seconds, 3),
             waited=round(now - attempt.started_at, 3),
         )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/known_versions.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/known_versions.py
@@ -1,6 +1,7 @@
 """Cache of the desired state and of the weights versions of engines."""
 
 from collections import abc
+import math
 
 import attrs
 
@@ -40,11 +41,18 @@
         """Call `listener` after each change."""
         self._listeners.append(listener)
 
-    def apply(self, change: ports.DesiredChange, now: float) -> bool:
+    def apply(
+        self,
+        change: ports.DesiredChange,
+        now: float,
+        unconfirmed_seconds: float = float('inf'),
+    ) -> bool:
         """Apply a read; return whether it brought a newer version.
 
         Versions of the state or of weights that are not newer than the known
-        ones are ignored.
+        ones are ignored. `unconfirmed_seconds` is the time since the store
+        confirmed the cache before this read, infinite before the first one: a
+        version that the read brings was named within this time.
         """
         is_changed = self._apply_state(change.state)
         for model, version in change.weights.items():
@@ -58,6 +66,11 @@
                     events.Event.NEWER_WEIGHTS_DESIRED,
                     model=model,
                     version=version,
+                    named_within=(
+                        None
+                        if math.isinf(unconfirmed_seconds)
+                        else round(unconfirmed_seconds, 3)
+                    ),
                 )
         self._is_first_read = False
         for finding in change.findings:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -246,6 +246,7 @@
         target=target.name,
         costs=_describe_costs(choice),
         plan=delivery_.plan(target),
+        weights_lag=round(delivery_.get_weights_lag(), 3),
         software=target.software_version,
         resumes=call.head.resumed_request_id,
         after_event=call.head.after_event,
--- a/packages/pistachioseam/src/pistachioseam/forwarding/watches.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/watches.py
@@ -182,7 +182,11 @@
 
     def _apply(self, found: ports.DesiredChange, is_restored: bool) -> bool:
         router = self._router
-        return router.desired.apply(found, router.runtime.now())
+        return router.desired.apply(
+            found,
+            router.runtime.now(),
+            router.read_boot_clock() - self.progress.confirmed_at,
+        )
 
     def record_confirmation(self, confirmed_at: float) -> None:
         """Record the time up to which revocations of keys are known."""
--- a/tests/core/forwarding/test_forward.py
+++ b/tests/core/forwarding/test_forward.py
@@ -428,6 +428,7 @@
         ]
         for name in ('request_id', 'target', 'costs', 'configuration', 'age'):
             case.assertIn(name, placed[0])
+        case.assertEqual(0.0, placed[0]['weights_lag'])
 
     clocks.run(run())
 
--- a/tests/core/forwarding/test_watches.py
+++ b/tests/core/forwarding/test_watches.py
@@ -93,6 +93,34 @@
     clocks.run(run())
 
 
+def test_log_tells_within_what_time_weights_were_named(
+    case: support.Case,
+) -> None:
+    """A host that learned late logged the version like any other."""
+
+    async def run() -> None:
+        fixture = call_fakes.RouterFixture()
+        named = [
+            ports.DesiredChange(
+                state=None, weights={call_fakes.MODEL: number}, cursor=at(3)
+            )
+            for number in (1, 2)
+        ]
+        failure = ports.StoreFailure(detail='HTTP status 503')
+        store = Store(named[0], failure, failure, named[1])
+        watch = watches.DesiredWatch(fixture.router, _cast(store))
+        for _ in store.script[:]:
+            await watch.read(0.5)
+        within = [
+            fields['named_within']
+            for kind, fields in fixture.sink.events
+            if kind is events.Event.NEWER_WEIGHTS_DESIRED
+        ]
+        case.assertEqual([None, 1.51], within)
+
+    clocks.run(run())
+
+
 def test_lost_history_causes_a_full_read(case: support.Case) -> None:
     """The next read has no cursor, so that no change is missed."""
 
