Test that hosts know the age of replaced weights, however late they learn

A host dates a weights version by when it learned of it, so all limits of calls on the former one count from too late a moment. Change: the simulated store names weights; five tests of fleets of 9 and 36 hosts: undisturbed, leaders that answer late, a store that answers late, and without statuses.

--- /dev/null
+++ b/tests/entry/test_fleet_weights.py
@@ -0,0 +1,114 @@
+"""Hosts count the age of weights from when newer ones were named.
+
+All hosts count, also those that learn late that a version was named.
+"""
+
+import asyncio
+from collections import abc
+
+from tests import call_fakes
+from tests import clocks
+from tests import support
+from tests import watching_fleets
+
+MODEL = call_fakes.MODEL
+BOUND_SECONDS = 7.0
+"""Time after which no host may take replaced weights for younger than that."""
+PHASES = 4
+"""Draws of the time between a leader's read and the naming of a version."""
+
+Fault = abc.Callable[[watching_fleets.WatchingFleet], None]
+
+
+def check_lags(
+    case: support.Case,
+    inject: Fault,
+    hosts: int = 9,
+    domains: int = 3,
+    seconds: float = BOUND_SECONDS,
+) -> None:
+    """Check each host's lag, `seconds` after a version was named.
+
+    The fault begins shortly before.
+    """
+
+    async def run(seed: int) -> None:
+        fleet = watching_fleets.WatchingFleet(hosts, domains, seed)
+        fleet.store.name_weights(MODEL, 1)
+        await fleet.settle()
+        inject(fleet)
+        await asyncio.sleep(0.05 + fleet.random.random())
+        fleet.store.name_weights(MODEL, 2)
+        await asyncio.sleep(seconds)
+        young = {
+            host.own.name: round(lag_seconds, 2)
+            for host in fleet.hosts
+            if (lag_seconds := host.get_lag_seconds(MODEL, 1)) < seconds
+        }
+        case.assertEqual({}, young, f'seed {seed}')
+
+    for seed in range(PHASES):
+        clocks.run(run(seed))
+
+
+def delay_leaders(fleet: watching_fleets.WatchingFleet) -> None:
+    """Let the hosts that read the store answer others too late."""
+    fleet.network.delays = {
+        fleet.find_region_leader(number): 2.0 for number in (0, 1)
+    }
+
+
+def delay_store(fleet: watching_fleets.WatchingFleet) -> None:
+    """Let the responses of the store take almost as long as hosts wait."""
+    fleet.store.delays = {peer.name: 0.9 for peer in fleet.peers}
+
+
+def silence_all(fleet: watching_fleets.WatchingFleet) -> None:
+    """Let leaders and store answer late, and lose all statuses."""
+    delay_leaders(fleet)
+    delay_store(fleet)
+    fleet.network.silenced = {peer.name for peer in fleet.peers}
+
+
+def do_nothing(fleet: watching_fleets.WatchingFleet) -> None:
+    """Leave the fleet undisturbed."""
+
+
+def test_weights_are_not_taken_for_younger_than_they_are(
+    case: support.Case,
+) -> None:
+    """Limits for calls on replaced weights counted from when it learned."""
+    check_lags(case, do_nothing)
+
+
+def test_weights_are_not_young_as_leaders_answer_late(
+    case: support.Case,
+) -> None:
+    """Followers learn of newer weights when they read the store themselves."""
+    check_lags(case, delay_leaders)
+
+
+def test_weights_are_not_young_as_the_store_answers_late(
+    case: support.Case,
+) -> None:
+    """All hosts learn of newer weights almost a second late."""
+    check_lags(case, delay_store)
+
+
+def test_weights_are_not_young_as_no_host_tells_their_age(
+    case: support.Case,
+) -> None:
+    """Hosts that learn late get no greater age from their peers."""
+    check_lags(case, silence_all)
+
+
+def test_hosts_of_a_large_fleet_that_learn_late_know_the_age(
+    case: support.Case,
+) -> None:
+    """They follow the leader of their domain, which follows another one."""
+    check_lags(case, silence_all, hosts=36)
+
+
+def load_tests(*_: object) -> object:
+    """Load the functions of this module."""
+    return support.load_functions(globals())
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -47,7 +47,8 @@
 class Network:
     """Hosts by address; `messages` counts the one-way messages.
 
-    `delays` holds the seconds that responses of a host take.
+    `delays` holds the seconds that responses of a host take, `silenced` the
+    names of hosts whose one-way messages are lost.
     """
 
     def __init__(self) -> None:
@@ -57,6 +58,7 @@
         self.handshakes = 0
         self.cut_domains: set[str] = set()
         self.delays: dict[str, float] = {}
+        self.silenced: set[str] = set()
 
     def find(self, sender: membership.Peer, address: str) -> 'Host | None':
         """Return the host that a message reaches, None if it is lost."""
@@ -84,7 +86,10 @@
             self._network.messages += 1
             self._network.bytes_by_sender[message.sender.name] += len(payload)
             host = self._network.find(self._own, address)
-            if host is not None:
+            if (
+                host is not None
+                and message.sender.name not in self._network.silenced
+            ):
                 received = messages_pb2.Message.FromString(payload)
                 host.peers._handle_message(received)
 
--- a/tests/watching_fleets.py
+++ b/tests/watching_fleets.py
@@ -34,14 +34,16 @@
     """Store with a document and the entries of targets.
 
     `rows` holds each target's entry, None once it is removed, with the version
-    of its last write. `refused` holds the names of hosts whose calls fail,
-    `delays` the seconds that the calls of a host take.
+    of its last write, `weights` the weights version of each model in the same
+    way. `refused` holds the names of hosts whose calls fail, `delays` the
+    seconds that the calls of a host take.
     """
 
     version: int = 1
     rows: dict[str, tuple[int, catalog.LiveTarget | None]] = attrs.field(
         factory=dict
     )
+    weights: dict[str, tuple[int, int]] = attrs.field(factory=dict)
     refused: set[str] = attrs.field(factory=set)
     delays: dict[str, float] = attrs.field(factory=dict)
     reads: int = 0
@@ -59,6 +61,19 @@
         self.version += 1
         self.rows[name] = (self.version, None)
 
+    def name_weights(self, model: str, weights_version: int) -> None:
+        """Write the weights version that engines are to load."""
+        self.version += 1
+        self.weights[model] = (self.version, weights_version)
+
+    def list_named(self, after: int) -> dict[str, int]:
+        """Return the weights versions that were named after a version."""
+        return {
+            model: weights_version
+            for model, (version, weights_version) in self.weights.items()
+            if version > after
+        }
+
     async def run_heartbeats(self) -> None:
         """Write the entries that are left again and again."""
         while True:
@@ -84,15 +99,23 @@
     async def read_desired(
         self, after: store_versions.StoreVersion | None, wait_seconds: float
     ) -> result.Result[ports.DesiredChange, ports.StoreFailure]:
-        """Return the document at the first read, no change at the others."""
+        """Return the document at the first read, weights at the others."""
         if not await self._call():
             return REFUSED
-        if after is not None:
-            await asyncio.sleep(wait_seconds)
+        known = -1 if after is None else after.number
+        end = asyncio.get_running_loop().time() + wait_seconds
+        while (
+            after is not None
+            and not self._store.list_named(known)
+            and asyncio.get_running_loop().time() < end
+        ):
+            await asyncio.sleep(SAMPLE_SECONDS)
         state = call_fakes.create_state() if after is None else None
         return result.Success(
             ports.DesiredChange(
-                state=state, weights={}, cursor=self._get_cursor()
+                state=state,
+                weights=self._store.list_named(known),
+                cursor=self._get_cursor(),
             )
         )
 
@@ -159,6 +182,11 @@
         super().stop()
         self.fixture.runtime.__exit__()
 
+    def get_lag_seconds(self, model: str, version: int) -> float:
+        """Return for how long this host takes weights for replaced."""
+        now = self.router.runtime.now()
+        return self.router.desired.get_lag_seconds(model, version, now)
+
     def may_send_to(self, name: str) -> bool:
         """Return whether a call may be placed on a target."""
         call = self.fixture.create_call('/safe/')
