Count the age of weights from when newer ones may have been named

Callers saw a call begin 10.12 s after newer weights were acknowledged. Cause: a host dated a version by when it learned of it. It may learn over 2 s late while only its leader is slow, more than the margin that is left when a call is given up. Change: a version has an interval; its early end is the time up to which the store had confirmed the cache before the read that brought it. Limits count from there. Peers' ages bound the late end only. Open: the early end of a calm host is up to its last long poll too early.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/known_versions.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/known_versions.py
@@ -26,13 +26,34 @@
     age_seconds: float
 
 
+@attrs.frozen
+class NamingInterval:
+    """Interval in which a weights version was named.
+
+    `after` is the last moment at which the store is known to have named no
+    version newer than those known before, None if there is none; `by` the
+    first moment at which the version was known to be named.
+    """
+
+    after: float | None
+    by: float
+
+    def get_earliest(self) -> float:
+        """Return the earliest possible time, `by` if none is known."""
+        return self.by if self.after is None else self.after
+
+    def limit_by(self, by: float) -> 'NamingInterval':
+        """Return the interval for a version that was known at `by`."""
+        return attrs.evolve(self, by=min(self.by, by))
+
+
 class DesiredStateCache:
     """Newest desired state, and the weights versions named for each model."""
 
     def __init__(self, sink: interfaces.EventSink) -> None:
         self._sink = sink
         self.state: desired.DesiredState | None = None
-        self._named_at: dict[str, dict[int, float]] = {}
+        self._named: dict[str, dict[int, NamingInterval]] = {}
         self._named_before_start: set[tuple[str, int]] = set()
         self._is_first_read = True
         self._listeners: list[abc.Callable[[], None]] = []
@@ -57,7 +78,12 @@
         is_changed = self._apply_state(change.state)
         for model, version in change.weights.items():
             if version > self.get_newest_version(model):
-                self._named_at.setdefault(model, {})[version] = now
+                self._named.setdefault(model, {})[version] = NamingInterval(
+                    None
+                    if math.isinf(unconfirmed_seconds)
+                    else now - unconfirmed_seconds,
+                    now,
+                )
                 if self._is_first_read:
                     # It may have been named long ago.
                     self._named_before_start.add((model, version))
@@ -96,18 +122,20 @@
 
     def get_newest_version(self, model: str) -> int:
         """Return the newest version named for a model, 0 if there is none."""
-        return max(self._named_at.get(model, {0: 0.0}))
+        return max(self._named.get(model, ()), default=0)
 
     def get_lag_seconds(self, model: str, version: int, now: float) -> float:
-        """Return for how many seconds a version has been outdated.
+        """Return for how many seconds a version may have been outdated.
 
-        It is outdated since any newer version was named; 0 for the newest. If
-        that was before this host started, the time since its first read is
-        returned; see `is_lag_known`.
+        It is outdated since any newer version was named; 0 for the newest. The
+        time counts from the earliest moment at which that may have been, so it
+        is never too short, however late this host learned of it. If that was
+        before this host started, the time since its first read is returned;
+        see `is_lag_known`.
         """
         newer_named_at = [
-            named_at
-            for named, named_at in self._named_at.get(model, {}).items()
+            interval.get_earliest()
+            for named, interval in self._named.get(model, {}).items()
             if named > version
         ]
         return now - min(newer_named_at) if newer_named_at else 0.0
@@ -116,18 +144,19 @@
         """Return whether it is known since when a version is outdated."""
         return not any(
             (model, named) in self._named_before_start
-            for named in self._named_at.get(model, {})
+            for named in self._named.get(model, {})
             if named > version
         )
 
     def list_named_weights(self, now: float) -> tuple[NamedWeights, ...]:
-        """Return the newest versions with known ages, to be sent to peers."""
+        """Return the newest versions with known ages, to be sent to peers.
+
+        The ages count from when the versions were known to be named.
+        """
         return tuple(
-            NamedWeights(model, version, now - named_at)
-            for model, versions in self._named_at.items()
-            for version, named_at in sorted(versions.items())[
-                -ANNOUNCED_VERSIONS:
-            ]
+            NamedWeights(model, version, now - versions[version].by)
+            for model, versions in self._named.items()
+            for version in sorted(versions)[-ANNOUNCED_VERSIONS:]
             if (model, version) not in self._named_before_start
         )
 
@@ -137,20 +166,17 @@
         Versions newer than the known ones are ignored: they come only from
         the operators' documents.
         """
-        versions = self._named_at.get(named.model, {})
         if named.version > self.get_newest_version(named.model):
             return
+        versions = self._named.setdefault(named.model, {})
         self._named_before_start.discard((named.model, named.version))
-        named_at = now - named.age_seconds
-        versions[named.version] = min(
-            versions.get(named.version, named_at), named_at
-        )
+        named_by = now - named.age_seconds
+        interval = versions.get(named.version, NamingInterval(None, named_by))
+        versions[named.version] = interval.limit_by(named_by)
 
     def get_newest_versions(self) -> dict[str, int]:
         """Return the newest named version of each model."""
-        return {
-            model: self.get_newest_version(model) for model in self._named_at
-        }
+        return {model: self.get_newest_version(model) for model in self._named}
 
 
 ANNOUNCE_SECONDS = 3.0
