Count the age of weights on the boot clock

Change: versions are dated, and ages read, on the boot clock. Result: test_weights_age_while_a_host_is_suspended failed before and passes.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/status_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/status_messages.py
@@ -160,7 +160,9 @@
         self, status: messages_pb2.HostStatus, is_handshake: bool = False
     ) -> None:
         now = self._router.runtime.now()
-        for named in self._router.desired.list_named_weights(now):
+        for named in self._router.desired.list_named_weights(
+            self._router.read_boot_clock()
+        ):
             status.named.add(
                 model=named.model,
                 weights_version=named.version,
@@ -327,7 +329,7 @@
                     named.weights_version,
                     named.age_ms / plans.MS_PER_SECOND,
                 ),
-                now,
+                self._router.read_boot_clock(),
             )
         if not status.is_partial:
             self._router.loads.record_peer_loads(
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -117,7 +117,7 @@
         return self._router.desired.get_lag_seconds(
             self._call.prompt.model,
             self._plan.version,
-            self._router.runtime.now(),
+            self._router.read_boot_clock(),
         )
 
     def _finish_work(self) -> None:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/known_versions.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/known_versions.py
@@ -48,7 +48,11 @@
 
 
 class DesiredStateCache:
-    """Newest desired state, and the weights versions named for each model."""
+    """Newest desired state, and the weights versions named for each model.
+
+    All times are of the boot clock, as weights also age while a host is
+    suspended.
+    """
 
     def __init__(self, sink: interfaces.EventSink) -> None:
         self._sink = sink
--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -136,7 +136,7 @@
     if call.prompt is None:
         return ready
     model = call.prompt.model
-    now = router.runtime.now()
+    now = router.read_boot_clock()
     fresh, unknown_lag = [], []
     for target in ready:
         version = router.weights.get(target, model)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -378,7 +378,7 @@
             engine.target, engine.model
         )
         return self._router.desired.get_lag_seconds(
-            engine.model, loaded, self._router.runtime.now()
+            engine.model, loaded, self._router.read_boot_clock()
         )
 
     def _is_late(self, engine: OutdatedEngine) -> bool:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/watches.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/watches.py
@@ -181,11 +181,9 @@
         )
 
     def _apply(self, found: ports.DesiredChange, is_restored: bool) -> bool:
-        router = self._router
-        return router.desired.apply(
-            found,
-            router.runtime.now(),
-            router.read_boot_clock() - self.progress.confirmed_at,
+        now = self._router.read_boot_clock()
+        return self._router.desired.apply(
+            found, now, now - self.progress.confirmed_at
         )
 
     def record_confirmation(self, confirmed_at: float) -> None:
--- a/tests/core/forwarding/test_placement.py
+++ b/tests/core/forwarding/test_placement.py
@@ -96,6 +96,27 @@
     clocks.run(run())
 
 
+def test_weights_age_while_a_host_is_suspended(case: support.Case) -> None:
+    """A host that woke placed calls on weights by its own running time."""
+
+    async def run() -> None:
+        fixture = call_fakes.RouterFixture(
+            [call_fakes.create_target(1, call_fakes.ENGINE_SERVICE)]
+        )
+        router = fixture.router
+        router.max_weights_lag_seconds = 6.0
+        fixture.set_state(None, {MODEL: 2})
+        call = fixture.create_call('/stream/', PROMPT)
+        call.service = call_fakes.create_state().find_service(
+            call_fakes.ENGINE_SERVICE
+        )
+        case.assertIsNotNone(placement.place_call(call, router))
+        router.read_boot_clock = lambda: fixture.runtime.now() + 7.0
+        case.assertIsNone(placement.place_call(call, router))
+
+    clocks.run(run())
+
+
 def test_overload_is_refused_not_queued(case: support.Case) -> None:
     """At twice the prefill capacity, admitted calls are served in time.
 
