--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -1,8 +1,10 @@
 """Loopback TCP proxies that delay, block, reset and refuse connections."""
 
 import asyncio
+import errno
 import socket
 import threading
+import time
 import typing
 
 from pistachioseam_standins import deployment
@@ -14,6 +16,10 @@
 DELAY_SECONDS = 0.3
 """Delay of each chunk, and interval at which a blocked one checks the mode."""
 CHUNK_BYTES = 65_536
+BIND_SECONDS = 5.0
+"""Time in which a port is free again. A process that another thread starts has
+a copy of the closed socket until it runs its program."""
+BIND_RETRY_SECONDS = 0.01
 FILLER_CONNECTIONS = 4
 """Connections that fill the queue of a socket which accepts none, so that the
 kernel drops the packets of further ones."""
@@ -97,7 +103,7 @@
         host, _, port = address.rpartition(':')
         listening = socket.socket()
         listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listening.bind((host, int(port)))
+        _bind(listening, (host, int(port)))
         listening.listen(128)
         listening.setblocking(False)
         return listening
@@ -198,3 +204,17 @@
         except OSError:
             pass
         writer.close()
+
+
+def _bind(listening: socket.socket, address: tuple[str, int]) -> None:
+    """Bind a socket, within a while if its address is still in use."""
+    end = time.monotonic() + BIND_SECONDS
+    while True:
+        try:
+            listening.bind(address)
+        except OSError as error:
+            if error.errno != errno.EADDRINUSE or time.monotonic() > end:
+                raise
+            time.sleep(BIND_RETRY_SECONDS)
+        else:
+            return
