Leave the lease of the rollout when no engine answers

Callers saw work on weights replaced for over ten seconds.

Cause: renewal depended on the store alone.

Change: a holder counts the engines that owe an answer since the last one. When a quarter of them, three at least, have been silent for 1.5 s, it logs 705 and stops renewing and acting. While they are silent for over 0.5 s it renews only when one answers, so that the standbys' wait counts from an earlier write. It takes the lease back if nobody has 2 s after others could. A few dead engines, or ones that reject, do not count. The wait of a successor is unchanged.

--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -248,3 +248,8 @@
     ORDER_FAILED = EventKind(
         704, Level.WARNING, 'engine did not accept a load order; will retry'
     )
+    LEASE_LEFT = EventKind(
+        705,
+        Level.WARNING,
+        'lease left to the standbys: engines do not answer this host',
+    )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/leases.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/leases.py
@@ -108,8 +108,15 @@
             return False
         if self.is_last_holder() or self._is_new():
             return True
+        return self.is_expired()
+
+    def is_expired(self, extra_seconds: float = 0.0) -> bool:
+        """Return whether the row is old enough for another host to write it.
+
+        `extra_seconds` is further time for which it must have been unchanged.
+        """
         unchanged_seconds = self.read_boot_clock() - self.unchanged_since
         required_seconds = (
             self.min_handover_seconds + VALIDITY_SECONDS + CLOCK_MARGIN_SECONDS
         )
-        return unchanged_seconds > required_seconds
+        return unchanged_seconds > required_seconds + extra_seconds
--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -1,7 +1,7 @@
 """Rollout of newer weights to the engines, by the holder of a lease.
 
 The other hosts are standbys: when the holder stops making progress, one of
-them takes over the lease.
+them takes over the lease. A holder that no engine answers stops renewing it.
 """
 
 import asyncio
@@ -13,6 +13,7 @@
 from pistachioseam import events
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import drains
+from pistachioseam.forwarding import engine_silence
 from pistachioseam.forwarding import leases
 from pistachioseam.forwarding import loads
 from pistachioseam.forwarding import ports
@@ -54,6 +55,10 @@
 RENEW_RETRY_SECONDS = 0.5
 """Pause after a failed renewal; the platform also charges for calls that the
 store rejects."""
+REST_SECONDS = 30.0
+"""Time for which a host that has left the lease lets other hosts go first."""
+REST_EXTRA_SECONDS = 2.0
+"""How much later than others such a host may write an unchanged lease."""
 UNREACHABLE_RETRY_SECONDS = 0.5
 """Pause before the upgrade of an engine that did not respond is retried."""
 
@@ -139,6 +144,8 @@
         self._next_renewal_at = 0.0
         self._outdated_since: float | None = None
         self._lease_read_at = 0.0
+        self._silence = engine_silence.EngineSilence()
+        self._rests_until: float | None = None
         self._has_changed = asyncio.Event()
         router.desired.add_listener(self._has_changed.set)
 
@@ -177,20 +184,80 @@
         now = self._router.read_boot_clock()
         if not outdated:
             self._outdated_since = None
+            self._silence.reset()
             await self._observe_idle_lease(now)
             return
         if self._outdated_since is None:
             self._outdated_since = now
-        if self._router.is_cut_off():
+        if self._router.is_cut_off() or not await self._can_hold(now):
+            self._silence.reset()
             return
-        if not self.lease.is_last_holder() and not await self._can_take_over(
-            now
+        engine_count = self._count_engines(outdated[0])
+        if self._silence.has_lasted(
+            engine_silence.STALL_SECONDS, engine_count, now
         ):
+            self._leave_lease(now)
             return
-        if self.lease.needs_renewal() and not await self._renew():
+        # Reports may be read without the lease, and an answer renews it.
+        is_silent = self.lease.is_last_holder() and self._silence.has_lasted(
+            leases.RENEW_AFTER_SECONDS, engine_count, now
+        )
+        if (
+            self.lease.needs_renewal()
+            and not is_silent
+            and not await self._renew()
+        ):
             return
         self._start_upgrades(outdated)
 
+    def _count_engines(self, engine: OutdatedEngine) -> int:
+        """Return the number of engines of an engine's service."""
+        return len(self._router.catalog.list_service(engine.target.service))
+
+    def _leave_lease(self, now: float) -> None:
+        """Let the lease expire, as no engine answers this host."""
+        self._router.sink.emit(
+            events.Event.LEASE_LEFT,
+            duty=LEASE_NAME,
+            failures=self._silence.failures,
+            engines=self._silence.count_engines(
+                engine_silence.STALL_SECONDS, now
+            ),
+        )
+        self._silence.reset()
+        self._rests_until = now + REST_SECONDS
+
+    async def _can_hold(self, now: float) -> bool:
+        """Return whether this host holds the lease or may take it now.
+
+        A host that has left the lease takes it only if no other does.
+        """
+        if not self._is_resting():
+            return self.lease.is_last_holder() or await self._can_take_over(
+                now
+            )
+        if self.lease.is_last_holder() and self._has_row_rested():
+            await self._read_lease()
+        if not self.lease.is_last_holder() and not await self._can_take_over(
+            now
+        ):
+            return False
+        if not self._has_row_rested():
+            return False
+        self._rests_until = None
+        return True
+
+    def _is_resting(self) -> bool:
+        """Return whether this host has left the lease to others."""
+        return (
+            self._rests_until is not None
+            and self._router.read_boot_clock() < self._rests_until
+        )
+
+    def _has_row_rested(self) -> bool:
+        """Return whether the other hosts have had time to take the lease."""
+        return self.lease.is_expired(REST_EXTRA_SECONDS)
+
     def _prune_retries(self) -> None:
         live = {
             target.get_incarnation()
@@ -253,9 +320,10 @@
         """Renew the lease if needed; return whether this host holds it.
 
         Concurrent upgrades share one write, and a failed write is followed by
-        a pause. A host that reaches no target leaves the lease to others.
+        a pause. A host that reaches no target, or that no engine has answered,
+        leaves the lease to others.
         """
-        if self._router.is_cut_off():
+        if self._router.is_cut_off() or self._is_resting():
             return False
         async with self._renewal_lock:
             if not self.lease.needs_renewal():
@@ -306,8 +374,7 @@
 
         Engines that must load now are started beyond this limit.
         """
-        service = outdated[0].target.service
-        count = len(self._router.catalog.list_service(service))
+        count = self._count_engines(outdated[0])
         remaining = max(1, int(count * MAX_LOADING_FRACTION)) - len(
             self.loading
         )
@@ -396,6 +463,7 @@
             target is None
             or not self._router.catalog.is_available(target)
             or not self.lease.is_last_holder()
+            or self._is_resting()
         ):
             return False
         if target.get_incarnation() != engine.target.get_incarnation():
@@ -415,10 +483,12 @@
         )
         if pause > 0:
             return pause
+        self._record_call(engine)
         read = await self._control.read_report(engine.target)
         if not returns_pipeline.is_successful(read):
             self._schedule_retry(engine, read.failure())
             return None
+        self._record_answer(engine)
         report = read.unwrap()
         newest = self._router.desired.get_newest_version(engine.model)
         loaded = report.weights.get(engine.model, 0)
@@ -447,7 +517,7 @@
         """
         if self.lease.needs_renewal() and not await self._renew():
             return None
-        if not self.lease.can_act():
+        if self._is_resting() or not self.lease.can_act():
             return None
         assert self.lease.row is not None
         order = ports.WeightsOrder(
@@ -458,10 +528,12 @@
             expected_orders=orders,
             switch=switch,
         )
+        self._record_call(engine)
         ordered = await self._control.order_weights(engine.target, order)
         if not returns_pipeline.is_successful(ordered):
             self._schedule_retry(engine, ordered.failure())
             return None
+        self._record_answer(engine)
         status = ordered.unwrap()
         self._router.sink.emit(
             events.Event.WEIGHTS_ORDERED,
@@ -482,6 +554,14 @@
             else LOADING_POLL_SECONDS
         )
 
+    def _record_call(self, engine: OutdatedEngine) -> None:
+        now = self._router.read_boot_clock()
+        self._silence.record_call(engine.target.get_incarnation(), now)
+
+    def _record_answer(self, engine: OutdatedEngine) -> None:
+        now = self._router.read_boot_clock()
+        self._silence.record_answer(engine.target.get_incarnation(), now)
+
     def _schedule_retry(
         self, engine: OutdatedEngine, failure: interfaces.CallFailure
     ) -> None:
@@ -492,6 +572,7 @@
         now = self._router.read_boot_clock()
         incarnation = engine.target.get_incarnation()
         self._retry_at[incarnation] = now + UNREACHABLE_RETRY_SECONDS
+        self._silence.record_failure(incarnation, failure.kind, now)
         self._router.sink.emit(
             events.Event.ORDER_FAILED,
             target=engine.target.name,
--- a/tests/core/forwarding/test_rollouts.py
+++ b/tests/core/forwarding/test_rollouts.py
@@ -1,10 +1,14 @@
 """One host loads the newest weights on all engines, oldest weights first."""
 
 import asyncio
+from collections import abc
+import itertools
+import typing
 
 import attrs
 from returns import result
 
+from pistachioseam import events
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import drains
 from pistachioseam.forwarding import leases
@@ -18,6 +22,9 @@
 
 MODEL = call_fakes.MODEL
 MIN_HANDOVER_SECONDS = 3.0
+CALL_TIMEOUT_SECONDS = 1.0
+LOAD_SECONDS = 0.38
+GOSSIP_SECONDS = 0.1
 NO_RUNS = drains.EngineRuns(running=0, prefilling=0)
 
 
@@ -85,11 +92,16 @@
 
 
 class Engines:
-    """Control of simulated engines; `engines` holds them by name."""
+    """Control of simulated engines; `engines` holds them by name.
+
+    While `is_cut_off`, no call gets an answer within its timeout.
+    """
 
     def __init__(self, fixture: call_fakes.RouterFixture) -> None:
         self._fixture = fixture
         self.engines: dict[str, Engine] = {}
+        self.is_cut_off = False
+        self.reports = 0
         self.accepted_orders: list[tuple[float, str, str, int]] = []
 
     def _find(self, target: catalog.LiveTarget) -> Engine:
@@ -103,19 +115,34 @@
             )
         return engine
 
+    def read_version(self, target: catalog.LiveTarget) -> int:
+        """Return the version of the weights that an engine runs."""
+        return self._find(target).version
+
     def _now(self) -> float:
         return self._fixture.runtime.now()
 
+    async def _time_out(
+        self,
+    ) -> result.Result[typing.Any, interfaces.CallFailure]:
+        await asyncio.sleep(CALL_TIMEOUT_SECONDS)
+        return result.Failure(
+            call_fakes.create_failure(call_fakes.Kind.TIMED_OUT)
+        )
+
     async def read_report(
         self, target: catalog.LiveTarget
     ) -> result.Result[ports.EngineReport, interfaces.CallFailure]:
         """Return the engine's report."""
         await asyncio.sleep(0.01)
         engine = self._find(target)
+        self.reports += 1
         if engine.is_unreachable:
             return result.Failure(
                 call_fakes.create_failure(call_fakes.Kind.NOT_SENT)
             )
+        if self.is_cut_off:
+            return await self._time_out()
         return result.Success(
             ports.EngineReport(
                 orders=engine.orders,
@@ -131,6 +158,8 @@
         """Start to load unless the engine is loading or the order is stale."""
         await asyncio.sleep(0.01)
         engine = self._find(target)
+        if self.is_cut_off:
+            return await self._time_out()
         if engine.loading_until or order.expected_orders != engine.orders:
             return result.Success(409)
         engine.orders += 1
@@ -484,6 +513,162 @@
     clocks.run(run())
 
 
+class Fleet:
+    """Hosts with the same engines, each with a path of its own to them.
+
+    `controls` holds the paths by rank. Hosts tell each other which weights
+    the engines run.
+    """
+
+    def __init__(self, engine_count: int, host_count: int) -> None:
+        self.store = Store()
+        self.fixtures = [
+            create_fixture(engine_count) for _ in range(host_count)
+        ]
+        self.controls = [Engines(fixture) for fixture in self.fixtures]
+        self.targets: list[catalog.LiveTarget] = []
+        for target in self.fixtures[0].router.catalog.list_all():
+            engine = Engine(load_seconds=LOAD_SECONDS)
+            for control in self.controls:
+                control.engines[target.name] = engine
+                control.accepted_orders = self.controls[0].accepted_orders
+            self.targets.append(target)
+        for rank, fixture in enumerate(self.fixtures):
+            control = self.controls[rank]
+            start(fixture, self.store, control, f'host-{rank}', rank)
+        self.fixtures[0].runtime.start(self._share_weights())
+
+    async def _share_weights(self) -> None:
+        while True:
+            await asyncio.sleep(GOSSIP_SECONDS)
+            for target in self.targets:
+                version = self.controls[0].read_version(target)
+                for fixture in self.fixtures:
+                    fixture.router.weights.record(target, MODEL, version)
+
+    def now(self) -> float:
+        """Return the time in seconds."""
+        return self.fixtures[0].runtime.now()
+
+    def list_orders(self) -> list[tuple[float, str, str, int]]:
+        """Return the accepted orders: time, holder, engine and version."""
+        return self.controls[0].accepted_orders
+
+    def name_version(self, version: int) -> None:
+        """Let all hosts know of a newer weights version."""
+        for fixture in self.fixtures:
+            fixture.set_state(None, {MODEL: version})
+
+    def cut_off(self, is_cut_off: bool, ranks: abc.Iterable[int]) -> None:
+        """Cut the paths of hosts to the engines, or mend them."""
+        for rank in ranks:
+            self.controls[rank].is_cut_off = is_cut_off
+
+    def count_events(self, event: events.Event) -> int:
+        """Return how often the hosts have logged an event."""
+        return sum(
+            fixture.sink.list_kinds().count(event) for fixture in self.fixtures
+        )
+
+    async def wait_for_version(self, version: int) -> float:
+        """Wait until all engines run a version; return the time."""
+        control = self.controls[0]
+        while any(control.read_version(t) < version for t in self.targets):
+            await asyncio.sleep(0.02)
+        return self.now()
+
+
+def test_holder_that_no_engine_answers_leaves_the_lease(
+    case: support.Case,
+) -> None:
+    """It renewed for as long as its calls to engines timed out."""
+
+    async def run() -> None:
+        fleet = Fleet(30, 6)
+        await asyncio.sleep(0.5)
+        fleet.name_version(2)
+        await fleet.wait_for_version(2)
+        case.assertEqual('host-0', fleet.store.row.holder)
+        await asyncio.sleep(5.0)
+        fleet.cut_off(True, [0])
+        named_at = fleet.now()
+        fleet.name_version(3)
+        finished_at = await fleet.wait_for_version(3)
+        orders = [order for order in fleet.list_orders() if order[3] == 3]
+        case.assertEqual(1, fleet.count_events(events.Event.LEASE_LEFT))
+        case.assertNotIn('host-0', {holder for _, holder, _, _ in orders})
+        case.assertLess(finished_at - named_at, 9.0)
+
+    clocks.run(run())
+
+
+def test_orders_of_two_holders_are_the_handover_time_apart(
+    case: support.Case,
+) -> None:
+    """A holder that has left the lease in the middle of a rollout waits."""
+
+    async def run() -> None:
+        fleet = Fleet(30, 6)
+        await asyncio.sleep(0.5)
+        for version in range(2, 12):
+            fleet.name_version(version)
+            await asyncio.sleep(0.3 + 0.1 * version)
+            cut = version % 3
+            fleet.cut_off(True, range(cut))
+            await asyncio.sleep(7.0)
+            fleet.cut_off(False, range(cut))
+            await asyncio.sleep(1.0)
+        orders = fleet.list_orders()
+        case.assertLess(1, len({holder for _, holder, _, _ in orders}))
+        pairs = itertools.pairwise(orders)
+        for (at, holder, _, _), (later, other, _, _) in pairs:
+            if holder != other:
+                case.assertGreaterEqual(later - at, MIN_HANDOVER_SECONDS)
+
+    clocks.run(run())
+
+
+def test_rollout_goes_on_after_all_hosts_were_without_answers(
+    case: support.Case,
+) -> None:
+    """Neither a single host nor a fleet may wait for others without end."""
+
+    async def run(host_count: int, seconds: float) -> None:
+        fleet = Fleet(30, host_count)
+        await asyncio.sleep(0.5)
+        fleet.cut_off(True, range(host_count))
+        fleet.name_version(2)
+        await asyncio.sleep(seconds)
+        calls = fleet.store.calls
+        fleet.cut_off(False, range(host_count))
+        mended_at = fleet.now()
+        finished_at = await fleet.wait_for_version(2)
+        case.assertLess(finished_at - mended_at, 9.0)
+        case.assertLess(calls / seconds, 2 + 2 * host_count)
+
+    for host_count in (1, 2, 8):
+        for seconds in (3.0, 10.0, 20.0, 41.0):
+            clocks.run(run(host_count, seconds))
+
+
+def test_few_silent_engines_do_not_move_the_lease(case: support.Case) -> None:
+    """Engines that are at fault themselves would fail for any holder."""
+
+    async def run() -> None:
+        fleet = Fleet(30, 4)
+        for target in fleet.targets[:6]:
+            fleet.controls[0].engines[target.name].is_unreachable = True
+        await asyncio.sleep(0.5)
+        for version in (2, 3):
+            fleet.name_version(version)
+            await asyncio.sleep(20.0)
+        case.assertEqual('host-0', fleet.store.row.holder)
+        case.assertEqual(0, fleet.count_events(events.Event.LEASE_LEFT))
+        case.assertEqual(48, len(fleet.list_orders()))
+
+    clocks.run(run())
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
