Date weights versions by the store's clock where hosts read it

Callers were refused for replaced weights earlier than needed, on a calm fleet too. Cause: a version was dated by the last send of a request that the store had confirmed, up to two long polls before it was named. Change: reads carry the store's clock. A response with an older version than the row that names the weights proves that they were named after it; its time is mapped to the boot clock by the sends of requests, per era (store_clocks). If the row may have named a version in between, only responses up to the cursor count. The stand-in has a steady clock. Ruled out: a row written again with the same version is taken for a later naming; operators only write greater ones.

--- a/packages/pistachioseam-standins/src/pistachioseam_standins/metadata.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/metadata.py
@@ -19,6 +19,7 @@
 """
 
 import base64
+import time
 import typing
 
 import attrs
@@ -291,7 +292,7 @@
         request.setHeader('store-era', str(self.era))
         content = {
             'ver': self.version,
-            'nowMs': 0,
+            'nowMs': time.monotonic_ns() // 1_000_000,
             'hasMore': has_more,
             'rows': [
                 _encode_row(self._apply_view(request, row)) for row in rows
--- a/packages/pistachioseam/src/pistachioseam/forwarding/known_versions.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/known_versions.py
@@ -2,6 +2,7 @@
 
 from collections import abc
 import math
+import types
 
 import attrs
 
@@ -15,6 +16,7 @@
 ANNOUNCED_VERSIONS = 3
 """Number of newest versions whose ages are sent to peers; engines skip older
 ones."""
+NO_EARLY_ENDS: abc.Mapping[str, float] = types.MappingProxyType({})
 
 
 @attrs.frozen
@@ -71,22 +73,26 @@
         change: ports.DesiredChange,
         now: float,
         unconfirmed_seconds: float = float('inf'),
+        early_ends: abc.Mapping[str, float] = NO_EARLY_ENDS,
     ) -> bool:
         """Apply a read; return whether it brought a newer version.
 
         Versions of the state or of weights that are not newer than the known
         ones are ignored. `unconfirmed_seconds` is the time since the store
         confirmed the cache before this read, infinite before the first one: a
-        version that the read brings was named within this time.
+        version that the read brings was named within this time. `early_ends`
+        holds, by model, times up to which the store is also known to have
+        named none.
         """
         is_changed = self._apply_state(change.state)
         for model, version in change.weights.items():
             if version > self.get_newest_version(model):
+                after = None
+                if not math.isinf(unconfirmed_seconds):
+                    after = now - unconfirmed_seconds
+                    after = max(after, early_ends.get(model, after))
                 self._named.setdefault(model, {})[version] = NamingInterval(
-                    None
-                    if math.isinf(unconfirmed_seconds)
-                    else now - unconfirmed_seconds,
-                    now,
+                    after, now
                 )
                 if self._is_first_read:
                     # It may have been named long ago.
@@ -97,9 +103,7 @@
                     model=model,
                     version=version,
                     named_within=(
-                        None
-                        if math.isinf(unconfirmed_seconds)
-                        else round(unconfirmed_seconds, 3)
+                        None if after is None else round(now - after, 3)
                     ),
                 )
         self._is_first_read = False
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -212,22 +212,32 @@
     """Changes to the operators' documents after a cursor.
 
     `state` is None if it has not changed. `weights` holds, by model, the
-    newest version that operators have named. `cursor` is for the next read.
+    newest version that operators have named, `weights_rows` the store's
+    versions of the rows that name them. `cursor` is for the next read.
+    `store_seconds` is the time of the store's clock, None if unknown.
     """
 
     state: desired.DesiredState | None
     weights: abc.Mapping[str, int]
     cursor: store_versions.StoreVersion
     findings: tuple[str, ...] = ()
+    weights_rows: abc.Mapping[str, store_versions.StoreVersion] = attrs.field(
+        factory=dict
+    )
+    store_seconds: float | None = None
 
 
 @attrs.frozen(kw_only=True)
 class TargetsRead:
-    """Changes to the targets' entries after a cursor."""
+    """Changes to the targets' entries after a cursor.
+
+    `store_seconds` is the time of the store's clock, None if unknown.
+    """
 
     change: catalog.TargetChange
     cursor: store_versions.StoreVersion
     findings: tuple[str, ...] = ()
+    store_seconds: float | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/watches.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/watches.py
@@ -3,6 +3,7 @@
 import abc
 import typing
 
+import attrs
 from returns import pipeline as returns_pipeline
 from returns import result
 
@@ -121,6 +122,12 @@
             self._handle_failure(read.failure())
             return False
         found = read.unwrap()
+        self._router.store_clock.record(
+            found.cursor,
+            found.store_seconds,
+            sent_at,
+            self._router.read_boot_clock(),
+        )
         is_restored = self.progress.is_restored(found.cursor)
         if is_restored:
             self._router.record_store_restored(found.cursor.era)
@@ -183,9 +190,30 @@
     def _apply(self, found: ports.DesiredChange, is_restored: bool) -> bool:
         now = self._router.read_boot_clock()
         return self._router.desired.apply(
-            found, now, now - self.progress.confirmed_at
+            found,
+            now,
+            now - self.progress.confirmed_at,
+            self._find_early_ends(found),
         )
 
+    def _find_early_ends(self, found: ports.DesiredChange) -> dict[str, float]:
+        """Return, by model, when the store had named no newer version yet."""
+        router, cursor = self._router, self.progress.cursor
+        early_ends = {}
+        for model, version in found.weights.items():
+            named = found.weights_rows.get(model)
+            if version != router.desired.get_newest_version(model) + 1:
+                # The row may have named a version in between before.
+                named = cursor and attrs.evolve(
+                    cursor, number=cursor.number + 1
+                )
+            if named is None:
+                continue
+            early_end = router.store_clock.find_time_before(named)
+            if early_end is not None:
+                early_ends[model] = early_end
+        return early_ends
+
     def record_confirmation(self, confirmed_at: float) -> None:
         """Record the time up to which revocations of keys are known."""
         if self._router.desired.state is not None:
--- a/tests/core/forwarding/test_watches.py
+++ b/tests/core/forwarding/test_watches.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 
+import attrs
 from returns import result
 
 from pistachioseam import events
@@ -70,6 +71,8 @@
     return ports.TargetsRead(change=change, cursor=at(cursor))
 
 
+STORE_SECONDS = 5000.0
+"""Time of the store's clock when that of the host is 0."""
 FAILURE = ports.StoreFailure(detail='status 503')
 HISTORY_LOST = ports.StoreFailure(detail='status 410', is_history_lost=True)
 
@@ -121,6 +124,51 @@
     clocks.run(run())
 
 
+def test_weights_are_dated_by_the_clock_of_the_store(
+    case: support.Case,
+) -> None:
+    """Limits counted from the send of the last long poll without a change.
+
+    An intermediate version may have been named before the row's last write.
+    """
+
+    async def run(named: int, read_at: int) -> float:
+        fixture = call_fakes.RouterFixture()
+        model = call_fakes.MODEL
+
+        def create(version: int, row: int, cursor: int) -> ports.DesiredChange:
+            return ports.DesiredChange(
+                state=None,
+                weights={model: version},
+                weights_rows={model: at(row)},
+                cursor=at(cursor),
+                store_seconds=STORE_SECONDS + fixture.runtime.now(),
+            )
+
+        first = Store(create(1, 3, 3))
+        await watches.DesiredWatch(fixture.router, _cast(first)).read()
+        watch = watches.DesiredWatch(fixture.router, _cast(first))
+        first.script.append(create(1, 3, 3))
+        await watch.read()
+        await asyncio.sleep(1.0)
+        polled = attrs.evolve(
+            _create_read([], read_at),
+            store_seconds=STORE_SECONDS + fixture.runtime.now(),
+        )
+        targets = watches.TargetsWatch(fixture.router, _cast(Store(polled)))
+        await targets.read()
+        await asyncio.sleep(1.0)
+        first.script.append(create(named, 6, 6))
+        await watch.read(0.0)
+        return fixture.router.desired.get_lag_seconds(
+            model, 1, fixture.runtime.now()
+        )
+
+    case.assertAlmostEqual(1.0, clocks.run(run(2, 5)), delta=0.05)
+    case.assertAlmostEqual(2.0, clocks.run(run(2, 6)), delta=0.05)
+    case.assertAlmostEqual(2.0, clocks.run(run(3, 5)), delta=0.05)
+
+
 def test_lost_history_causes_a_full_read(case: support.Case) -> None:
     """The next read has no cursor, so that no change is missed."""
 
--- a/tests/entry/test_fleet_weights.py
+++ b/tests/entry/test_fleet_weights.py
@@ -14,6 +14,8 @@
 MODEL = call_fakes.MODEL
 BOUND_SECONDS = 7.0
 """Time after which no host may take replaced weights for younger than that."""
+READER_ERROR_SECONDS = 0.9
+"""Longest long poll of a host that reads the store, with its call."""
 PHASES = 4
 """Draws of the time between a leader's read and the naming of a version."""
 
@@ -109,6 +111,32 @@
     check_lags(case, silence_all, hosts=36)
 
 
+def test_readers_of_the_store_do_not_take_weights_for_much_older(
+    case: support.Case,
+) -> None:
+    """They counted from the send of the long poll before the last one."""
+
+    async def run(seed: int) -> None:
+        fleet = watching_fleets.WatchingFleet(9, 3, seed)
+        fleet.store.name_weights(MODEL, 1)
+        await fleet.settle()
+        await asyncio.sleep(0.05 + fleet.random.random())
+        fleet.store.name_weights(MODEL, 2)
+        await asyncio.sleep(1.0)
+        readers = {fleet.find_region_leader(number) for number in (0, 1)}
+        early = {
+            host.own.name: round(lag_seconds - 1.0, 2)
+            for host in fleet.hosts
+            if host.own.name in readers
+            and (lag_seconds := host.get_lag_seconds(MODEL, 1))
+            > 1.0 + READER_ERROR_SECONDS
+        }
+        case.assertEqual({}, early, f'seed {seed}')
+
+    for seed in range(PHASES):
+        clocks.run(run(seed))
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -114,6 +114,17 @@
     case.assertEqual(4, len(read.findings))
 
 
+def test_unusable_clocks_count_as_none(case: support.Case) -> None:
+    """An odd clock of the store failed the read, or dated by nonsense."""
+    for now_ms in (None, True, 1.5, '7', -1, 2**60, 10**400, [], {}):
+        response = rows.StoreResponse({'ver': 7, 'nowMs': now_ms}, 0)
+        case.assertIsNone(response.get_store_seconds(), repr(now_ms)[:20])
+    case.assertIsNone(rows.StoreResponse({'ver': 7}, 0).get_store_seconds())
+    for now_ms, seconds in ((0, 0.0), (1234, 1.234)):
+        response = rows.StoreResponse({'ver': 7, 'nowMs': now_ms}, 0)
+        case.assertEqual(seconds, response.get_store_seconds())
+
+
 def test_software_versions_are_read(case: support.Case) -> None:
     """A malformed row lists no version and can be replaced."""
     client = Client()
--- a/tests/standins/test_metadata.py
+++ b/tests/standins/test_metadata.py
@@ -1,6 +1,7 @@
 """Objects of the metadata stand-in: conditional writes and pages of names."""
 
 import json
+import time
 import typing
 
 from treq import testing
@@ -70,6 +71,20 @@
     )
 
 
+def test_clock_is_steady(case: support.Case) -> None:
+    """Hosts could not tell the time of a response by a clock that stood."""
+    store = StoreClient()
+    params = {'table': 'op', 'part': '', 'limit': '1'}
+    times = []
+    for _ in range(2):
+        before_ms = time.monotonic_ns() // 1_000_000
+        body = store.call('GET', 'rows-get', params=params)[1]
+        times.append(json.loads(body)['nowMs'])
+        case.assertLessEqual(before_ms, times[-1])
+        case.assertLessEqual(times[-1], time.monotonic_ns() // 1_000_000)
+    case.assertEqual(sorted(times), times)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
--- a/tests/watching_fleets.py
+++ b/tests/watching_fleets.py
@@ -24,6 +24,8 @@
 CALL_SECONDS = 0.01
 SAMPLE_SECONDS = 0.02
 HEARTBEAT_SECONDS = 1.2
+CLOCK_OFFSET_SECONDS = 5000.0
+"""Time of the store's clock when that of the hosts is 0."""
 REFUSED: result.Result[typing.Any, ports.StoreFailure] = result.Failure(
     ports.StoreFailure(detail='HTTP status 503')
 )
@@ -74,6 +76,18 @@
             if version > after
         }
 
+    def list_naming_rows(self) -> dict[str, store_versions.StoreVersion]:
+        """Return the versions of the rows that name weights."""
+        return {
+            model: store_versions.StoreVersion(0, version)
+            for model, (version, _) in self.weights.items()
+        }
+
+    def read_clock(self) -> float:
+        """Return the store's own clock, in whole milliseconds."""
+        now = asyncio.get_running_loop().time() + CLOCK_OFFSET_SECONDS
+        return int(now * 1000) / 1000
+
     async def run_heartbeats(self) -> None:
         """Write the entries that are left again and again."""
         while True:
@@ -116,6 +130,8 @@
                 state=state,
                 weights=self._store.list_named(known),
                 cursor=self._get_cursor(),
+                weights_rows=self._store.list_naming_rows(),
+                store_seconds=self._store.read_clock(),
             )
         )
 
@@ -136,7 +152,11 @@
             is_complete=after is None,
         )
         return result.Success(
-            ports.TargetsRead(change=change, cursor=self._get_cursor())
+            ports.TargetsRead(
+                change=change,
+                cursor=self._get_cursor(),
+                store_seconds=self._store.read_clock(),
+            )
         )
 
     def _get_cursor(self) -> store_versions.StoreVersion:
