Log the largest kinds of statuses that a host sends

Operators saw that leaders of large fleets send megabytes to their peers, not of what. Line 108 now has the bytes of the five largest kinds, by receivers (hosts of the domain, leaders of others) and field of the status; fields of relayed statuses are told apart.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -1,5 +1,6 @@
 """Exchange of statuses between hosts that forward calls."""
 
+import collections
 from collections import abc
 import secrets
 
@@ -145,6 +146,7 @@
         self._announced_hosts = 0
         self._list_reads = 0
         self._contacts = contacts.Contacts(direct_peers=())
+        self._bytes_by_kind: collections.Counter[str] = collections.Counter()
 
     def __enter__(self) -> 'CallPeers':
         """Start the exchange with peers."""
@@ -182,6 +184,15 @@
             return clients.Traffic()
         return self._client.take_traffic()
 
+    def take_bytes_by_kind(self) -> collections.Counter[str]:
+        """Return the bytes of statuses since the last call, by kind.
+
+        A kind is `direct` or `domains`, for the receivers, and the field.
+        """
+        taken = self._bytes_by_kind
+        self._bytes_by_kind = collections.Counter()
+        return taken
+
     def count_hosts(self) -> int:
         """Return the number of hosts in the fleet, lost ones included."""
         if not self._has_host_list:
@@ -474,9 +485,11 @@
         alive = {peer.name for peer in self.members.list_alive()}
         message = self._create_message()
         message.host_status.CopyFrom(status)
-        self._client.send_to_all(
-            [peer.address for peer in peers if peer.name in alive], message
-        )
+        addresses = [peer.address for peer in peers if peer.name in alive]
+        self._client.send_to_all(addresses, message)
+        kind = 'domains' if status.is_domain else 'direct'
+        for field, size in peer_messages.measure_fields(status).items():
+            self._bytes_by_kind[f'{kind}.{field}'] += size * len(addresses)
 
     def _probe_silent_peers(self) -> None:
         """Send handshakes to silent peers, each once per probe interval."""
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -61,6 +61,8 @@
 """Pause between two checks of whether all calls have ended."""
 LOG_FLUSH_SECONDS = 0.5
 """Pause between two flushes of log lines buffered for a slow reader."""
+MAX_LOGGED_KINDS = 5
+"""Kinds of messages to peers whose bytes are logged, the largest first."""
 FLUSHES_PER_LOG_REPORT = 10
 """Flushes between two reports of lost log lines."""
 CRASHES_TO_QUARANTINE = 3
@@ -398,6 +400,9 @@
             peer_messages=traffic.sent,
             peer_bytes=traffic.sent_bytes,
             peer_messages_dropped=traffic.dropped,
+            peer_bytes_largest=dict(
+                self.peers.take_bytes_by_kind().most_common(MAX_LOGGED_KINDS)
+            ),
         )
 
     def _listen(self, site: typing.Any, address: str) -> None:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/peer_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/peer_messages.py
@@ -1,5 +1,6 @@
 """Conversion of state to and from Protocol Buffers messages for peers."""
 
+import collections
 from collections import abc
 import math
 
@@ -16,6 +17,27 @@
 MS_PER_SECOND = 1000.0
 
 
+def measure_fields(
+    status: messages_pb2.HostStatus,
+) -> collections.Counter[str]:
+    """Return the bytes of a status by field.
+
+    Fields of relayed statuses are named `reports.FIELD` or `domains.FIELD`.
+    """
+    sizes: collections.Counter[str] = collections.Counter()
+    for field in status.ListFields():
+        name = field[0].name
+        sizes[name] += messages_pb2.HostStatus(**{name: field[1]}).ByteSize()
+    for name in ('reports', 'domains'):
+        for relayed in getattr(status, name):
+            nested = measure_fields(relayed.status)
+            sizes[name] -= nested.total()
+            sizes.update(
+                {f'{name}.{inner}': nested[inner] for inner in nested}
+            )
+    return sizes
+
+
 def add_suspects(
     gossip: messages_pb2.Gossip | messages_pb2.HostStatus,
     suspects: abc.Iterable[quarantine.Suspect],
--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -50,8 +50,8 @@
     HOST_ACTIVITY = EventKind(
         108,
         Level.INFO,
-        'messages sent to peers and longest timer delay since the last such'
-        ' line',
+        'messages sent to peers, their bytes by receivers and field, and'
+        ' longest timer delay since the last such line',
     )
     LOOP_FAILED = EventKind(
         109, Level.ERROR, 'background loop failed; it is started again'
--- a/tests/entry/test_status_messages.py
+++ b/tests/entry/test_status_messages.py
@@ -7,7 +7,9 @@
 from pistachioseam.forwarding import loads
 from pistachioseam.forwarding import prompts
 from pistachioseam.forwarding import residency
+from pistachioseam_entry import peer_messages
 from pistachioseam_entry import status_messages
+from pistachioseam_peer.generated import messages_pb2
 from tests import call_fakes
 from tests import clocks
 from tests import support
@@ -251,6 +253,28 @@
     clocks.run(run())
 
 
+def test_bytes_of_a_status_are_measured_by_field(case: support.Case) -> None:
+    """Relayed loads were not told from the leader's own."""
+
+    async def run() -> None:
+        hosts = [Host(name) for name in 'abc']
+        for host in hosts:
+            host.start_call()
+        remote_status = hosts[0].statuses.create_domain_status(())
+        hosts[1].statuses.apply_domain_status('d1', remote_status)
+        hosts[1].statuses.queue_report(
+            messages_pb2.Host(name='c'), hosts[2].statuses.create_host_status()
+        )
+        status = hosts[1].statuses.create_host_status()
+        hosts[1].statuses.add_updates(status, is_relaying=True)
+        sizes = peer_messages.measure_fields(status)
+        case.assertEqual(status.ByteSize(), sizes.total())
+        for field in ('loads', 'reports.loads', 'domains.loads'):
+            case.assertGreater(sizes[field], 0, field)
+
+    clocks.run(run())
+
+
 def test_updates_are_sent_once(case: support.Case) -> None:
     """A second round repeats neither cache updates nor domain statuses."""
 
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -134,10 +134,11 @@
         self.own = own
         self.fixture = fixture or call_fakes.RouterFixture()
         self.router = self.fixture.router
+        self.rollout = Rollout()
         self.peers = call_peers.CallPeers(
             self.own,
             self.router,
-            typing.cast(typing.Any, Rollout()),
+            typing.cast(typing.Any, self.rollout),
             typing.cast(ports.Platform, None),
             typing.cast(typing.Any, None),
         )
