Let the stand-ins of engines queue, linger and end calls at their deadline

Cause: no stand-in could show a call that begins long after it was sent: the fleet server ran each call on arrival, the adversarial one logged its begin on arrival, none went on after a close or honoured the deadline header. Change: run_queues holds requests until a slot is free, for `linger_seconds` after their caller has left, and up to the deadline header (503, not executed, while they wait). A load order rejects those that wait, and treats runs by its mode. Each begin is logged with the weights version and both times. Without the options the fleet server runs all on arrival as before.

--- a/packages/pistachioseam-standins/src/pistachioseam_standins/adversarial_server.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/adversarial_server.py
@@ -5,15 +5,18 @@
 """
 
 import json
+import math
 import random
 import typing
 
+import attrs
 from twisted.internet import protocol
 from twisted.internet import reactor
 from twisted.web import http
 
 from pistachioseam_standins import adversary
 from pistachioseam_standins import fleet_server
+from pistachioseam_standins import run_queues
 from pistachioseam_standins import serving
 
 CAPACITY = 3
@@ -34,34 +37,46 @@
         *arguments: str,
         seed: int = 0,
         connections: int = adversary.MAX_CONNECTIONS,
+        waiting: int = QUEUE_LENGTH,
         faults: adversary.Faults,
+        queue: run_queues.RunQueue | None = None,
+        run_seconds: float = 0.0,
+        load_seconds: float = fleet_server.WEIGHTS_LOAD_SECONDS,
     ) -> None:
-        super().__init__(*arguments)
+        super().__init__(
+            *arguments,
+            queue=queue or run_queues.RunQueue(CAPACITY, math.inf),
+            run_seconds=run_seconds,
+            load_seconds=load_seconds,
+        )
         self.max_connections = connections
         self.connections = 0
         self._generator = random.Random(f'{seed}-{self.name}')
         self._faults = faults
-        self._active = 0
+        self._max_waiting = waiting
 
     def draw_answer(self) -> adversary.Answer:
         """Return the answer to a caller; all are rejected during a load."""
-        is_full = self.is_loading or self._active >= CAPACITY + QUEUE_LENGTH
+        is_full = (
+            self.is_loading or self.queue.count_waiting() >= self._max_waiting
+        )
         return adversary.draw_answer(self._generator, self._faults, is_full)
 
     def draw_mismatch(self) -> adversary.Answer:
         """Return the answer to a caller who expects another server."""
         return adversary.draw_mismatch(self._generator, self._faults)
 
-    def begin(self, request_id: str) -> float:
-        """Record an execution; return the seconds that it waits for room."""
-        waiting = max(0, self._active - CAPACITY + 1)
-        self._active += 1
-        self.record_run(request_id)
-        return waiting * adversary.MAX_RUN_SECONDS / 2
-
-    def end(self) -> None:
-        """Free the room of an execution."""
-        self._active -= 1
+    def start_run(
+        self, request: 'Request', answer: adversary.Answer
+    ) -> run_queues.Run:
+        """Return the run of a request, which may have to wait for room."""
+        return self.queue.add(
+            answer.run_seconds + self._run_seconds,
+            fleet_server.read_seconds_left(
+                request.headers.get('x-pistachioseam-deadline-ms')
+            ),
+            self.create_recorder(request.get_id()),
+        )
 
     def create_body(self, request: 'Request') -> bytes:
         """Return the body of a whole answer: all events, or the request's."""
@@ -81,6 +96,7 @@
         if path == '/-/order':
             return self.take_order(json.loads(request.body or b'{}')), {}
         if path == '/standin/state':
+            self.set_state(json.loads(request.body or b'{}'))
             return 200, self.create_state()
         return 404, {}
 
@@ -121,6 +137,7 @@
         self._is_closed = False
         self._request_count = 0
         self._late_copy = b''
+        self._run: run_queues.Run | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Reset the connection if there are too many."""
@@ -139,6 +156,8 @@
         """Send nothing more."""
         self._is_closed = True
         self._server.connections -= 1
+        if self._run is not None:
+            self._server.queue.leave(self._run)
 
     def _serve_next(self) -> None:
         if self._is_busy or HEAD_END not in self._buffer:
@@ -156,7 +175,6 @@
         self._serve(request)
 
     def _serve(self, request: Request) -> None:
-        request_id = request.get_id()
         if request.path.startswith(('/-/', '/standin/')):
             status, content = self._server.answer_control(request)
             body = json.dumps(content).encode()
@@ -167,14 +185,15 @@
             self._send(request, self._server.draw_mismatch())
         else:
             answer = self._server.draw_answer()
-            seconds = answer.run_seconds
-            if answer.is_executed:
-                seconds += self._server.begin(request_id)
-            serving.call_later(seconds, self._send, request, answer)
+            if not answer.is_executed:
+                self._send(request, answer)
+                return
+            run = self._run = self._server.start_run(request, answer)
+            run.ended.addCallback(
+                lambda _: self._send(request, _limit_answer(answer, run))
+            )
 
     def _send(self, request: Request, answer: adversary.Answer) -> None:
-        if answer.is_executed:
-            self._server.end()
         data = self._encode(request, answer)
         if answer.ending == 'mute':
             return
@@ -255,6 +274,19 @@
         return self.transport
 
 
+def _limit_answer(
+    answer: adversary.Answer, run: run_queues.Run
+) -> adversary.Answer:
+    """Return the answer to a request whose run may have been stopped."""
+    if not run.is_stopped:
+        return answer
+    if run.has_begun:
+        return attrs.evolve(answer, ending='reset')
+    return attrs.evolve(
+        answer, status=503, is_executed=False, has_stamp=False, ending='whole'
+    )
+
+
 def encode_answer(
     status: int, fields: dict[str, str], body: bytes, framing: str
 ) -> bytes:
@@ -283,22 +315,27 @@
     software: str = fleet_server.FIRST_SOFTWARE,
     seed: int = 0,
     connections: int = adversary.MAX_CONNECTIONS,
+    slots: int = CAPACITY,
+    waiting: int = QUEUE_LENGTH,
+    run_seconds: float = 0.0,
+    linger_seconds: float = math.inf,
+    load_seconds: float = fleet_server.WEIGHTS_LOAD_SECONDS,
     **faults: float,
 ) -> None:
     """Serve on `IP:port`; `faults` are the fields of `adversary.Faults`.
 
-    Connections beyond `connections` are reset.
+    Connections beyond `connections` are reset, requests that would have to
+    wait with more than `waiting` others are rejected.
     """
     server = AdversarialServer(
-        name,
-        service,
-        address,
-        store,
-        model,
-        software,
+        *(name, service, address, store, model, software),
         seed=seed,
         connections=connections,
+        waiting=waiting,
         faults=adversary.Faults(**faults),
+        queue=run_queues.RunQueue(slots, linger_seconds),
+        run_seconds=run_seconds,
+        load_seconds=load_seconds,
     )
     serving.call_later(0, server.register)
     factory: typing.Any = protocol.Factory.forProtocol(
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/fleet.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/fleet.py
@@ -44,18 +44,31 @@
 class FleetSpec:
     """Numbers of hosts, of engine servers and of plain servers (no model).
 
-    The engines get the software versions in turn.
+    The engines get the software versions in turn, and so `lingers`, for how
+    many seconds they go on with a request whose caller has left; without it
+    they do as their stand-in does. `engine_options` are on the command line of
+    all of them. `weights_ms` is the setting of the hosts.
     """
 
     hosts: int = 2
     engines: int = 2
     plain: int = 2
     software_versions: tuple[str, ...] = (fleet_server.FIRST_SOFTWARE,)
+    engine_options: tuple[str, ...] = ()
+    lingers: tuple[float, ...] = ()
+    weights_ms: int = 8000
 
     def get_software(self, engine: int) -> str:
         """Return the software version of an engine, counted from 0."""
         return self.software_versions[engine % len(self.software_versions)]
 
+    def list_engine_options(self, engine: int) -> tuple[str, ...]:
+        """Return the command line of an engine, counted from 0."""
+        if not self.lingers:
+            return self.engine_options
+        linger_seconds = self.lingers[engine % len(self.lingers)]
+        return (*self.engine_options, f'--linger_seconds={linger_seconds}')
+
 
 class Fleet(deployment.Deployment):
     """Context manager that starts the processes and kills them on exit.
@@ -117,6 +130,8 @@
         arguments += [name, service, address, self.platform.address]
         if model:
             arguments += [model, software]
+            number = int(name.rpartition('-')[2]) - 1
+            arguments += self.fleet_spec.list_engine_options(number)
         arguments += self.server_options
         return self._start_process(name, arguments, address)
 
@@ -161,7 +176,7 @@
             'regions': [{'name': 'region-1', 'domains': ['zone-1']}],
             'bounds': {
                 'revocation_ms': 5000,
-                'weights_ms': 8000,
+                'weights_ms': self.fleet_spec.weights_ms,
                 'lease_ms': 1000,
                 'shutdown_seconds': 8,
             },
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
@@ -25,10 +25,15 @@
 `large`: a complete response of LARGE_BYTES;
 `crash`: the process aborts after execution;
 `whole` or any other: a complete response.
+
+With `slots`, requests wait until they begin to run, for `run_seconds` each. A
+request whose caller has left goes on for `linger_seconds`, but none goes on
+after its deadline: one that still waits then has not run.
 """
 
 import io
 import json
+import math
 import os
 import sys
 import time
@@ -40,6 +45,7 @@
 from twisted.web import client
 from twisted.web import http_headers
 
+from pistachioseam_standins import run_queues
 from pistachioseam_standins import serving
 
 HEARTBEAT_SECONDS = 0.3
@@ -56,8 +62,16 @@
 EVENTS_PER_STREAM = 8
 FIRST_SOFTWARE = 'v1'
 WEIGHTS_LOAD_SECONDS = 0.1
+SWITCH_MODES = ('wait', 'truncate', 'continue')
+"""What becomes of the runs when weights are loaded: they end first, are reset,
+or go on."""
+MS_PER_SECOND = 1000.0
 RUN_LOG_PREFIX = 'ran '
 """Prefix of the log line of each execution, before the request's id."""
+BEGIN_LOG_PREFIX = 'began '
+"""Prefix of the log line of each begin of an execution on weights, before the
+request's id, the weights version, and the monotonic times, in seconds, at
+which it arrived and began."""
 REJECTION = (
     b'HTTP/1.1 503 Service Unavailable\r\n'
     b'X-Pistachioseam-Request-Id: %b\r\n'
@@ -88,6 +102,10 @@
         store: str,
         model: str,
         software: str,
+        *,
+        queue: run_queues.RunQueue | None = None,
+        run_seconds: float = 0.0,
+        load_seconds: float = WEIGHTS_LOAD_SECONDS,
     ) -> None:
         self.name = name
         self.executed_request_ids: list[str] = []
@@ -95,6 +113,8 @@
         self.weights_version = 1
         self.load_orders: list[dict[str, typing.Any]] = []
         self.is_loading = False
+        self.accepts_orders = True
+        self.queue = queue or run_queues.RunQueue()
         self.is_leaving = False
         self.is_limited = False
         self.received_at: list[float] = []
@@ -103,6 +123,8 @@
         self._store_address = store
         self._model = model
         self._software = software
+        self._run_seconds = run_seconds
+        self._load_seconds = load_seconds
         self._rejected_ids: set[str] = set()
         self._late_copies: weakref.WeakKeyDictionary[typing.Any, bytes] = (
             weakref.WeakKeyDictionary()
@@ -154,12 +176,20 @@
 
         `received_at` holds the Unix times at which requests were received.
 
-        A POST sets the `state` that the server registers, such as `draining`.
+        A POST sets the `state` that the server registers, such as `draining`,
+        or whether it `accepts_orders`; otherwise another one is in progress.
         """
         if request.method == b'POST':
-            self.state = serving.read_json(request)['state']
+            self.set_state(serving.read_json(request))
         return serving.encode_json(request, self.create_state())
 
+    def set_state(self, content: dict[str, typing.Any]) -> None:
+        """Set what the fields say, leave the others."""
+        self.state = content.get('state', self.state)
+        self.accepts_orders = content.get(
+            'accepts_orders', self.accepts_orders
+        )
+
     def create_state(self) -> dict[str, typing.Any]:
         """Return what the tests read of the server."""
         return {
@@ -181,6 +211,8 @@
             'models': self._list_models(),
             'busy': self.is_loading,
             'seq': len(self.load_orders),
+            'queued': self.queue.count_waiting(),
+            'running': self.queue.count_running(),
         }
 
     @app.route('/-/order', methods=['POST'])
@@ -188,24 +220,47 @@
         """Accept an order to load a weights version in the background.
 
         Status 200 means that the version is loaded already, 202 that it will
-        be, and 409 that another load is in progress or that `expected` is not
-        the number of orders accepted so far (`seq` of `/-/report`).
+        be, 400 that the order is malformed, and 409 that another load is in
+        progress or that `expected` is not the number of orders accepted so far
+        (`seq` of `/-/report`).
         """
         status = self.take_order(serving.read_json(request))
         return serving.encode_json(request, {}, status)
 
     def take_order(self, order: dict[str, typing.Any]) -> int:
-        """Take a load order, or not; return the status of the answer."""
+        """Take a load order, or not; return the status of the answer.
+
+        Requests that have not begun are rejected until the load ends.
+        """
+        if (
+            order.get('switchMode') not in SWITCH_MODES
+            or not order.get('holder')
+            or 'fencingToken' not in order
+        ):
+            return 400
         if order['version'] == self.weights_version:
             return 200
-        if self.is_loading or order['expected'] != len(self.load_orders):
+        if (
+            self.is_loading
+            or not self.accepts_orders
+            or order['expected'] != len(self.load_orders)
+        ):
             return 409
         self.load_orders.append(order)
         self.is_loading = True
+        self.queue.reject_waiting()
+        if order['switchMode'] == 'wait':
+            self.queue.call_when_idle(lambda: self._start_load(order))
+            return 202
+        if order['switchMode'] == 'truncate':
+            self.queue.stop_running()
+        self._start_load(order)
+        return 202
+
+    def _start_load(self, order: dict[str, typing.Any]) -> None:
         serving.call_later(
-            WEIGHTS_LOAD_SECONDS, self._finish_load, order['version']
+            self._load_seconds, self._finish_load, order['version']
         )
-        return 202
 
     def _finish_load(self, version: int) -> None:
         self.weights_version = version
@@ -216,7 +271,8 @@
         """Execute a request, unless it is refused with status 421 or 503.
 
         421: it expects another instance or weights version. 503: its path
-        ends in `shed`, or weights are being loaded.
+        ends in `shed`, weights are being loaded, or its time has passed while
+        it waited.
         """
         self.received_at.append(time.time())
         request_id = request.getHeader('x-pistachioseam-request-id') or ''
@@ -249,10 +305,18 @@
                 LATE_COPIES[behaviour] % request_id.encode()
             )
         if behaviour in ('copy', 'torn', 'shed', 'pause') or self.is_loading:
-            request.setResponseCode(503)
-            request.setHeader('x-pistachioseam-not-executed', '1')
-            return b''
-        return await self._execute(request, request_id, behaviour)
+            return _reject(request)
+        run = self.queue.add(
+            self._run_seconds,
+            read_seconds_left(
+                request.getHeader('x-pistachioseam-deadline-ms')
+            ),
+            self.create_recorder(request_id),
+        )
+        request.notifyFinish().addErrback(lambda _: self.queue.leave(run))
+        if not await run.begun:
+            return _reject(request)
+        return await self._execute(request, request_id, behaviour, run)
 
     def _send_late_copy(self, channel: typing.Any) -> None:
         """Send the second copy of a rejection on its connection."""
@@ -261,9 +325,12 @@
             channel.transport.write(copy)
 
     async def _execute(
-        self, request: typing.Any, request_id: str, behaviour: str
+        self,
+        request: typing.Any,
+        request_id: str,
+        behaviour: str,
+        run: run_queues.Run,
     ) -> bytes:
-        self.record_run(request_id)
         if behaviour == 'crash':
             os.abort()
         if behaviour == 'slow':
@@ -287,23 +354,39 @@
             request.setResponseCode(503)
             return b''
         if self._model:
-            await self._stream_events(request, behaviour)
+            await self._stream_events(request, behaviour, run)
             return b''
         if behaviour == 'large':
             request.setHeader('content-length', str(LARGE_BYTES))
             return bytes(LARGE_BYTES)
         return request.content.read() or request.uri
 
-    def record_run(self, request_id: str) -> None:
-        """Record an execution, in the log too."""
+    def create_recorder(self, request_id: str) -> typing.Callable[[], None]:
+        """Return what records the execution of a request that has arrived."""
+        arrived_at = time.monotonic()
+        return lambda: self.record_run(request_id, arrived_at)
+
+    def record_run(self, request_id: str, arrived_at: float) -> None:
+        """Record an execution that begins, in the log too."""
         self.executed_request_ids.append(request_id)
+        lines = [f'{RUN_LOG_PREFIX}{request_id}\n']
+        if self._model:
+            lines.append(
+                f'{BEGIN_LOG_PREFIX}{request_id} {self.weights_version}'
+                f' {arrived_at:.3f} {time.monotonic():.3f}\n'
+            )
         # Flushed so that the log keeps the execution if the process crashes.
-        sys.stdout.write(f'{RUN_LOG_PREFIX}{request_id}\n')
+        sys.stdout.write(''.join(lines))
         sys.stdout.flush()
 
     async def _stream_events(
-        self, request: typing.Any, behaviour: str
+        self, request: typing.Any, behaviour: str, run: run_queues.Run
     ) -> None:
+        pause_seconds = (
+            DRAG_SECONDS
+            if behaviour == 'drag'
+            else max(EVENT_INTERVAL_SECONDS, run.seconds / EVENTS_PER_STREAM)
+        )
         request.setHeader('content-type', 'text/event-stream')
         last_number = int(request.getHeader('last-event-id') or 0)
         for number in range(last_number + 1, EVENTS_PER_STREAM + 1):
@@ -318,9 +401,22 @@
                 request.transport.abortConnection()
                 return
             request.write(event)
-            await serving.sleep(
-                DRAG_SECONDS if behaviour == 'drag' else EVENT_INTERVAL_SECONDS
-            )
+            await serving.sleep(pause_seconds)
+            if run.is_stopped:
+                request.transport.abortConnection()
+                return
+
+
+def _reject(request: typing.Any) -> bytes:
+    """Reject a request as not executed; return the empty body."""
+    request.setResponseCode(503)
+    request.setHeader('x-pistachioseam-not-executed', '1')
+    return b''
+
+
+def read_seconds_left(deadline_ms: str | None) -> float:
+    """Return the time of a request in seconds, infinite without a header."""
+    return float(deadline_ms) / MS_PER_SECOND if deadline_ms else math.inf
 
 
 def create_event(number: int, software: str = FIRST_SOFTWARE) -> bytes:
@@ -336,9 +432,19 @@
     store: str,
     model: str = '',
     software: str = FIRST_SOFTWARE,
+    slots: float = math.inf,
+    run_seconds: float = 0.0,
+    linger_seconds: float = 0.0,
+    load_seconds: float = WEIGHTS_LOAD_SECONDS,
 ) -> None:
     """Serve on `IP:port` and register at the store's address."""
-    server = FleetServer(name, service, address, store, model, software)
+    queue = run_queues.RunQueue(slots, linger_seconds)
+    server = FleetServer(
+        *(name, service, address, store, model, software),
+        queue=queue,
+        run_seconds=run_seconds,
+        load_seconds=load_seconds,
+    )
     serving.call_later(0, server.register)
     serving.serve(server, address)
 
