Check that no call begins on weights replaced for too long

Cause: no check of soak and rehearsals knew weights versions, so a call that began too late on replaced weights was no violation. Change: find_outdated_begins compares begins, as engines log them, with the store's acknowledgements. It excuses hosts that were out of touch, and counts time in one stretch without disturbance of the store or a link.

--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -2,6 +2,7 @@
 
 import collections
 from collections import abc
+import math
 
 import attrs
 
@@ -19,6 +20,50 @@
     killed_at: float
 
 
+@attrs.frozen(kw_only=True)
+class Disturbance:
+    """Fault from `started_at` to `ended_at`, monotonic times.
+
+    It may be of the store, of a link, and of the host at an address, if its
+    process, or its links other than those to servers, are concerned.
+    """
+
+    started_at: float
+    ended_at: float = math.inf
+    is_store: bool = False
+    is_link: bool = False
+    host: str = ''
+
+
+@attrs.frozen
+class Naming:
+    """Weights version, and when the store acknowledged it."""
+
+    version: int
+    acknowledged_at: float
+
+
+@attrs.frozen
+class Begin:
+    """Begin of a run on a weights version; times are monotonic."""
+
+    request_id: str
+    version: int
+    arrived_at: float
+    begun_at: float
+
+
+@attrs.frozen(kw_only=True)
+class WeightsBounds:
+    """Bound on the use of replaced weights.
+
+    A host counts as disturbed for `stable_seconds` after the end.
+    """
+
+    weights_seconds: float
+    stable_seconds: float = 4.0
+
+
 @attrs.frozen
 class Violation:
     """Broken promise about one call.
@@ -68,6 +113,85 @@
     return violations
 
 
+def find_outdated_begins(
+    begins: abc.Iterable[Begin],
+    namings: abc.Collection[Naming],
+    disturbances: abc.Collection[Disturbance],
+    hosts: abc.Mapping[str, str],
+    bounds: WeightsBounds,
+) -> list[Violation]:
+    """Return the runs that began on weights replaced for too long.
+
+    `hosts` holds the address of each request's host. A run is excused if its
+    host was not in touch when the request reached the engine: if, less than
+    `stable_seconds` before, the host or the store was disturbed. The time
+    since a newer version was acknowledged counts in one stretch in which no
+    link was disturbed, and the store was not for `stable_seconds` either.
+    """
+    violations = []
+    for begin in begins:
+        host = hosts.get(begin.request_id, '')
+        if _is_out_of_touch(begin, host, disturbances, bounds):
+            continue
+        lag_seconds = max(
+            (
+                _measure_stretch(
+                    naming.acknowledged_at,
+                    begin.begun_at,
+                    disturbances,
+                    bounds.stable_seconds,
+                )
+                for naming in namings
+                if naming.version > begin.version
+            ),
+            default=0.0,
+        )
+        if lag_seconds > bounds.weights_seconds:
+            message = (
+                f'began on weights {begin.version}, replaced for'
+                f' {lag_seconds:.2f} s: {begin}'
+            )
+            violations.append(Violation('VERSION', message, begin.request_id))
+    return violations
+
+
+def _is_out_of_touch(
+    begin: Begin,
+    host: str,
+    disturbances: abc.Iterable[Disturbance],
+    bounds: WeightsBounds,
+) -> bool:
+    """Return whether the host or the store was disturbed at the arrival."""
+    return any(
+        (each.is_store or (host and each.host == host))
+        and each.started_at <= begin.arrived_at
+        and each.ended_at > begin.arrived_at - bounds.stable_seconds
+        for each in disturbances
+    )
+
+
+def _measure_stretch(
+    since: float,
+    until: float,
+    disturbances: abc.Iterable[Disturbance],
+    stable_seconds: float,
+) -> float:
+    """Return the length of the longest stretch without disturbance."""
+    longest, stretch_start = 0.0, since
+    spans = sorted(
+        (
+            each.started_at,
+            each.ended_at + (stable_seconds if each.is_store else 0.0),
+        )
+        for each in disturbances
+        if each.is_store or each.is_link
+    )
+    for started_at, ended_at in spans:
+        longest = max(longest, min(started_at, until) - stretch_start)
+        stretch_start = max(stretch_start, ended_at)
+    return max(longest, until - stretch_start)
+
+
 def _check_works(
     results: abc.Sequence[callers.CallResult],
     run_counts: abc.Mapping[str, int],
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -113,6 +113,86 @@
     case.assertEqual(violation, _find(UNANSWERED, 1, other_kill))
 
 
+BOUNDS = checks.WeightsBounds(weights_seconds=8.0, stable_seconds=4.0)
+NAMINGS = (checks.Naming(2, 100.0), checks.Naming(3, 105.0))
+BEGIN = checks.Begin('id-1', 1, 107.0, 108.5)
+
+
+def _measure_outdated(
+    begin: checks.Begin, *disturbances: checks.Disturbance
+) -> list[str]:
+    found = checks.find_outdated_begins(
+        [begin], NAMINGS, disturbances, {'id-1': HOST}, BOUNDS
+    )
+    return [violation.rule for violation in found]
+
+
+def test_run_that_begins_on_replaced_weights_is_found(
+    case: support.Case,
+) -> None:
+    """Each version counts from its own acknowledgement."""
+    case.assertEqual(['VERSION'], _measure_outdated(BEGIN))
+    in_time = attrs.evolve(BEGIN, begun_at=107.9)
+    case.assertEqual([], _measure_outdated(in_time))
+    newer = attrs.evolve(BEGIN, version=2)
+    case.assertEqual([], _measure_outdated(newer))
+    late = attrs.evolve(newer, begun_at=113.1)
+    case.assertEqual(['VERSION'], _measure_outdated(late))
+    newest = attrs.evolve(BEGIN, version=3, begun_at=200.0)
+    case.assertEqual([], _measure_outdated(newest))
+
+
+def test_run_of_a_host_out_of_touch_is_excused(case: support.Case) -> None:
+    """Only by a disturbance of its own host shortly before it was sent."""
+    frozen = checks.Disturbance(started_at=102.0, ended_at=103.5, host=HOST)
+    case.assertEqual([], _measure_outdated(BEGIN, frozen))
+    thawed = attrs.evolve(frozen, ended_at=102.9)
+    case.assertEqual(['VERSION'], _measure_outdated(BEGIN, thawed))
+    after = attrs.evolve(frozen, started_at=107.1, ended_at=108.0)
+    case.assertEqual(['VERSION'], _measure_outdated(BEGIN, after))
+    lasting = checks.Disturbance(started_at=90.0, host=HOST)
+    case.assertEqual([], _measure_outdated(BEGIN, lasting))
+    other = attrs.evolve(frozen, host='127.0.0.1:2')
+    case.assertEqual(['VERSION'], _measure_outdated(BEGIN, other))
+
+
+def test_time_counts_in_one_stretch(case: support.Case) -> None:
+    """After trouble of the store it counts anew once that is stable."""
+    late = attrs.evolve(BEGIN, arrived_at=114.9, begun_at=115.0)
+    store = checks.Disturbance(started_at=102.0, ended_at=103.0, is_store=True)
+    case.assertEqual([], _measure_outdated(late, store))
+    later = attrs.evolve(late, begun_at=115.1)
+    case.assertEqual(['VERSION'], _measure_outdated(later, store))
+    link = attrs.evolve(store, is_store=False, is_link=True)
+    case.assertEqual(['VERSION'], _measure_outdated(late, link))
+    in_time = attrs.evolve(late, begun_at=110.9)
+    case.assertEqual([], _measure_outdated(in_time, link))
+    second = attrs.evolve(link, started_at=109.0, ended_at=110.0)
+    case.assertEqual([], _measure_outdated(late, link, second))
+    case.assertEqual([], _measure_outdated(late, second, link))
+    around = attrs.evolve(link, started_at=101.0, ended_at=112.0)
+    case.assertEqual([], _measure_outdated(late, around, link))
+
+
+def test_stretch_before_a_disturbance_counts(case: support.Case) -> None:
+    """Hosts must have stopped by its end, whatever came then."""
+    late = attrs.evolve(BEGIN, arrived_at=112.9, begun_at=113.0)
+    for started_at, expected in ((107.9, []), (108.1, ['VERSION'])):
+        link = checks.Disturbance(
+            started_at=started_at, ended_at=112.0, is_link=True
+        )
+        case.assertEqual(expected, _measure_outdated(late, link))
+
+
+def test_unstable_store_excuses_all_hosts(case: support.Case) -> None:
+    """No host is in touch until it has been stable for a while."""
+    begin = attrs.evolve(BEGIN, arrived_at=113.9, begun_at=114.0)
+    store = checks.Disturbance(started_at=109.0, ended_at=110.0, is_store=True)
+    case.assertEqual([], _measure_outdated(begin, store))
+    stable = attrs.evolve(begin, arrived_at=114.1, begun_at=114.2)
+    case.assertEqual(['VERSION'], _measure_outdated(stable, store))
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
