Give engines with outdated weights a time limit

Callers saw calls begin on weights that had been replaced for over 10 s. Those that a host gave up at 0.85 of the bound got 502, as they may have run. Cause: an engine learns of a call that is given up only by the close of its connection, and may begin it until it notices. Change: a call to outdated weights gets a time limit that ends at 0.9 of the bound, where the caller's own is later. The engine stops it by itself, in its queue with proof; that is waited for, 0.4 s, and the call may go elsewhere. The give-up at 0.85 stays where the engine's limit ends too late, as it was sent before the newer weights were named, or these were named earlier than known. A response that breaks, ends without a declared length, or is a 504 at that limit is `outdated`: the engine is not suspected, a resumable stream goes on elsewhere. A relayed call carries the limit in `time_left_ms`, so hosts of former builds pass it on; the new field has how long the caller waits. Long runs that begin in the last second are cut; fewer of them are served.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -79,6 +79,9 @@
 """Part of the bound that is left when a call that still waits is given up. In
 it the engine learns of that; and hosts learn up to a second late that newer
 weights were named."""
+RUN_MARGIN_FRACTION = 0.1
+"""Part of the bound that is left at the time limit that an engine gets, for
+the way of the call: the engine counts from when it arrives."""
 
 
 class Codec(
@@ -509,6 +512,7 @@
     router.max_weights_lag_seconds = get_max_weights_lag_seconds(bounds)
     bound_seconds = bounds.weights_ms / MS_PER_SECOND
     router.max_begin_lag_seconds = bound_seconds * (1 - BEGIN_MARGIN_FRACTION)
+    router.max_run_lag_seconds = bound_seconds * (1 - RUN_MARGIN_FRACTION)
 
 
 def get_max_weights_lag_seconds(bounds: call_settings.Bounds) -> float:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_messages.py
@@ -17,7 +17,7 @@
         uri=call.uri,
         headers=_encode_headers(call.headers),
         body=call.body,
-        time_left_ms=max(0, int(call.seconds_left * MS_PER_SECOND)),
+        time_left_ms=max(0, int(call.get_target_seconds() * MS_PER_SECOND)),
         account=call.account,
         cache_salt=call.cache_salt,
         weights_version=call.weights_version,
@@ -28,14 +28,25 @@
     )
     if call.max_idle_seconds != NO_IDLE_LIMIT:
         request.max_idle_ms = int(call.max_idle_seconds * MS_PER_SECOND)
+    if call.run_seconds_left < call.seconds_left:
+        request.caller_time_left_ms = max(
+            0, int(call.seconds_left * MS_PER_SECOND)
+        )
     return request
 
 
+def get_caller_seconds(request: messages_pb2.RelayRequest) -> float:
+    """Return the time in seconds that the caller of a request waits."""
+    if request.HasField('caller_time_left_ms'):
+        return request.caller_time_left_ms / MS_PER_SECOND
+    return request.time_left_ms / MS_PER_SECOND
+
+
 def decode_request(
     request: messages_pb2.RelayRequest, waited_seconds: float
 ) -> ports.OutgoingCall:
     """Return the call of a `RelayRequest` that has waited for some seconds."""
-    seconds_left = request.time_left_ms / MS_PER_SECOND - waited_seconds
+    target_seconds = request.time_left_ms / MS_PER_SECOND
     max_idle_seconds = NO_IDLE_LIMIT
     if request.HasField('max_idle_ms'):
         max_idle_seconds = request.max_idle_ms / MS_PER_SECOND
@@ -47,7 +58,8 @@
         uri=request.uri,
         headers=decode_headers(request.headers),
         body=request.body,
-        seconds_left=seconds_left,
+        seconds_left=get_caller_seconds(request) - waited_seconds,
+        run_seconds_left=target_seconds - waited_seconds,
         incarnation=request.incarnation,
         account=request.account,
         cache_salt=request.cache_salt,
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_service.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_service.py
@@ -62,7 +62,7 @@
         self.active += 1
         try:
             async with asyncio.timeout(
-                request.time_left_ms / relay_messages.MS_PER_SECOND
+                relay_messages.get_caller_seconds(request)
             ):
                 await self._serve_accepted(stream, request)
         except TimeoutError:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -1,5 +1,7 @@
 """Delivery of targets' responses to the caller, complete and in order."""
 
+import math
+
 import attrs
 from returns import pipeline as returns_pipeline
 from returns import result
@@ -29,6 +31,13 @@
 of the call would then be unknown."""
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that tell callers that a call has not run and will not run."""
+PROOF_SECONDS = 0.4
+"""Time in which the response of an engine that has stopped a call at its time
+limit arrives."""
+CLOCK_RESOLUTION_SECONDS = 0.001
+"""Difference of two times that counts as none."""
+TIMED_OUT_STATUS = 504
+"""Status of a call that its target stopped at the time limit it was given."""
 MAX_PRIORITY = 9
 """Largest value, the least urgent, that engines accept."""
 
@@ -61,6 +70,7 @@
         self._source_work: loads.InFlightWork | None = None
         self._plan: plans.RunPlan | None = None
         self._begin_limit = begin_limits.BeginLimit(lambda: float('inf'))
+        self._run_ends_at = float('inf')
 
     async def forward_to(
         self, target: catalog.LiveTarget
@@ -72,6 +82,9 @@
         self._target_work = self._start_work(target)
         may_have_run_before = self._call.may_have_run
         self._call.may_have_run = True
+        self._run_ends_at = (
+            self._router.runtime.now() + self._get_run_seconds()
+        )
         self._begin_limit = begin_limits.BeginLimit(self._get_begin_seconds)
         try:
             async with self._begin_limit:
@@ -101,11 +114,18 @@
     def _get_begin_seconds(self) -> float:
         """Return the time within which the attempt must begin to run.
 
-        Infinite for calls without a prompt.
+        Infinite for calls without a prompt. If the engine stops the call in
+        time by itself, its proof that the call has not run is waited for.
         """
         if self._plan is None or self._call.prompt is None:
             return float('inf')
-        return self._router.max_begin_lag_seconds - self.get_weights_lag()
+        lag_seconds = self.get_weights_lag()
+        now = self._router.runtime.now()
+        stops_at = min(self._run_ends_at, self._call.deadline)
+        run_seconds = self._router.max_run_lag_seconds - lag_seconds
+        if stops_at - now <= run_seconds + CLOCK_RESOLUTION_SECONDS:
+            return stops_at + PROOF_SECONDS - now
+        return self._router.max_begin_lag_seconds - lag_seconds
 
     def get_weights_lag(self) -> float:
         """Return for how many seconds the plan's weights are outdated.
@@ -120,6 +140,19 @@
             self._router.read_boot_clock(),
         )
 
+    def _get_run_seconds(self) -> float:
+        """Return the time limit of a run on outdated weights.
+
+        Infinite for calls on the newest weights, and where the caller's own
+        deadline is earlier.
+        """
+        lag_seconds = self.get_weights_lag()
+        seconds = self._router.max_run_lag_seconds - lag_seconds
+        deadline_seconds = self._call.deadline - self._router.runtime.now()
+        if not lag_seconds or seconds >= deadline_seconds:
+            return float('inf')
+        return seconds
+
     def _finish_work(self) -> None:
         for work in (self._target_work, self._source_work):
             if work is not None:
@@ -158,14 +191,48 @@
         )
         if self._plan is not None:
             outgoing = add_plan(outgoing, self._call, self._plan)
+        run_seconds = self._run_ends_at - self._router.runtime.now()
+        outgoing = attrs.evolve(outgoing, run_seconds_left=run_seconds)
         sent = await self._router.connections.send(target.address, outgoing)
         if not returns_pipeline.is_successful(sent):
-            return sent.failure()
+            return self._explain_failure(sent.failure())
         response = sent.unwrap()
         try:
-            return await self._process_response(target, response)
+            failure = await self._process_response(target, response)
         finally:
             response.abort()
+        return self._explain_failure(failure)
+
+    def _explain_failure(
+        self, failure: interfaces.CallFailure | None
+    ) -> interfaces.CallFailure | None:
+        """Return the failure of an attempt by its cause.
+
+        A response that breaks once the time limit for outdated weights has
+        passed was stopped for it; the engine is sound.
+        """
+        if (
+            failure is not None
+            and failure.kind is Kind.BROKEN
+            and self._is_run_ended()
+        ):
+            return _stop_outdated()
+        return failure
+
+    def _has_run_limit(self) -> bool:
+        """Return whether the attempt has a limit for outdated weights."""
+        return not math.isinf(self._run_ends_at)
+
+    def _is_run_ended(self) -> bool:
+        """Return whether the time limit for outdated weights has passed."""
+        return self._router.runtime.now() >= self._run_ends_at
+
+    def _is_stopped(self, response: ports.OpenResponse) -> bool:
+        """Return whether the end of a body may be that of its time limit.
+
+        A body of undeclared length may end with its connection.
+        """
+        return response.declared_bytes is None and self._is_run_ended()
 
     async def _process_response(
         self, target: catalog.LiveTarget, response: ports.OpenResponse
@@ -192,6 +259,10 @@
         read = await read_body(response)
         if not returns_pipeline.is_successful(read):
             return read.failure()
+        if self._is_stopped(response):
+            return _stop_outdated()
+        if head.status == TIMED_OUT_STATUS and self._has_run_limit():
+            return _stop_outdated()
         buffered = BufferedResponse(head, read.unwrap())
         if head.status >= 500 and self._call.is_retryable():
             self._error_response = buffered
@@ -324,6 +395,8 @@
             return interfaces.CallFailure(
                 Kind.BROKEN, 'the stream ended inside an event'
             )
+        if self._is_stopped(response):
+            return _stop_outdated()
         await self._begin_reply(response.head)
         return None
 
@@ -358,6 +431,13 @@
         await self._call.reply.begin(head.status, head.headers)
 
 
+def _stop_outdated() -> interfaces.CallFailure:
+    """Return the failure of a call that its target stopped at the limit."""
+    return interfaces.CallFailure(
+        Kind.OUTDATED, 'stopped at the time limit of its weights'
+    )
+
+
 def promises_without_proof(head: ports.ResponseHead) -> bool:
     """Return whether a status promises what its target has not proved."""
     return head.status in NOT_RUN_STATUSES and not head.is_not_run
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -53,7 +53,9 @@
     address of an engine or KV cache store from which the engine fetches
     missing KV cache, `save_to` that of the store to which it saves.
     `max_idle_seconds` bounds how long a reused connection may have been idle.
-    `is_retryable` is set if the call may run more than once.
+    `is_retryable` is set if the call may run more than once. The target stops
+    after `run_seconds_left` if that is shorter than `seconds_left`, the time
+    that the caller waits.
     """
 
     request_id: str
@@ -62,6 +64,7 @@
     headers: HeaderPairs
     body: bytes = attrs.field(repr=False)
     seconds_left: float
+    run_seconds_left: float = float('inf')
     incarnation: str
     account: str = ''
     cache_salt: str = ''
@@ -73,6 +76,10 @@
     max_idle_seconds: float = float('inf')
     is_retryable: bool = False
 
+    def get_target_seconds(self) -> float:
+        """Return the time in seconds after which the target stops."""
+        return min(self.seconds_left, self.run_seconds_left)
+
 
 @attrs.frozen(kw_only=True)
 class ResponseHead:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -43,12 +43,13 @@
     `read_boot_clock` returns seconds since boot, suspended time included.
     `max_weights_lag_seconds` bounds how long calls may be sent to a weights
     version after it was replaced, `max_begin_lag_seconds` how long they may
-    begin to run on it. `cache_store_epochs` holds the epoch of each
-    KV cache store by address. `targets_freshness` holds the time up to which
-    the entries of targets are known. `busy_until` holds, by target name, the
-    monotonic time until which other targets are preferred because this one
-    rejected a call as busy. `restore_listeners` are called once when the
-    platform's store has been restored from an older copy, in `store_era`.
+    begin to run on it, `max_run_lag_seconds` how long engines may work on
+    those that were sent after it was replaced. `cache_store_epochs` holds the
+    epoch of each KV cache store by address. `targets_freshness` holds the time
+    up to which the entries of targets are known. `busy_until` holds, by target
+    name, the monotonic time until which other targets are preferred because
+    this one rejected a call as busy. `restore_listeners` are called once when
+    the platform's store has been restored from an older copy, in `store_era`.
     `is_cut_off` returns whether this host reaches no target.
     `prefill_listeners` are called when a call makes
     an engine prefill tokens that other calls share.
@@ -80,6 +81,7 @@
     software: software_versions.SoftwareVersions
     max_weights_lag_seconds: float = float('inf')
     max_begin_lag_seconds: float = float('inf')
+    max_run_lag_seconds: float = float('inf')
     cache_models: residency.CacheModels = attrs.field(
         factory=residency.CacheModels
     )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -326,9 +326,10 @@
     if failure.kind is Kind.BUSY:
         router.busy_until[name] = router.runtime.now() + BUSY_BACKOFF_SECONDS
     elif failure.kind is Kind.OUTDATED:
-        router.slowdown_tracker.record(
-            name, attempt.expected_seconds, now - attempt.started_at, now
-        )
+        if attempt.first_event_at is None:
+            router.slowdown_tracker.record(
+                name, attempt.expected_seconds, now - attempt.started_at, now
+            )
     elif failure.kind not in (Kind.WRONG_TARGET, Kind.PATH_LOST):
         router.health.record_failure(name)
     if failure.kind is Kind.BROKEN:
--- a/tests/core/forwarding/test_begin_limits.py
+++ b/tests/core/forwarding/test_begin_limits.py
@@ -7,12 +7,14 @@
 from pistachioseam.forwarding import known_versions
 from pistachioseam.forwarding import prompts
 from pistachioseam.forwarding import router as routers
+from pistachioseam import interfaces
 from pistachioseam_entry import call_process
 from pistachioseam_entry import call_settings
 from tests import call_fakes
 from tests import clocks
 from tests import support
 
+Kind = interfaces.FailureKind
 event = call_fakes.event
 respond = call_fakes.respond
 QUEUE_SECONDS = 4.0
@@ -26,7 +28,9 @@
 
 
 def create_fixture(
-    weights_ms: int, versions: tuple[int, ...] = (1,)
+    weights_ms: int,
+    versions: tuple[int, ...] = (1,),
+    connections: call_fakes.ScriptedTargets | None = None,
 ) -> call_fakes.RouterFixture:
     """Return a router with an engine for each weights version."""
     fixture = call_fakes.RouterFixture(
@@ -37,7 +41,8 @@
                 weights={call_fakes.MODEL: version},
             )
             for number, version in enumerate(versions)
-        ]
+        ],
+        connections,
     )
     bounds = call_settings.Bounds(
         revocation_ms=60_000,
@@ -260,6 +265,160 @@
     clocks.run(run())
 
 
+def test_engine_stops_calls_on_outdated_weights_by_itself(
+    case: support.Case,
+) -> None:
+    """A closed connection reaches it late; its time limit holds there."""
+
+    async def run() -> None:
+        fixture = create_fixture(weights_ms=10_000)
+        fixture.set_state(None, {call_fakes.MODEL: 2})
+        for wait_seconds, limit_seconds in ((6.0, 3.0), (0.8, 2.2)):
+            await asyncio.sleep(wait_seconds)
+            await fixture.serve(
+                '/stream/', [respond(chunks=(event(1),))], prompt=PROMPT
+            )
+            _, outgoing = fixture.targets.sent[-1]
+            case.assertAlmostEqual(
+                limit_seconds, outgoing.get_target_seconds()
+            )
+
+    clocks.run(run())
+
+
+def test_limit_of_outdated_weights_does_not_prolong_a_call(
+    case: support.Case,
+) -> None:
+    """The caller's deadline holds if it is earlier, or weights are new."""
+
+    async def run() -> None:
+        fixture = create_fixture(weights_ms=10_000)
+        for weights in ({}, {call_fakes.MODEL: 2}):
+            fixture.set_state(None, weights)
+            await asyncio.sleep(4.0)
+            await fixture.serve(
+                '/stream/', [respond(chunks=(event(1),))], prompt=PROMPT
+            )
+            _, outgoing = fixture.targets.sent[-1]
+            case.assertEqual(
+                call_fakes.TIMEOUT_SECONDS, outgoing.get_target_seconds()
+            )
+
+    clocks.run(run())
+
+
+def test_call_that_its_engine_stops_in_the_queue_is_sent_elsewhere(
+    case: support.Case,
+) -> None:
+    """It is not refused, as it has provably not run."""
+
+    async def run() -> None:
+        fixture = create_fixture(weights_ms=2_000)
+        fixture.set_state(None, {call_fakes.MODEL: 2})
+        await asyncio.sleep(1.0)
+        fixture.runtime.start(add_newer_engine(fixture, 0.3))
+        call, reply = await fixture.serve(
+            '/stream/',
+            [0.85, respond(503, is_not_run=True)],
+            [respond(chunks=(event(1),))],
+            prompt=PROMPT,
+        )
+        case.assertTrue(call.is_served)
+        case.assertEqual(event(1), reply.body)
+        case.assertEqual(
+            ['busy', ''], [attempt.failure for attempt in call.attempts]
+        )
+
+    clocks.run(run())
+
+
+async def add_newer_engine(
+    fixture: call_fakes.RouterFixture, seconds: float
+) -> None:
+    """Add an engine with version 2 after some seconds."""
+    await asyncio.sleep(seconds)
+    fixture.add_target(
+        call_fakes.create_target(
+            7, call_fakes.ENGINE_SERVICE, weights={call_fakes.MODEL: 2}
+        )
+    )
+    fixture.list_software_versions()
+
+
+def test_stream_that_its_engine_stops_is_resumed(case: support.Case) -> None:
+    """Its engine is not suspected of a crash."""
+    stops: tuple[tuple[call_fakes.Chunk, ...], ...] = (
+        (call_fakes.create_failure(Kind.BROKEN),),
+        (),
+    )
+    for stop in stops:
+        clocks.run(check_stopped_stream(case, stop))
+
+
+async def check_stopped_stream(
+    case: support.Case, stop: tuple[call_fakes.Chunk, ...]
+) -> None:
+    """Check that a stream that ends at the limit goes on elsewhere."""
+    fixture = create_fixture(weights_ms=3_000)
+    fixture.set_state(None, {call_fakes.MODEL: 2})
+    await asyncio.sleep(2.0)
+    fixture.runtime.start(add_newer_engine(fixture, 0.3))
+    call, reply = await fixture.serve(
+        '/resumable/',
+        [respond(chunks=(event(1), 0.8, *stop))],
+        [respond(chunks=(event(2),))],
+        prompt=PROMPT,
+    )
+    case.assertTrue(call.is_served)
+    case.assertEqual(event(1) + event(2), reply.body)
+    case.assertEqual('outdated', call.attempts[0].failure)
+    _, outgoing = fixture.targets.sent[-1]
+    case.assertEqual('1', outgoing.after_event)
+    name = call.attempts[0].target.name
+    case.assertTrue(fixture.router.health.is_usable(name))
+
+
+def test_stream_that_its_engine_stops_does_not_look_complete(
+    case: support.Case,
+) -> None:
+    """A body of undeclared length may end at the limit after any event."""
+
+    async def run() -> None:
+        fixture = create_fixture(weights_ms=3_000)
+        fixture.set_state(None, {call_fakes.MODEL: 2})
+        await asyncio.sleep(2.0)
+        call, reply = await fixture.serve(
+            '/stream/', [respond(chunks=(event(1), 0.8))], prompt=PROMPT
+        )
+        case.assertFalse(call.is_served)
+        case.assertEqual(event(1), reply.body)
+
+    clocks.run(run())
+
+
+def test_timeout_of_an_engine_at_its_limit_is_not_passed_on(
+    case: support.Case,
+) -> None:
+    """The caller's own time has not run out."""
+
+    async def run() -> None:
+        for path, status in (('/stream/', 502), ('/resumable/', 200)):
+            fixture = create_fixture(weights_ms=3_000)
+            fixture.set_state(None, {call_fakes.MODEL: 2})
+            await asyncio.sleep(2.0)
+            fixture.runtime.start(add_newer_engine(fixture, 0.1))
+            call, reply = await fixture.serve(
+                path,
+                [0.5, respond(504)],
+                [respond(chunks=(event(1),))],
+                prompt=PROMPT,
+            )
+            refusal_status = call.refusal.status if call.refusal else 0
+            case.assertEqual(status, refusal_status or reply.status)
+
+    clocks.run(run())
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
--- /dev/null
+++ b/tests/entry/test_relay_messages.py
@@ -0,0 +1,47 @@
+"""Calls keep their limits on the way through another host."""
+
+import attrs
+
+from pistachioseam.forwarding import ports
+from pistachioseam_entry import relay_messages
+from tests import support
+
+CALL = ports.OutgoingCall(
+    request_id='request-1',
+    method=b'POST',
+    uri=b'/x',
+    headers=(),
+    body=b'',
+    seconds_left=5.0,
+    incarnation='engine-1',
+)
+
+
+def test_relayed_call_keeps_the_limit_of_its_run(case: support.Case) -> None:
+    """Its engine would work on outdated weights until the deadline."""
+    limited = attrs.evolve(CALL, run_seconds_left=2.0)
+    request = relay_messages.encode_request(limited)
+    relayed = relay_messages.decode_request(request, 0.5)
+    case.assertEqual(1.5, relayed.get_target_seconds())
+    case.assertEqual(4.5, relayed.seconds_left)
+
+
+def test_relayed_call_without_a_limit_gets_none(case: support.Case) -> None:
+    """An unset field, as of hosts of former builds, is no limit of 0."""
+    request = relay_messages.encode_request(CALL)
+    case.assertFalse(request.HasField('caller_time_left_ms'))
+    relayed = relay_messages.decode_request(request, 0.5)
+    case.assertEqual(4.5, relayed.get_target_seconds())
+    case.assertEqual(4.5, relayed.seconds_left)
+
+
+def test_hosts_of_former_builds_pass_the_limit_on(case: support.Case) -> None:
+    """They know only the field that became the engine's time limit."""
+    limited = attrs.evolve(CALL, run_seconds_left=2.0)
+    request = relay_messages.encode_request(limited)
+    case.assertEqual(2000, request.time_left_ms)
+
+
+def load_tests(*_: object) -> object:
+    """Load the functions of this module."""
+    return support.load_functions(globals())
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -2,6 +2,8 @@
 
 import math
 
+import attrs
+
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import prompts
 from pistachioseam_platform import headers
@@ -99,6 +101,23 @@
     case.assertEqual(b'7', encoded[headers.LAST_EVENT_ID])
 
 
+def test_target_gets_the_shorter_time_limit(case: support.Case) -> None:
+    """A limit for the run never prolongs what the caller waits."""
+    call = ports.OutgoingCall(
+        request_id='9c41',
+        method=b'POST',
+        uri=b'/x',
+        headers=(),
+        body=b'',
+        seconds_left=2.0,
+        incarnation='i-1',
+    )
+    for run_seconds, expected in ((1.5, b'1500'), (3.0, b'2000')):
+        limited = attrs.evolve(call, run_seconds_left=run_seconds)
+        encoded = dict(headers.HeaderCodec().encode_call(limited))
+        case.assertEqual(expected, encoded[headers.DEADLINE_MS])
+
+
 def test_response_is_decoded(case: support.Case) -> None:
     """Declared rejections and misdirected calls (421) count as not run."""
     decode = headers.HeaderCodec().decode_response
