Take the time to connect off a target's time limit

Callers saw nothing; targets got more time than was left, up to the second that a connect may take, and so would outdated weights. Cause: the time left was read before the connect and written after it. Change: `ConnectionPool.send` takes the time of the connect off both limits.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_messages.py
@@ -52,14 +52,14 @@
         max_idle_seconds = request.max_idle_ms / MS_PER_SECOND
     has_version = request.HasField('weights_version')
     has_priority = request.HasField('priority')
-    return ports.OutgoingCall(
+    call = ports.OutgoingCall(
         request_id=request.request_id,
         method=request.method,
         uri=request.uri,
         headers=decode_headers(request.headers),
         body=request.body,
-        seconds_left=get_caller_seconds(request) - waited_seconds,
-        run_seconds_left=target_seconds - waited_seconds,
+        seconds_left=get_caller_seconds(request),
+        run_seconds_left=target_seconds,
         incarnation=request.incarnation,
         account=request.account,
         cache_salt=request.cache_salt,
@@ -70,6 +70,7 @@
         after_event=request.after_event,
         max_idle_seconds=max_idle_seconds,
     )
+    return call.spend(waited_seconds)
 
 
 def encode_head(response: ports.OpenResponse) -> messages_pb2.RelayHead:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -314,10 +314,12 @@
         """Send once, without a retry; return when the head has arrived."""
         connection = self.take_idle(address, call)
         if connection is None:
+            started_at = reactors.get_reactor().seconds()
             connected = await self.connect(address)
             if not pipeline.is_successful(connected):
                 return result.Failure(connected.failure())
             connection = connected.unwrap()
+            call = call.spend(reactors.get_reactor().seconds() - started_at)
         return await self.send_on(connection, call)
 
     async def is_reachable(self, address: str, seconds: float) -> bool:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -80,6 +80,14 @@
         """Return the time in seconds after which the target stops."""
         return min(self.seconds_left, self.run_seconds_left)
 
+    def spend(self, seconds: float) -> 'OutgoingCall':
+        """Return the call after some seconds of its time."""
+        return attrs.evolve(
+            self,
+            seconds_left=self.seconds_left - seconds,
+            run_seconds_left=self.run_seconds_left - seconds,
+        )
+
 
 @attrs.frozen(kw_only=True)
 class ResponseHead:
--- a/tests/entry/test_target_connections.py
+++ b/tests/entry/test_target_connections.py
@@ -26,6 +26,8 @@
 WAIT_SECONDS = 0.2
 MAX_SILENCE_MS = 2000
 """A sound target may be silent for a second or so."""
+CONNECT_SECONDS = 0.3
+"""Time in which a target accepts a connection over a full link."""
 
 
 class FakeTarget:
@@ -38,6 +40,7 @@
     def __init__(self, *responses: bytes | tuple[bytes, bytes] | None) -> None:
         self.responses = list(responses)
         self.connections = 0
+        self.heads: list[bytes] = []
         self.address = ''
         self._writers: list[asyncio.StreamWriter] = []
 
@@ -72,7 +75,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         while self.responses:
-            await reader.readuntil(b'\r\n\r\n')
+            self.heads.append(await reader.readuntil(b'\r\n\r\n'))
             response = self.responses.pop(0)
             if response is None:
                 return
@@ -144,6 +147,34 @@
     run(work)
 
 
+def test_time_to_connect_is_taken_off_the_time_limit(
+    case: support.Case,
+) -> None:
+    """The target would work for longer than the call may take."""
+
+    async def work() -> None:
+        async with FakeTarget(RESPONSE) as target:
+            with target_connections.ConnectionPool(
+                headers.HeaderCodec()
+            ) as pool:
+                connect = pool.connect
+
+                async def connect_late(
+                    address: str,
+                ) -> target_connections.OpenResult:
+                    await asyncio.sleep(CONNECT_SECONDS)
+                    return await connect(address)
+
+                pool.connect = connect_late  # type: ignore[method-assign]
+                case.assertEqual(b'ok', await fetch(pool, target.address))
+        name = headers.DEADLINE_MS + b': '
+        limit = target.heads[0].partition(name)[2].partition(b'\r\n')[0]
+        max_seconds = create_call().seconds_left - CONNECT_SECONDS
+        case.assertLessEqual(int(limit), max_seconds * 1000)
+
+    run(work)
+
+
 def test_keep_alive_timeout_is_respected(case: support.Case) -> None:
     """No request is sent on a connection that its target may be closing."""
     keep_alive = HEAD + b'Keep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok'
