Let slow engines take no places of others in a rollout

Calls ran on replaced weights for longer when a few engines answered late: each kept one of the places of the third that may drain and load for up to 1 s, while engines that answer at once waited.

Change: before it is ordered, an engine whose report has been open for 0.3 s takes no place; when it answers and the places are taken, its upgrade ends and begins again later. If so many are silent that it may be the host's fault, they keep their places, so that no more engines are drained.

Evidence: virtual time, 30 engines, six of them slow: test_slow_engines_take_no_ places_of_others failed before (last order to the others after 1.77 s, bound 1.6) and passes with reports after 0.5, 0.9 and 2 s; never more than ten of 30 load at once. test_engines_that_load_keep_their_places passes; with late reports of loading engines counted as slow it failed (0.81 s, bound 0.9).

--- a/packages/pistachioseam/src/pistachioseam/forwarding/engine_silence.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/engine_silence.py
@@ -8,8 +8,8 @@
 from pistachioseam import interfaces
 
 DOUBT_SECONDS = 0.3
-"""Time without any answer from which it is in doubt whether a rollout makes
-progress."""
+"""Time without an answer from which an engine is slow, and from which it is in
+doubt whether a rollout makes progress."""
 STALL_SECONDS = 1.5
 """Time without any answer after which a rollout has stalled."""
 MIN_SILENT_FRACTION = 1 / 4
--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -9,6 +9,7 @@
 
 import attrs
 from returns import pipeline as returns_pipeline
+from returns import result
 
 from pistachioseam import events
 from pistachioseam.forwarding import catalog
@@ -143,6 +144,8 @@
         self._listeners: list[abc.Callable[[], None]] = []
         self.loading: set[tuple[str, int]] = set()
         self._retry_at: dict[tuple[str, int], float] = {}
+        self._ordered: set[tuple[str, int]] = set()
+        self._report_sent_at: dict[tuple[str, int], float] = {}
         self._renewal_lock = asyncio.Lock()
         self._next_renewal_at = 0.0
         self._has_renewal_failed = False
@@ -404,10 +407,7 @@
 
         Engines that must load now are started beyond this limit.
         """
-        count = self._count_engines(outdated[0])
-        remaining = max(1, int(count * MAX_LOADING_FRACTION)) - len(
-            self.loading
-        )
+        remaining = self._count_places(outdated[0])
         loading_before = len(self.loading)
         now = self._router.read_boot_clock()
         for engine in sort_by_version(outdated, self._router):
@@ -426,6 +426,24 @@
             for listener in self._listeners:
                 listener()
 
+    def _count_places(self, engine: OutdatedEngine) -> int:
+        """Return how many more engines may drain or load.
+
+        An engine whose report is slow takes no place before it is ordered to
+        load, unless so many are silent that it may be this host's fault.
+        """
+        now = self._router.read_boot_clock()
+        count = self._count_engines(engine)
+        busy = len(self.loading)
+        if not self._silence.has_lasted(
+            engine_silence.DOUBT_SECONDS, count, now
+        ):
+            busy -= sum(
+                now - sent_at >= engine_silence.DOUBT_SECONDS
+                for sent_at in self._report_sent_at.values()
+            )
+        return max(1, int(count * MAX_LOADING_FRACTION)) - busy
+
     def _must_load_now(self, engine: OutdatedEngine) -> bool:
         """Return whether an engine's weights will soon be too old for calls.
 
@@ -455,6 +473,7 @@
                 await self._router.runtime.sleep(pause)
         finally:
             self.loading.discard(incarnation)
+            self._ordered.discard(incarnation)
 
     def _should_poll_report(
         self, engine: OutdatedEngine, waited_seconds: float
@@ -513,8 +532,8 @@
         )
         if pause > 0:
             return pause
-        self._record_call(engine)
-        read = await self._control.read_report(engine.target)
+        sent_at = self._router.read_boot_clock()
+        read = await self._read_report(engine, sent_at)
         if not returns_pipeline.is_successful(read):
             self._schedule_retry(engine, read.failure())
             return None
@@ -536,9 +555,30 @@
         )
         if switch is None:
             return drains.REPORT_POLL_SECONDS
+        now = self._router.read_boot_clock()
+        if (
+            now - sent_at >= engine_silence.DOUBT_SECONDS
+            and engine.target.get_incarnation() not in self._ordered
+            and self._count_places(engine) < 0
+            and not self._must_load_now(engine)
+        ):
+            # Another engine has taken the place meanwhile.
+            return None
         order = attrs.evolve(engine, version=newest)
         return await self._send_order(order, report.orders, switch)
 
+    async def _read_report(
+        self, engine: OutdatedEngine, now: float
+    ) -> result.Result[ports.EngineReport, interfaces.CallFailure]:
+        incarnation = engine.target.get_incarnation()
+        self._silence.record_call(incarnation, now)
+        if incarnation not in self._ordered:
+            self._report_sent_at[incarnation] = now
+        try:
+            return await self._control.read_report(engine.target)
+        finally:
+            self._report_sent_at.pop(incarnation, None)
+
     async def _send_order(
         self, engine: OutdatedEngine, orders: int, switch: drains.SwitchMode
     ) -> float | None:
@@ -560,6 +600,7 @@
             switch=switch,
         )
         self._record_call(engine)
+        self._ordered.add(engine.target.get_incarnation())
         ordered = await self._control.order_weights(engine.target, order)
         if not returns_pipeline.is_successful(ordered):
             self._schedule_retry(engine, ordered.failure())
--- a/tests/core/forwarding/test_rollouts.py
+++ b/tests/core/forwarding/test_rollouts.py
@@ -87,6 +87,8 @@
     orders: int = 0
     loading_until: float = 0.0
     is_unreachable: bool = False
+    answer_seconds: float = 0.01
+    loading_answer_seconds: float = 0.01
     runs: drains.EngineRuns = NO_RUNS
     switches: list[drains.SwitchMode] = attrs.field(factory=list)
 
@@ -134,13 +136,21 @@
         self, target: catalog.LiveTarget
     ) -> result.Result[ports.EngineReport, interfaces.CallFailure]:
         """Return the engine's report."""
-        await asyncio.sleep(0.01)
+        engine = self._find(target)
+        delay = engine.answer_seconds
+        if engine.loading_until:
+            delay = engine.loading_answer_seconds
+        await asyncio.sleep(min(delay, CALL_TIMEOUT_SECONDS))
         engine = self._find(target)
         self.reports += 1
         if engine.is_unreachable:
             return result.Failure(
                 call_fakes.create_failure(call_fakes.Kind.NOT_SENT)
             )
+        if delay >= CALL_TIMEOUT_SECONDS:
+            return result.Failure(
+                call_fakes.create_failure(call_fakes.Kind.TIMED_OUT)
+            )
         if self.is_cut_off:
             return await self._time_out()
         return result.Success(
@@ -745,6 +755,52 @@
                 clocks.run(run(has_streams, is_lost, seconds))
 
 
+def test_engines_that_load_keep_their_places(case: support.Case) -> None:
+    """Engines may answer late while they load; more must not load then."""
+
+    async def run() -> None:
+        fleet = Fleet(30, 1)
+        await asyncio.sleep(0.5)
+        for engine in fleet.controls[0].engines.values():
+            engine.load_seconds = 0.9
+        for target in fleet.targets[:6]:
+            engine = fleet.controls[0].engines[target.name]
+            engine.loading_answer_seconds = 0.9
+        fleet.name_version(2)
+        await fleet.wait_for_version(2)
+        orders = fleet.list_orders()
+        case.assertEqual(30, len(orders))
+        for first, later in zip(orders, orders[10:], strict=False):
+            case.assertGreaterEqual(later[0] - first[0], 0.9)
+
+    clocks.run(run())
+
+
+def test_slow_engines_take_no_places_of_others(case: support.Case) -> None:
+    """Each kept one of the places for as long as it had not answered."""
+
+    async def run(answer_seconds: float) -> None:
+        fleet = Fleet(30, 1)
+        await asyncio.sleep(0.5)
+        slow = {target.name for target in fleet.targets[:6]}
+        for name in slow:
+            engine = fleet.controls[0].engines[name]
+            engine.answer_seconds = answer_seconds
+        named_at = fleet.now()
+        fleet.name_version(2)
+        await asyncio.sleep(9.0)
+        orders = fleet.list_orders()
+        last = max(at for at, _, name, _ in orders if name not in slow)
+        case.assertLess(last - named_at, 1.6)
+        for first, later in zip(orders, orders[10:], strict=False):
+            case.assertGreaterEqual(later[0] - first[0], LOAD_SECONDS)
+        is_answering = answer_seconds < CALL_TIMEOUT_SECONDS
+        case.assertEqual(30 if is_answering else 24, len(orders))
+
+    for answer_seconds in (0.5, 0.9, 2.0):
+        clocks.run(run(answer_seconds))
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
