Send no call where it is expected to begin too late for its weights

Callers waited in the queue of an engine with outdated weights until their call was stopped there, though its host expected it to begin after the limit. Cause: placement sends to such engines until 0.7 of the bound, and admission compares the expected wait with the objective only. Change: an engine at which the call is expected to begin beyond 0.85 of the bound is chosen only if there is no other; then admission holds the call for up to an eighth of the objective, and refuses it with a Retry-After. Calls that may have run are sent as before. Where 1.2 times the objective is less than 0.15 of the bound, as with objectives up to 1.25 s of 10 s, admission was as strict already.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/admission.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/admission.py
@@ -46,6 +46,7 @@
     waited_seconds: float,
     objective_seconds: float,
     jitter: float,
+    max_expected_seconds: float = float('inf'),
 ) -> Decision:
     """Decide whether to admit, hold or refuse a call.
 
@@ -53,10 +54,11 @@
     the expected time to the first byte, which carries the first token. A
     refused call may be retried after the expected time beyond half the
     objective, within bounds; `jitter` in [0, 1) varies this by up to 25 %
-    either way, so that callers do not retry all at once.
+    either way, so that callers do not retry all at once. A call that is
+    expected to take more than `max_expected_seconds` is not admitted.
     """
     limit_seconds = objective_seconds * MAX_OBJECTIVE_RATIO
-    if (
+    if expected_seconds <= max_expected_seconds and (
         objective_seconds <= 0
         or expected_seconds + waited_seconds <= limit_seconds
     ):
--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -203,8 +203,13 @@
     plan = plans.plan_run(call, router, target, holder_lookup)
     other_cost = _compute_failure_cost(router, target, now)
     other_cost += RANK_COST_SECONDS * ranks.get(target.name, RANKED_TARGETS)
+    max_first_byte_seconds = float('inf')
     if plan.version < router.desired.get_newest_version(call.prompt.model):
         other_cost += OUTDATED_WEIGHTS_COST_SECONDS
+        lag_seconds = router.desired.get_lag_seconds(
+            call.prompt.model, plan.version, router.read_boot_clock()
+        )
+        max_first_byte_seconds = router.max_begin_lag_seconds - lag_seconds
     return selection.score_engine(
         target,
         engine,
@@ -216,4 +221,5 @@
         call.route.objective_seconds if call.route else 0.0,
         router.topology,
         other_cost,
+        max_first_byte_seconds,
     )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/selection.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/selection.py
@@ -40,7 +40,8 @@
     response, `lateness_cost` a penalty where that is close to the objective or
     beyond it, `recompute_cost` the cost of prefilling shared parts that are
     neither cached nor fetched, and `other_cost` that of warm-up, failures,
-    rank and outdated weights.
+    rank and outdated weights. `max_first_byte_seconds` is the time within
+    which calls must begin there.
     """
 
     target: str
@@ -48,6 +49,11 @@
     lateness_cost: float = 0.0
     recompute_cost: float = 0.0
     other_cost: float = 0.0
+    max_first_byte_seconds: float = float('inf')
+
+    def is_too_slow(self) -> bool:
+        """Return whether a call is expected to begin too late there."""
+        return self.first_byte_seconds > self.max_first_byte_seconds
 
     def get_cost(self) -> float:
         """Return the sum of the terms, in seconds."""
@@ -86,19 +92,33 @@
         """Return the expected time to the chosen target's first byte."""
         return self.candidates[0].first_byte_seconds
 
+    @property
+    def max_first_byte_seconds(self) -> float:
+        """Return the time within which the call must begin there."""
+        return self.candidates[0].max_first_byte_seconds
+
 
 def choose_target(
     targets: abc.Sequence[catalog.LiveTarget],
     score: abc.Callable[[catalog.LiveTarget], Candidate],
     random_fraction: float,
 ) -> Choice | None:
-    """Return the cheapest target; `random_fraction` in [0, 1) breaks ties."""
+    """Return the cheapest target at which the call begins in time.
+
+    It is the cheapest of all if there is none. `random_fraction` in [0, 1)
+    breaks ties.
+    """
     if not targets:
         return None
     offset = int(random_fraction * len(targets))
     rotated = [*targets[offset:], *targets[:offset]]
     scored = [(score(target), target) for target in rotated]
-    scored.sort(key=lambda scored_target: scored_target[0].get_cost())
+    scored.sort(
+        key=lambda scored_target: (
+            scored_target[0].is_too_slow(),
+            scored_target[0].get_cost(),
+        )
+    )
     return Choice(
         target=scored[0][1],
         candidates=tuple(candidate for candidate, _ in scored),
@@ -138,6 +158,7 @@
     objective_seconds: float,
     topology: links.Topology,
     other_cost: float = 0.0,
+    max_first_byte_seconds: float = float('inf'),
 ) -> Candidate:
     """Return an engine as a candidate with the cost of a planned run.
 
@@ -181,4 +202,5 @@
         recompute_cost=plan.recomputed_tokens
         * transfers.RECOMPUTE_SECONDS_PER_TOKEN,
         other_cost=other_cost + target.cold_seconds * WARM_UP_COST_FACTOR,
+        max_first_byte_seconds=max_first_byte_seconds,
     )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -223,6 +223,7 @@
         router.runtime.now() - call.received_at,
         call.route.objective_seconds,
         router.random.random(),
+        choice.max_first_byte_seconds,
     )
 
 
--- a/tests/core/forwarding/test_outdated_queues.py
+++ b/tests/core/forwarding/test_outdated_queues.py
@@ -6,6 +6,8 @@
 
 import attrs
 
+from pistachioseam.forwarding import admission
+from pistachioseam.forwarding import loads
 from pistachioseam.forwarding import router as routers
 from tests import call_fakes
 from tests import clocks
@@ -14,6 +16,7 @@
 from tests import support
 
 HOSTS = 91
+PEERS = 3
 ENGINES = 3
 CALLS_PER_SECOND = 250.0
 BOUND_SECONDS = 10.0
@@ -87,6 +90,72 @@
     case.assertEqual(outcome.engines.finished, outcome.statuses[200])
 
 
+async def create_loaded_fixture(
+    seconds: float, versions: tuple[int, ...], peer_tokens: tuple[int, ...]
+) -> call_fakes.RouterFixture:
+    """Return a router some seconds after newer weights were named.
+
+    Each of its peers has sent prompts of `peer_tokens` to the engines.
+    """
+    fixture = test_begin_limits.create_fixture(3_000, versions)
+    fixture.set_state(None, {call_fakes.MODEL: 2})
+    await asyncio.sleep(seconds)
+    reports = {
+        target.name: loads.Load(prefill_tokens=tokens)
+        for target, tokens in zip(
+            fixture.router.catalog.list_all(), peer_tokens, strict=True
+        )
+    }
+    now = fixture.runtime.now()
+    for number in range(PEERS):
+        fixture.router.loads.record_peer_loads(f'peer-{number}', reports, now)
+    return fixture
+
+
+def test_call_that_would_begin_too_late_is_refused_at_once(
+    case: support.Case,
+) -> None:
+    """It would be stopped in the engine's queue when its time is spent."""
+
+    async def run() -> None:
+        for wait_seconds, is_sent in ((1.0, True), (1.9, False)):
+            fixture = await create_loaded_fixture(
+                wait_seconds, (1,), (10_000,)
+            )
+            started_at = fixture.runtime.now()
+            call, _ = await fixture.serve(
+                '/stream/',
+                [call_fakes.respond(chunks=(call_fakes.event(1),))],
+                prompt=test_begin_limits.PROMPT,
+            )
+            case.assertEqual(is_sent, call.is_served)
+            case.assertEqual(int(is_sent), len(fixture.targets.sent))
+        assert call.refusal is not None
+        case.assertEqual(503, call.refusal.status)
+        case.assertIsNotNone(call.refusal.retry_after_seconds)
+        max_hold_seconds = admission.MAX_HOLD_FRACTION
+        case.assertLess(fixture.runtime.now() - started_at, max_hold_seconds)
+
+    clocks.run(run())
+
+
+def test_call_is_sent_where_it_begins_in_time(case: support.Case) -> None:
+    """The engine with newer weights has the longer queue."""
+
+    async def run() -> None:
+        fixture = await create_loaded_fixture(1.9, (1, 2), (10_000, 14_000))
+        call, _ = await fixture.serve(
+            '/stream/',
+            [call_fakes.respond(chunks=(call_fakes.event(1),))],
+            prompt=test_begin_limits.PROMPT,
+        )
+        case.assertTrue(call.is_served)
+        _, outgoing = fixture.targets.sent[0]
+        case.assertEqual(2, outgoing.weights_version)
+
+    clocks.run(run())
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
