Log the date of a weights version when it changes

Cause: the log told when a host had learned of a version, not that a peer had dated it anew, so limits that come early or late could not be traced to their source. Change: 212 has the interval and its source for each change of 0.1 s or more.

--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -93,6 +93,9 @@
         Level.INFO,
         'software versions at which streams may begin changed in the store',
     )
+    WEIGHTS_DATED = EventKind(
+        212, Level.INFO, 'date of a weights version changed'
+    )
     REQUEST_ENDED = EventKind(301, Level.INFO, 'request ended')
     REQUEST_REFUSED = EventKind(302, Level.INFO, 'request refused')
     REQUEST_RETRIED = EventKind(303, Level.WARNING, 'request retried')
--- a/packages/pistachioseam/src/pistachioseam/forwarding/known_versions.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/known_versions.py
@@ -17,6 +17,8 @@
 ANNOUNCED_VERSIONS = 3
 """Number of newest versions whose ages are sent to peers; engines skip older
 ones."""
+LOGGED_CHANGE_SECONDS = 0.1
+"""Smallest change of an end of a version's date that is logged."""
 MAX_WAITING_DATES = 64
 """Number of dates that are kept for versions that are not known yet."""
 
@@ -59,6 +61,17 @@
         """Return the interval for a version that was known at `by`."""
         return attrs.evolve(self, by=min(self.by, by))
 
+    def is_close(self, other: 'NamingInterval') -> bool:
+        """Return whether both ends differ by less than is logged."""
+        if self.after is None or other.after is None:
+            is_after_close = self.after == other.after
+        else:
+            difference = abs(self.after - other.after)
+            is_after_close = difference < LOGGED_CHANGE_SECONDS
+        return (
+            is_after_close and abs(self.by - other.by) < LOGGED_CHANGE_SECONDS
+        )
+
 
 @attrs.frozen
 class WaitingDate:
@@ -81,6 +94,7 @@
         self.state: desired.DesiredState | None = None
         self._named: dict[str, dict[int, NamingInterval]] = {}
         self._named_before_start: set[tuple[str, int]] = set()
+        self._reported: dict[tuple[str, int], NamingInterval] = {}
         self._waiting: dict[tuple[str, int], WaitingDate] = {}
         self._is_first_read = True
         self._listeners: list[abc.Callable[[], None]] = []
@@ -134,6 +148,7 @@
                         else round(now - interval.after, 3)
                     ),
                 )
+                self._report_date(model, version, now, 'store')
                 self._apply_waiting(model)
         self._is_first_read = False
         for finding in change.findings:
@@ -256,6 +271,25 @@
         versions[named.version] = self._narrow(
             versions, interval.limit_by(named_by), named
         )
+        self._report_date(named.model, named.version, now, 'peer')
+
+    def _report_date(
+        self, model: str, version: int, now: float, source: str
+    ) -> None:
+        """Log the date of a version unless it is about the one logged last."""
+        interval = self._named[model][version]
+        reported = self._reported.get((model, version))
+        if reported is not None and interval.is_close(reported):
+            return
+        self._reported[model, version] = interval
+        self._sink.emit(
+            events.Event.WEIGHTS_DATED,
+            model=model,
+            version=version,
+            after=_round_age(interval.after, now),
+            by=_round_age(interval.by, now),
+            source=source,
+        )
 
     def _keep_waiting(self, named: NamedWeights, now: float) -> None:
         key = (named.model, named.version)
@@ -290,6 +324,10 @@
         return {model: self.get_newest_version(model) for model in self._named}
 
 
+def _round_age(time: float | None, now: float) -> float | None:
+    return None if time is None else round(now - time, 3)
+
+
 def _is_dated(
     versions: abc.Mapping[int, NamingInterval], version: int, known: int
 ) -> bool:
--- a/tests/core/forwarding/test_known_versions.py
+++ b/tests/core/forwarding/test_known_versions.py
@@ -2,6 +2,7 @@
 
 import random
 
+from pistachioseam import events
 from pistachioseam.forwarding import known_versions
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import store_clocks
@@ -110,6 +111,33 @@
     case.assertEqual(1, relayed.predecessor)
 
 
+def test_changes_of_a_date_are_logged(case: support.Case) -> None:
+    """The log did not tell when and by whom a version was dated anew."""
+    sink = call_fakes.Sink()
+    cache = known_versions.DesiredStateCache(sink)
+    name_version(cache, 1, 0.0)
+    name_version(cache, 2, 10.0)
+    cache.store_clock.record(
+        store_versions.FIRST, STORE_SECONDS + 10.0, 10.0, 10.0
+    )
+    for _ in range(3):
+        cache.merge_named_weights(create_named(2, 9.0, 1), 11.0)
+    cache.merge_named_weights(create_named(2, 9.05, 1), 11.0)
+    dated = [
+        (fields['version'], fields['after'], fields['by'], fields['source'])
+        for kind, fields in sink.events
+        if kind is events.Event.WEIGHTS_DATED
+    ]
+    case.assertEqual(
+        [
+            (1, None, 0.0, 'store'),
+            (2, None, 0.0, 'store'),
+            (2, 2.002, 1.0, 'peer'),
+        ],
+        dated,
+    )
+
+
 def test_date_of_a_version_does_not_stand_for_one_before(
     case: support.Case,
 ) -> None:
