Tell peers again of named weights if more is known of them

Leaders told a receiver of a version again only if its date in whole seconds changed, or after a second, so a time or a predecessor that became known in between came late. The key of the word now has them. test_named_weights_are_told_again_if_ more_is_known failed before (1 != 0 words) and passes.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/status_changes.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/status_changes.py
@@ -87,7 +87,18 @@
 ) -> tuple[Word, ...]:
     """Return the entries of a status but its loads and cache updates."""
     words = [
-        Word('named', (n.model, n.weights_version, _date(n.age_ms, now)), n)
+        Word(
+            'named',
+            (
+                n.model,
+                n.weights_version,
+                n.after_ms,
+                n.after_era,
+                n.predecessor,
+                _date(n.age_ms, now),
+            ),
+            n,
+        )
         for n in status.named
     ]
     for engine in status.engines:
--- a/tests/entry/test_status_changes.py
+++ b/tests/entry/test_status_changes.py
@@ -62,6 +62,26 @@
     clocks.run(run())
 
 
+def test_named_weights_are_told_again_if_more_is_known(
+    case: support.Case,
+) -> None:
+    """Hosts learned a second late after what time weights were named."""
+
+    async def run() -> None:
+        changes = create_changes()
+        known = messages_pb2.HostStatus()
+        known.named.add(model='model', weights_version=2)
+        for after_ms in (0, 5, 5):
+            known.named[0].after_ms = after_ms
+            words = status_changes.list_words(known, 0.0)
+            status = messages_pb2.HostStatus()
+            changes.add_words(status, PEER, words, True)
+            known.named[0].predecessor = 1 if after_ms else 0
+            case.assertEqual(1, len(status.named))
+
+    clocks.run(run())
+
+
 def test_loads_without_room_come_first_next_time(case: support.Case) -> None:
     """The same targets would be left out each time."""
 
