--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -16,8 +16,6 @@
 """Number of targets that are ranked by rendezvous hashing."""
 RANK_COST_SECONDS = 0.01
 """Cost per rank, so that all hosts send a new part to the same target."""
-MAX_OUTDATED_WAITING = 1
-"""Calls of this host that may wait at an engine with outdated weights."""
 OUTDATED_WEIGHTS_COST_SECONDS = 0.4
 """Cost of an engine whose weights are older than the newest version."""
 
@@ -212,9 +210,6 @@
             call.prompt.model, plan.version, router.read_boot_clock()
         )
         max_first_byte_seconds = router.max_begin_lag_seconds - lag_seconds
-        waiting = router.loads.count_overdue(target.name, float('inf'))
-        if waiting >= MAX_OUTDATED_WAITING:
-            max_first_byte_seconds = 0.0
     return selection.score_engine(
         target,
         engine,
