Check the lease again right before an order is written

Two holders of the rollout could order the same engine less than the handover time apart: an order was sent if the lease held before its connect, which takes up to 1 s more.

Cause: the condition was checked before a wait and not again after it.

Change: the connection pool asks once more on the open connection, right before the call is written; if the renewal has expired or the host has left the lease, the call fails as not sent.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -263,6 +263,11 @@
     """Do nothing with the fact that a connection has opened or broken."""
 
 
+def allow_sending() -> bool:
+    """Return that a call may be sent at any time."""
+    return True
+
+
 class ConnectionPool:
     """Connections to targets by address; closes them all on exit.
 
@@ -309,9 +314,16 @@
             self.close_idle(address)
 
     async def send(
-        self, address: str, call: ports.OutgoingCall
+        self,
+        address: str,
+        call: ports.OutgoingCall,
+        may_send: abc.Callable[[], bool] = allow_sending,
     ) -> ports.SendResult:
-        """Send once, without a retry; return when the head has arrived."""
+        """Send once, without a retry; return when the head has arrived.
+
+        `may_send` is called on an open connection, right before the call is
+        written.
+        """
         connection = self.take_idle(address, call)
         if connection is None:
             started_at = reactors.get_reactor().seconds()
@@ -320,6 +332,9 @@
                 return result.Failure(connected.failure())
             connection = connected.unwrap()
             call = call.spend(reactors.get_reactor().seconds() - started_at)
+        if not may_send():
+            self._add_idle(connection)
+            return _fail(Kind.NOT_SENT, 'it may no longer be sent')
         return await self.send_on(connection, call)
 
     async def is_reachable(self, address: str, seconds: float) -> bool:
@@ -347,12 +362,18 @@
         )
 
     async def fetch(
-        self, address: str, call: ports.OutgoingCall
+        self,
+        address: str,
+        call: ports.OutgoingCall,
+        may_send: abc.Callable[[], bool] = allow_sending,
     ) -> result.Result[tuple[int, bytes], interfaces.CallFailure]:
-        """Send once; return status and body within `call.seconds_left`."""
+        """Send once; return status and body within `call.seconds_left`.
+
+        `may_send` is called right before the call is written.
+        """
         try:
             async with asyncio.timeout(call.seconds_left):
-                return await self._fetch(address, call)
+                return await self._fetch(address, call, may_send)
         except TimeoutError:
             failure = interfaces.CallFailure(
                 Kind.TIMED_OUT, 'no complete response in time'
@@ -360,9 +381,12 @@
             return result.Failure(failure)
 
     async def _fetch(
-        self, address: str, call: ports.OutgoingCall
+        self,
+        address: str,
+        call: ports.OutgoingCall,
+        may_send: abc.Callable[[], bool],
     ) -> result.Result[tuple[int, bytes], interfaces.CallFailure]:
-        sent = await self.send(address, call)
+        sent = await self.send(address, call, may_send)
         if not pipeline.is_successful(sent):
             return result.Failure(sent.failure())
         response = sent.unwrap()
--- a/packages/pistachioseam/src/pistachioseam/forwarding/leases.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/leases.py
@@ -73,15 +73,17 @@
 
     def can_act(self) -> bool:
         """Return whether this host may act; check this before each action."""
-        if self.renewed_at is None:
-            return False
-        return self.read_boot_clock() - self.renewed_at < VALIDITY_SECONDS
+        return self.get_renewal_age() < VALIDITY_SECONDS
 
     def needs_renewal(self) -> bool:
         """Return whether this host must renew the lease before it acts."""
+        return self.get_renewal_age() > RENEW_AFTER_SECONDS
+
+    def get_renewal_age(self) -> float:
+        """Return the time in seconds since the renewal, infinite if none."""
         if self.renewed_at is None:
-            return True
-        return self.read_boot_clock() - self.renewed_at > RENEW_AFTER_SECONDS
+            return float('inf')
+        return self.read_boot_clock() - self.renewed_at
 
     def _is_new(self) -> bool:
         """Return whether nobody has ever held the lease.
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -355,7 +355,8 @@
     """Order to load weights.
 
     The engine rejects it unless it has accepted exactly `expected_orders`
-    orders, so that a delayed order has no effect.
+    orders, so that a delayed order has no effect. It is given up without an
+    answer after `seconds_left`.
     """
 
     model: str
@@ -364,6 +365,7 @@
     fencing_token: int
     expected_orders: int
     switch: drains.SwitchMode
+    seconds_left: float
 
 
 class Platform(typing.Protocol):
@@ -455,9 +457,16 @@
         """Return the state that an engine reports."""
 
     async def order_weights(
-        self, target: catalog.LiveTarget, order: WeightsOrder
+        self,
+        target: catalog.LiveTarget,
+        order: WeightsOrder,
+        may_send: abc.Callable[[], bool],
     ) -> result.Result[int, interfaces.CallFailure]:
-        """Send an order; return the HTTP status of the response."""
+        """Send an order; return the HTTP status of the response.
+
+        `may_send` is called right before its first byte is written; if it
+        returns False, the order fails with the kind `NOT_SENT`.
+        """
 
     async def read_epoch(
         self, address: str, after: int
--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -63,6 +63,8 @@
 """Time for which a host that has left the lease lets other hosts go first."""
 REST_EXTRA_SECONDS = 1.0
 """How much later than others such a host may write an unchanged lease."""
+ORDER_SECONDS = 1.5
+"""Age of the renewal at which an order without an answer is given up."""
 UNREACHABLE_RETRY_SECONDS = 0.5
 """Pause before the upgrade of an engine that did not respond is retried."""
 
@@ -588,7 +590,7 @@
         """
         if self.lease.needs_renewal() and not await self._renew():
             return None
-        if self._is_resting() or not self.lease.can_act():
+        if not self._may_order():
             return None
         assert self.lease.row is not None
         order = ports.WeightsOrder(
@@ -598,10 +600,13 @@
             fencing_token=self.lease.row.get_fencing_token(),
             expected_orders=orders,
             switch=switch,
+            seconds_left=ORDER_SECONDS - self.lease.get_renewal_age(),
         )
         self._record_call(engine)
         self._ordered.add(engine.target.get_incarnation())
-        ordered = await self._control.order_weights(engine.target, order)
+        ordered = await self._control.order_weights(
+            engine.target, order, self._may_order
+        )
         if not returns_pipeline.is_successful(ordered):
             self._schedule_retry(engine, ordered.failure())
             return None
@@ -626,6 +631,10 @@
             else LOADING_POLL_SECONDS
         )
 
+    def _may_order(self) -> bool:
+        """Return whether this host may send an order at this moment."""
+        return not self._is_resting() and self.lease.can_act()
+
     def _record_call(self, engine: OutdatedEngine) -> None:
         now = self._router.read_boot_clock()
         self._silence.record_call(engine.target.get_incarnation(), now)
--- a/tests/core/forwarding/test_rollouts.py
+++ b/tests/core/forwarding/test_rollouts.py
@@ -96,13 +96,15 @@
 class Engines:
     """Control of simulated engines; `engines` holds them by name.
 
-    While `is_cut_off`, no call gets an answer within its timeout.
+    While `is_cut_off`, no call gets an answer within its timeout. Orders are
+    written after `connect_seconds`.
     """
 
     def __init__(self, fixture: call_fakes.RouterFixture) -> None:
         self._fixture = fixture
         self.engines: dict[str, Engine] = {}
         self.is_cut_off = False
+        self.connect_seconds = 0.0
         self.reports = 0
         self.accepted_orders: list[tuple[float, str, str, int]] = []
 
@@ -163,9 +165,17 @@
         )
 
     async def order_weights(
-        self, target: catalog.LiveTarget, order: ports.WeightsOrder
+        self,
+        target: catalog.LiveTarget,
+        order: ports.WeightsOrder,
+        may_send: abc.Callable[[], bool],
     ) -> result.Result[int, interfaces.CallFailure]:
         """Start to load unless the engine is loading or the order is stale."""
+        await asyncio.sleep(self.connect_seconds)
+        if not may_send():
+            return result.Failure(
+                call_fakes.create_failure(call_fakes.Kind.NOT_SENT)
+            )
         await asyncio.sleep(0.01)
         engine = self._find(target)
         if self.is_cut_off:
@@ -481,6 +491,31 @@
     clocks.run(run())
 
 
+def test_order_is_not_sent_after_the_renewal_has_expired(
+    case: support.Case,
+) -> None:
+    """Its connection opened after the time in which a successor's wait began.
+
+    The check before the connect does not cover the connect.
+    """
+
+    async def run(connect_seconds: float) -> int:
+        fixture = create_fixture(3)
+        engines = Engines(fixture)
+        engines.connect_seconds = connect_seconds
+        store = Store()
+        start(fixture, store, engines)
+        await asyncio.sleep(0.5)
+        fixture.set_state(None, {MODEL: 2})
+        await asyncio.sleep(0.3)
+        store.is_down = True
+        await asyncio.sleep(3.0)
+        return len(engines.accepted_orders)
+
+    case.assertLess(0, clocks.run(run(0.5)))
+    case.assertEqual(0, clocks.run(run(1.2)))
+
+
 def test_refused_renewals_are_spread_out(case: support.Case) -> None:
     """A holder whose renewals fail retries a few times a second."""
 
--- a/tests/entry/test_target_connections.py
+++ b/tests/entry/test_target_connections.py
@@ -147,6 +147,29 @@
     run(work)
 
 
+def test_call_that_expires_during_the_connect_is_not_written(
+    case: support.Case,
+) -> None:
+    """A check before the connect says nothing about the time after it."""
+
+    async def work() -> None:
+        async with FakeTarget(RESPONSE) as target:
+            with target_connections.ConnectionPool(
+                headers.HeaderCodec()
+            ) as pool:
+                fetched = await pool.fetch(
+                    target.address,
+                    create_call(),
+                    lambda: pool.count_open() == 0,
+                )
+                case.assertEqual(Kind.NOT_SENT, fetched.failure().kind)
+                case.assertEqual(b'ok', await fetch(pool, target.address))
+                case.assertEqual(1, len(target.heads))
+                case.assertEqual(1, target.connections)
+
+    run(work)
+
+
 def test_time_to_connect_is_taken_off_the_time_limit(
     case: support.Case,
 ) -> None:
