Take an engine that refuses connections for crashed, not for silent

A sound holder of the rollout left its lease when a quarter of the engines had crashed: 8 of 30 that refuse connections counted as silent, so the rollout stood still for seconds, again and again.

Cause: a refused connect and one without an answer are both failures of the kind NOT_SENT.

Change: a failure says whether the connection was refused. An engine that refuses is no longer counted as silent. It does not end the silence of others, as a response does: hosts without a path to the engines may see refusals as well.

Evidence: test_engines_that_refuse_connections_do_not_move_the_lease (8, 15 and 29 of 30 engines refuse, 40 s of virtual time) failed before with 8 crashed engines: event 705 was logged 8 times, none expected. test_refused_connection_is_told_from_one_without_an_answer failed before: the failure did not tell. A host without answers from the other engines while 15 are crashed still leaves the lease. `scripts/tests test_rollouts test_leases test_target_connections test_crashes test_doubts`: 60 passed.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -357,9 +357,7 @@
         if pipeline.is_successful(connected):
             self._add_idle(connected.unwrap())
             return False
-        return (
-            connected.failure().detail == error.ConnectionRefusedError.__name__
-        )
+        return connected.failure().is_refused
 
     async def fetch(
         self,
@@ -445,7 +443,13 @@
             if isinstance(raised, error.ConnectError):
                 self.on_broken(address)
             return result.Failure(
-                interfaces.CallFailure(Kind.NOT_SENT, type(raised).__name__)
+                interfaces.CallFailure(
+                    Kind.NOT_SENT,
+                    type(raised).__name__,
+                    is_refused=isinstance(
+                        raised, error.ConnectionRefusedError
+                    ),
+                )
             )
         self._open.add(connection)
         self.on_opened(address)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/engine_silence.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/engine_silence.py
@@ -56,12 +56,19 @@
     def record_failure(
         self,
         incarnation: catalog.Incarnation,
-        kind: interfaces.FailureKind,
+        failure: interfaces.CallFailure,
         now: float,
     ) -> None:
-        """Record the failure of a call, which may be an answer."""
-        if kind not in NO_ANSWER:
+        """Record the failure of a call, which may be an answer.
+
+        An engine that refuses the connection is not silent. That says nothing
+        about the others, as a partition may refuse connections as well.
+        """
+        if failure.kind not in NO_ANSWER:
             self.record_answer(incarnation, now)
+        elif failure.is_refused:
+            self._pending.discard(incarnation)
+            self._silent_since.pop(incarnation, None)
         elif incarnation in self._pending:
             self._pending.discard(incarnation)
             self.failures += 1
--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -653,7 +653,7 @@
         now = self._router.read_boot_clock()
         incarnation = engine.target.get_incarnation()
         self._retry_at[incarnation] = now + UNREACHABLE_RETRY_SECONDS
-        self._silence.record_failure(incarnation, failure.kind, now)
+        self._silence.record_failure(incarnation, failure, now)
         self._router.sink.emit(
             events.Event.ORDER_FAILED,
             target=engine.target.name,
--- a/packages/pistachioseam/src/pistachioseam/interfaces.py
+++ b/packages/pistachioseam/src/pistachioseam/interfaces.py
@@ -163,10 +163,14 @@
 
 @attrs.frozen
 class CallFailure:
-    """Failure of one call to a target."""
+    """Failure of one call to a target.
+
+    `is_refused` is set if the target's machine refused the connection.
+    """
 
     kind: FailureKind
     detail: str
+    is_refused: bool = False
 
 
 @attrs.frozen
--- a/tests/core/forwarding/test_rollouts.py
+++ b/tests/core/forwarding/test_rollouts.py
@@ -87,6 +87,7 @@
     orders: int = 0
     loading_until: float = 0.0
     is_unreachable: bool = False
+    is_crashed: bool = False
     answer_seconds: float = 0.01
     loading_answer_seconds: float = 0.01
     runs: drains.EngineRuns = NO_RUNS
@@ -145,6 +146,12 @@
         await asyncio.sleep(min(delay, CALL_TIMEOUT_SECONDS))
         engine = self._find(target)
         self.reports += 1
+        if engine.is_crashed and not self.is_cut_off:
+            return result.Failure(
+                interfaces.CallFailure(
+                    call_fakes.Kind.NOT_SENT, 'refused', is_refused=True
+                )
+            )
         if engine.is_unreachable:
             return result.Failure(
                 call_fakes.create_failure(call_fakes.Kind.NOT_SENT)
@@ -726,6 +733,52 @@
     clocks.run(run())
 
 
+def test_engines_that_refuse_connections_do_not_move_the_lease(
+    case: support.Case,
+) -> None:
+    """A sound holder left the lease when a quarter of the engines crashed.
+
+    A refused connection proves that the path works.
+    """
+
+    async def run(crashed: int) -> None:
+        fleet = Fleet(30, 4)
+        for target in fleet.targets[:crashed]:
+            fleet.controls[0].engines[target.name].is_crashed = True
+        await asyncio.sleep(0.5)
+        for version in (2, 3):
+            fleet.name_version(version)
+            await asyncio.sleep(20.0)
+        case.assertEqual('host-0', fleet.store.row.holder)
+        case.assertEqual(0, fleet.count_events(events.Event.LEASE_LEFT))
+        case.assertEqual(2 * (30 - crashed), len(fleet.list_orders()))
+
+    for crashed in (8, 15, 29):
+        clocks.run(run(crashed))
+
+
+def test_holder_cut_off_while_engines_are_crashed_leaves_the_lease(
+    case: support.Case,
+) -> None:
+    """Former refused connections must not keep it."""
+
+    async def run() -> None:
+        fleet = Fleet(30, 6)
+        for target in fleet.targets[:15]:
+            fleet.controls[0].engines[target.name].is_crashed = True
+        await asyncio.sleep(0.5)
+        fleet.name_version(2)
+        await asyncio.sleep(5.0)
+        fleet.cut_off(True, [0])
+        fleet.name_version(3)
+        await asyncio.sleep(12.0)
+        orders = [order for order in fleet.list_orders() if order[3] == 3]
+        case.assertEqual(15, len(orders))
+        case.assertNotIn('host-0', {holder for _, holder, _, _ in orders})
+
+    clocks.run(run())
+
+
 def test_engines_load_without_pauses_between_them(
     case: support.Case,
 ) -> None:
--- a/tests/entry/test_target_connections.py
+++ b/tests/entry/test_target_connections.py
@@ -170,6 +170,25 @@
     run(work)
 
 
+def test_refused_connection_is_told_from_one_without_an_answer(
+    case: support.Case,
+) -> None:
+    """Only the refusal proves that packets reach the target and return."""
+
+    async def work() -> None:
+        with target_connections.ConnectionPool(headers.HeaderCodec()) as pool:
+            with socket.create_server(('127.0.0.1', 0)) as server:
+                address = '{}:{}'.format(*server.getsockname())
+                late = (await pool.connect(address, 0.0)).failure()
+            refused = (await pool.connect(address)).failure()
+            case.assertEqual(Kind.NOT_SENT, late.kind)
+            case.assertFalse(late.is_refused)
+            case.assertEqual(Kind.NOT_SENT, refused.kind)
+            case.assertTrue(refused.is_refused)
+
+    run(work)
+
+
 def test_time_to_connect_is_taken_off_the_time_limit(
     case: support.Case,
 ) -> None:
