Take the time until a call is sent off its time limit in callers' path

Targets got more time than was left for callers' calls (BUDGET), and engines with outdated weights so much longer. Cause: callers' calls go through `RoutedConnections`, which connects by itself and passed the call on unchanged; the time was taken off in `ConnectionPool.send` only, which control calls and relaying hosts use. A relaying host was sent the time left before the failed connect and the check of the path, the next one also the 0.4 s for which the first was silent. Change: `RoutedConnections.send` takes off the connect and the check, `RelayClient.send` the time since it asked the first host.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
@@ -89,9 +89,11 @@
         link = self._get_link()
         if link is None or len(call.body) > MAX_REQUEST_BYTES:
             return _fail(Kind.NOT_SENT, 'no path to targets')
-        for peer in self._get_peers().choose(self._runtime.now()):
+        started_at = self._runtime.now()
+        for peer in self._get_peers().choose(started_at):
             relayed = RelayedCall(link.open_relay(peer.address), self._own)
-            answer = await relayed.request_relay(call)
+            waited_seconds = self._runtime.now() - started_at
+            answer = await relayed.request_relay(call.spend(waited_seconds))
             if answer.target_refusal:
                 return _fail(Kind.NOT_SENT, answer.target_refusal)
             if not answer.nonce:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/routed_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/routed_connections.py
@@ -65,14 +65,17 @@
         if self._paths.is_lost():
             return await self._send_by_relay(address, call)
         connection = self._pool.take_idle(address, call)
-        if connection is None:
-            opened = await self._connect_unless_lost(address)
-            if not pipeline.is_successful(opened):
-                if await self._paths.check():
-                    return await self._send_by_relay(address, call)
-                return result.Failure(opened.failure())
-            connection = opened.unwrap()
-        return await self._send_direct(connection, call)
+        if connection is not None:
+            return await self._send_direct(connection, call)
+        started_at = self._runtime.now()
+        opened = await self._connect_unless_lost(address)
+        if pipeline.is_successful(opened):
+            call = call.spend(self._runtime.now() - started_at)
+            return await self._send_direct(opened.unwrap(), call)
+        if await self._paths.check():
+            call = call.spend(self._runtime.now() - started_at)
+            return await self._send_by_relay(address, call)
+        return result.Failure(opened.failure())
 
     async def _connect_unless_lost(
         self, address: str
