Take the age of weights for known only where the dates reach back to them

Callers of a restarted host could get runs on weights replaced for longer than the bound. Its first read names the newest version only. Each date of a peer made it known, also one of a former build without a time before which the version was not named; and peers date their three newest versions, so weights older than these counted from the first of the three.

The age of weights is now known if a date of a newer version reaches back to them: at its begin the store had named nothing newer than a version that is not newer than they are. Otherwise the rule of hosts without dates holds: such engines are used only if there are no others.

test_restarted_host_learns_ages_from_peers expected ages without such a time to be taken for known, which is the fault; its peer now reads the store's clock, and lags are held to the true ones from both sides.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/known_versions.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/known_versions.py
@@ -218,9 +218,9 @@
 
         It is outdated since any newer version was named; 0 for the newest. The
         time counts from the earliest moment at which that may have been, so it
-        is never too short, however late this host learned of it. If that was
-        before this host started, the time since its first read is returned;
-        see `is_lag_known`.
+        is never too short, however late this host learned of it. Where
+        `is_lag_known` is false it may be too short: it then counts from the
+        first date known, at the latest from the first read of this host.
         """
         newer_named_at = [
             interval.get_earliest()
@@ -230,10 +230,14 @@
         return now - min(newer_named_at) if newer_named_at else 0.0
 
     def is_lag_known(self, model: str, version: int) -> bool:
-        """Return whether it is known since when a version is outdated."""
-        return not any(
-            (model, named) in self._named_before_start
-            for named in self._named.get(model, {})
+        """Return whether it is known since when a version is outdated.
+
+        The dates of newer versions must reach back to it, or another version
+        may have been named before them.
+        """
+        return version >= self.get_newest_version(model) or any(
+            interval.after is not None and interval.predecessor <= version
+            for named, interval in self._named[model].items()
             if named > version
         )
 
--- a/tests/core/forwarding/test_known_versions.py
+++ b/tests/core/forwarding/test_known_versions.py
@@ -60,17 +60,43 @@
 
     Peers send the ages, also those of versions that it never read.
     """
-    peer = create_cache()
-    for version, now in ((1, 0.0), (2, 10.0), (3, 14.0)):
-        name_version(peer, version, now)
-    restarted = create_cache()
-    name_version(restarted, 3, 16.0)
+    peer = create_reader(3)
+    restarted = create_restarted(3, 26.0)
     case.assertFalse(restarted.is_lag_known(MODEL, 1))
-    for named in peer.list_named_weights(16.0):
-        restarted.merge_named_weights(named, 16.0)
-    case.assertTrue(restarted.is_lag_known(MODEL, 1))
-    case.assertEqual(6.0, restarted.get_lag_seconds(MODEL, 1, 16.0))
-    case.assertEqual(2.0, restarted.get_lag_seconds(MODEL, 2, 16.0))
+    for named in peer.list_named_weights(26.0):
+        restarted.merge_named_weights(named, 26.0)
+    for version in (1, 2):
+        case.assertTrue(restarted.is_lag_known(MODEL, version))
+        for host in (peer, restarted):
+            lag_seconds = host.get_lag_seconds(MODEL, version, 26.0)
+            least = 26.0 - 10.0 * version
+            case.assertLessEqual(least, lag_seconds)
+            case.assertLessEqual(lag_seconds, least + 1.1)
+
+
+def test_lag_of_a_version_before_the_dated_ones_is_unknown(
+    case: support.Case,
+) -> None:
+    """Peers send three dates; older weights counted from the first of them."""
+    peer = create_reader(5)
+    restarted = create_restarted(5, 43.0)
+    for named in peer.list_named_weights(43.0):
+        restarted.merge_named_weights(named, 43.0)
+    case.assertFalse(restarted.is_lag_known(MODEL, 1))
+    for version in (2, 3, 4, 5):
+        case.assertTrue(restarted.is_lag_known(MODEL, version), version)
+
+
+def test_dates_of_former_builds_make_no_lag_known(case: support.Case) -> None:
+    """They tell when hosts learned of a version, not since when it may be."""
+    restarted = create_restarted(3, 26.0)
+    for version in (2, 3):
+        restarted.merge_named_weights(
+            known_versions.NamedWeights(MODEL, version, 2.0), 26.0
+        )
+    case.assertFalse(restarted.is_lag_known(MODEL, 1))
+    case.assertFalse(restarted.is_lag_known(MODEL, 2))
+    case.assertEqual(2.0, restarted.get_lag_seconds(MODEL, 2, 26.0))
 
 
 def create_named(
@@ -96,6 +122,40 @@
     return cache
 
 
+def create_reader(newest: int) -> known_versions.DesiredStateCache:
+    """Return a cache that read a version each 10 s, 1 s after the store."""
+    cache = create_cache()
+    for version in range(1, newest + 1):
+        now = 10.0 * (version - 1)
+        row = store_versions.StoreVersion(0, version)
+        cache.store_clock.record(
+            store_versions.StoreVersion(0, version - 1),
+            STORE_SECONDS + now - 1.0,
+            now - 1.0,
+            now - 1.0,
+        )
+        change = ports.DesiredChange(
+            state=None,
+            weights={MODEL: version},
+            cursor=row,
+            weights_rows={MODEL: row},
+        )
+        cache.apply(change, now, 5.0 if now else float('inf'))
+    return cache
+
+
+def create_restarted(
+    version: int, now: float
+) -> known_versions.DesiredStateCache:
+    """Return a cache whose first read brought a version."""
+    cache = create_cache()
+    cache.store_clock.record(
+        store_versions.FIRST, STORE_SECONDS + now, now, now
+    )
+    name_version(cache, version, now)
+    return cache
+
+
 def test_peers_narrow_the_date_of_a_version(case: support.Case) -> None:
     """Followers refused calls for weights over a second too early."""
     cache = create_follower(1, 2)
@@ -225,9 +285,11 @@
                 continue
             for named in peer.list_named_weights(now):
                 host.merge_named_weights(named, now + 0.05)
-            for old in range(
-                first_read[number], host.get_newest_version(MODEL)
-            ):
+            for old in range(1, host.get_newest_version(MODEL)):
+                is_known = host.is_lag_known(MODEL, old)
+                case.assertTrue(is_known or old < first_read[number])
+                if not is_known:
+                    continue
                 lag_seconds = host.get_lag_seconds(MODEL, old, now)
                 case.assertLessEqual(
                     now - named_at[old + 1], lag_seconds + 1e-6, f'seed {seed}'
