Correct dates of weights that peers or the moment of receipt disprove

Hosts could take replaced weights for younger than they are. A date that began after a peer had known the version stayed as it was: only its end was corrected. And a date of a peer that lay in the future, as the store's clock was set within an era, was cut to the moment at which this peer had learned of the version.

A date begins at the latest when a peer knew the version. One that lies after its receipt is ignored, as the clock that it was read from is another one.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/known_versions.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/known_versions.py
@@ -59,7 +59,9 @@
 
     def limit_by(self, by: float) -> 'NamingInterval':
         """Return the interval for a version that was known at `by`."""
-        return attrs.evolve(self, by=min(self.by, by))
+        by = min(self.by, by)
+        after = None if self.after is None else min(self.after, by)
+        return attrs.evolve(self, after=after, by=by)
 
     def is_close(self, other: 'NamingInterval') -> bool:
         """Return whether both ends differ by less than is logged."""
@@ -273,7 +275,7 @@
         named_by = now - named.age_seconds
         interval = versions.get(named.version, NamingInterval(None, named_by))
         versions[named.version] = self._narrow(
-            versions, interval.limit_by(named_by), named
+            versions, interval.limit_by(named_by), named, now
         )
         self._report_date(named.model, named.version, now, 'peer')
 
@@ -309,9 +311,12 @@
         versions: abc.Mapping[int, NamingInterval],
         interval: NamingInterval,
         named: NamedWeights,
+        received_at: float,
     ) -> NamingInterval:
         """Return an interval that begins at a peer's date, if that holds."""
-        if named.predecessor >= named.version:
+        if named.predecessor >= named.version or self._is_later(
+            named.after, received_at
+        ):
             return interval
         narrowed = self._limit_after(interval, named.after)
         if narrowed.after == interval.after or (
@@ -323,6 +328,18 @@
             return interval
         return attrs.evolve(narrowed, predecessor=named.predecessor)
 
+    def _is_later(
+        self, store_time: store_clocks.StoreTime | None, now: float
+    ) -> bool:
+        """Return whether a time of the store is later than `now`.
+
+        That is so only if the store's clock was set in between.
+        """
+        if store_time is None:
+            return False
+        boot_time = self.store_clock.find_boot_time(store_time)
+        return boot_time is not None and boot_time > now
+
     def get_newest_versions(self) -> dict[str, int]:
         """Return the newest named version of each model."""
         return {model: self.get_newest_version(model) for model in self._named}
--- a/tests/core/forwarding/test_known_versions.py
+++ b/tests/core/forwarding/test_known_versions.py
@@ -218,6 +218,33 @@
     case.assertAlmostEqual(1.0, cache.get_lag_seconds(MODEL, 2, 10.0), 1)
 
 
+def test_earlier_receipt_by_a_peer_corrects_a_date(
+    case: support.Case,
+) -> None:
+    """The date began after a peer knew the version."""
+    cache = create_follower(1, 2)
+    cache.merge_named_weights(create_named(2, 9.5, 1), 11.0)
+    early = known_versions.NamedWeights(MODEL, 2, 4.0)
+    cache.merge_named_weights(early, 11.0)
+    cache.merge_named_weights(create_named(2, 9.5, 1), 11.0)
+    restarted = create_restarted(2, 11.0)
+    restarted.merge_named_weights(cache.list_named_weights(11.0)[-1], 11.0)
+    for host in (cache, restarted):
+        case.assertEqual(4.0, host.get_lag_seconds(MODEL, 1, 11.0))
+        case.assertTrue(host.is_lag_known(MODEL, 1))
+
+
+def test_date_after_its_receipt_is_ignored(case: support.Case) -> None:
+    """The store's clock was set; replaced weights counted from a receipt."""
+    cache = create_follower(1, 2)
+    cache.merge_named_weights(create_named(2, 11.5, 1), 11.0)
+    case.assertEqual(6.0, cache.get_lag_seconds(MODEL, 1, 11.0))
+    case.assertIsNone(cache.list_named_weights(11.0)[-1].after)
+    restarted = create_restarted(2, 11.0)
+    restarted.merge_named_weights(create_named(2, 11.5, 1), 11.0)
+    case.assertFalse(restarted.is_lag_known(MODEL, 1))
+
+
 def test_date_waits_for_its_version(case: support.Case) -> None:
     """It was dropped if a peer learned of the version earlier."""
     cache = create_follower(1, 2)
