Let hosts learn late of new weights in soak and rehearsals

Cause: neither soak nor rehearsals could break VERSION. Their streams carried no prompt, so that hosts placed them regardless of weights; the store answered all hosts alike; engines took each order. Change: streams carry a prompt. The store stand-in holds its answers to chosen hosts. Faults hold_store_answers, freeze_hosts (up to half of them, so leaders too) and refuse_orders. scripts/rehearse names weights at odd moments (--naming_seconds). The fleet records acknowledgements and disturbances, and both check VERSION. The engines' log line of a run has version and times. Not done: links between hosts cannot be cut, only hosts frozen.

--- a/packages/pistachioseam-standins/src/pistachioseam_standins/fleet.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/fleet.py
@@ -237,6 +237,15 @@
             'POST', self.platform.address, '/standin/rows', {'rows': [row]}
         )
 
+    def hold_store_answers(self, store: str, seconds: float) -> None:
+        """Let the store answer late the hosts that call it by an address."""
+        deployment.call(
+            'POST',
+            self.platform.address,
+            '/standin/holds',
+            {'store': store, 'seconds': seconds},
+        )
+
     def set_store_fault(self, mode: str) -> None:
         """Set the fault mode of the store's stand-in."""
         deployment.call(
@@ -248,13 +257,20 @@
 
         Unlike `list_executed_request_ids`, this includes servers that crashed.
         """
+        return [fields[0] for fields in self.list_logged_runs()]
+
+    def list_logged_runs(self) -> list[list[str]]:
+        """Return what the servers' logs say of each execution.
+
+        The fields are those after `fleet_server.RUN_LOG_PREFIX`.
+        """
         return [
-            request_id
+            fields.split(' ')
             for path in self.folder.glob('*.log')
             for line in path.read_text(errors='replace').splitlines()
             if line.startswith(fleet_server.RUN_LOG_PREFIX)
             # The line of a server that was killed may lack its end.
-            for request_id in line.split(fleet_server.RUN_LOG_PREFIX)[1:]
+            for fields in line.split(fleet_server.RUN_LOG_PREFIX)[1:]
         ]
 
     def list_executed_request_ids(
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
@@ -67,11 +67,9 @@
 or go on."""
 MS_PER_SECOND = 1000.0
 RUN_LOG_PREFIX = 'ran '
-"""Prefix of the log line of each execution, before the request's id."""
-BEGIN_LOG_PREFIX = 'began '
-"""Prefix of the log line of each begin of an execution on weights, before the
-request's id, the weights version, and the monotonic times, in seconds, at
-which it arrived and began."""
+"""Prefix of the log line of each execution, before the request's id; engines
+add the weights version, and the monotonic times, in seconds, at which the
+request arrived and began."""
 REJECTION = (
     b'HTTP/1.1 503 Service Unavailable\r\n'
     b'X-Pistachioseam-Request-Id: %b\r\n'
@@ -369,14 +367,14 @@
     def record_run(self, request_id: str, arrived_at: float) -> None:
         """Record an execution that begins, in the log too."""
         self.executed_request_ids.append(request_id)
-        lines = [f'{RUN_LOG_PREFIX}{request_id}\n']
+        line = RUN_LOG_PREFIX + request_id
         if self._model:
-            lines.append(
-                f'{BEGIN_LOG_PREFIX}{request_id} {self.weights_version}'
-                f' {arrived_at:.3f} {time.monotonic():.3f}\n'
+            line += (
+                f' {self.weights_version} {arrived_at:.3f}'
+                f' {time.monotonic():.3f}'
             )
         # Flushed so that the log keeps the execution if the process crashes.
-        sys.stdout.write(''.join(lines))
+        sys.stdout.write(line + '\n')
         sys.stdout.flush()
 
     async def _stream_events(
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/metadata.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/metadata.py
@@ -16,9 +16,13 @@
 `POST /standin/views` sets by which other addresses the hosts that call the
 store under the address `store` reach servers: `addresses` maps those that the
 servers registered. So each host may have proxies of its own.
+`POST /standin/holds` sets for how many `seconds` the answers to the hosts that
+call the store under the address `store` are held: they say what was so before.
 """
 
 import base64
+from collections import abc
+import functools
 import time
 import typing
 
@@ -49,6 +53,25 @@
     value: bytes | None
 
 
+Handler = abc.Callable[..., abc.Coroutine[typing.Any, typing.Any, bytes]]
+
+
+def hold_answers(handler: Handler) -> Handler:
+    """Return a handler whose answers to some hosts come late."""
+
+    @functools.wraps(handler)
+    async def handle(
+        store: 'MetadataStore', request: typing.Any, **arguments: str
+    ) -> bytes:
+        answer = await handler(store, request, **arguments)
+        hold_seconds = store.holds.get(request.getHeader('host') or '', 0.0)
+        if hold_seconds:
+            await serving.sleep(hold_seconds)
+        return answer
+
+    return handle
+
+
 class MetadataStore:
     """Rows with the history of their changes, and objects, in memory."""
 
@@ -65,6 +88,7 @@
         self.era = 1
         self._copy: tuple[int, list[Change]] = (0, [])
         self._views: dict[str, dict[str, str]] = {}
+        self.holds: dict[str, float] = {}
 
     @app.route('/standin/faults', methods=['POST'])
     def set_faults(self, request: typing.Any) -> bytes:
@@ -109,6 +133,13 @@
         self._views[view['store']] = view['addresses']
         return serving.encode_json(request, {})
 
+    @app.route('/standin/holds', methods=['POST'])
+    def set_hold(self, request: typing.Any) -> bytes:
+        """Set for how long the answers to some hosts are held."""
+        hold = serving.read_json(request)
+        self.holds[hold['store']] = hold['seconds']
+        return serving.encode_json(request, {})
+
     @app.route('/standin/calls')
     def count_calls(self, request: typing.Any) -> bytes:
         """Return the number of calls by hosts, failed ones included."""
@@ -133,6 +164,7 @@
             self._rows[key] = change
 
     @app.route('/-/rows-tx', methods=['POST'])
+    @hold_answers
     async def commit(self, request: typing.Any) -> bytes:
         """Apply all puts and removals if every expected version matches.
 
@@ -162,6 +194,7 @@
         return found.version if found else 0
 
     @app.route('/-/rows-get')
+    @hold_answers
     async def read_rows(self, request: typing.Any) -> bytes:
         """Return up to `limit` rows of a table's part, starting at a key."""
         if await self._inject_fault(request):
@@ -182,6 +215,7 @@
         return self._encode_rows(request, rows[:limit], len(rows) > limit)
 
     @app.route('/-/rows-feed')
+    @hold_answers
     async def watch_rows(self, request: typing.Any) -> bytes:
         """Return the changes of a table after a version.
 
@@ -214,6 +248,7 @@
         return list(latest_changes.values())
 
     @app.route('/-/blob-put/<name>', methods=['PUT'])
+    @hold_answers
     async def write_object(self, request: typing.Any, name: str) -> bytes:
         """Write an object; `If-None-Match: *` refuses to replace one."""
         if await self._inject_fault(request):
@@ -225,6 +260,7 @@
         return serving.encode_json(request, {})
 
     @app.route('/-/blob-get/<name>')
+    @hold_answers
     async def read_object(self, request: typing.Any, name: str) -> bytes:
         """Return the bytes of an object, or status 404."""
         if await self._inject_fault(request):
@@ -234,6 +270,7 @@
         return self._objects[name]
 
     @app.route('/-/blob-drop/<name>', methods=['DELETE'])
+    @hold_answers
     async def delete_object(self, request: typing.Any, name: str) -> bytes:
         """Delete an object; succeeds even if there is none."""
         if await self._inject_fault(request):
@@ -242,6 +279,7 @@
         return serving.encode_json(request, {})
 
     @app.route('/-/blob-list')
+    @hold_answers
     async def list_objects(self, request: typing.Any) -> bytes:
         """Return one page of names with the prefix, sorted after `after`."""
         if await self._inject_fault(request):
--- a/tests/rehearsals/rehearsal.py
+++ b/tests/rehearsals/rehearsal.py
@@ -12,9 +12,11 @@
 
 import attrs
 
+from pistachioseam_standins import adversarial_server
 from pistachioseam_standins import adversary
 from pistachioseam_standins import deployment
 from pistachioseam_standins import fleet
+from pistachioseam_standins import fleet_server
 from tests import builds
 from tests.soak import callers
 from tests.soak import checks
@@ -39,6 +41,7 @@
     'MIXED',
     'LOST',
     'UNASKED',
+    'VERSION',
 )
 
 
@@ -49,7 +52,12 @@
     `faults` are names of `tests.soak.faults.REGISTRY`, injected one after
     another. With `cores`, all hosts share that many processors. `rejected`,
     `unproven`, `copied`, `garbled` and `dropped` are the fields of
-    `adversary.Faults`, `connections` the limit of each server.
+    `adversary.Faults`, `connections` the limit of each server. Weights are
+    named about each `naming_seconds`, at odd moments, unless that is 0. The
+    engines have `slots` and room for `waiting` requests, add `run_seconds` to
+    each run, load weights for `load_seconds`, and go on for `lingers`, in
+    turn, with a request whose caller has left, forever without it.
+    `weights_ms` is the setting of the hosts.
     """
 
     seed: int = 1
@@ -67,6 +75,13 @@
     garbled: float = 0.15
     dropped: float = 0.0
     connections: int = adversary.MAX_CONNECTIONS
+    naming_seconds: float = 0.0
+    slots: int = adversarial_server.CAPACITY
+    waiting: int = adversarial_server.QUEUE_LENGTH
+    run_seconds: float = 0.0
+    load_seconds: float = fleet_server.WEIGHTS_LOAD_SECONDS
+    lingers: tuple[float, ...] = ()
+    weights_ms: int = 8000
 
     def list_server_options(self) -> tuple[str, ...]:
         """Return the command line of the servers."""
@@ -76,6 +91,11 @@
         )
         return tuple(f'--{name}={getattr(self, name)}' for name in names)
 
+    def list_engine_options(self) -> tuple[str, ...]:
+        """Return what the command line of the engines has beside it."""
+        names = ('slots', 'waiting', 'run_seconds', 'load_seconds')
+        return tuple(f'--{name}={getattr(self, name)}' for name in names)
+
 
 @attrs.frozen(kw_only=True)
 class Outcome:
@@ -111,7 +131,12 @@
         self, plan: Plan, folder: pathlib.Path, python_path: str
     ) -> None:
         spec = fleet.FleetSpec(
-            hosts=plan.hosts, engines=plan.engines, plain=plan.plain
+            hosts=plan.hosts,
+            engines=plan.engines,
+            plain=plan.plain,
+            engine_options=plan.list_engine_options(),
+            lingers=plan.lingers,
+            weights_ms=plan.weights_ms,
         )
         super().__init__(spec, folder, python_path)
         self.server_options = plan.list_server_options()
@@ -142,8 +167,7 @@
     """Run a rehearsal; the logs of its processes stay in a folder."""
     with RehearsalFleet(plan, folder, python_path) as running:
         results = _call_under_faults(plan, running)
-        request_ids = running.list_logged_request_ids()
-    violations = checks.find_violations(results, request_ids, running.kills)
+        violations = running.find_violations(results)
     return Outcome(
         plan=plan,
         calls=len(results),
@@ -168,13 +192,21 @@
             for n in range(plan.callers)
         ]
         context = faults.FaultContext(running, random.Random(plan.seed))
-        injector = threading.Thread(
-            target=_inject, args=(plan, context, should_stop)
+        naming = faults.FaultContext(
+            running, random.Random(f'naming-{plan.seed}')
         )
-        injector.start()
+        threads = [
+            threading.Thread(
+                target=_inject, args=(plan, context, should_stop)
+            ),
+            threading.Thread(target=_name, args=(plan, naming, should_stop)),
+        ]
+        for thread in threads:
+            thread.start()
         time.sleep(plan.seconds)
         should_stop.set()
-        injector.join()
+        for thread in threads:
+            thread.join()
         faults.clear_faults(running)
         for caller in running_callers:
             caller.stop()
@@ -190,6 +222,17 @@
         should_stop.wait(context.random.random() * MAX_FAULT_PAUSE_SECONDS)
 
 
+def _name(
+    plan: Plan, context: faults.FaultContext, should_stop: threading.Event
+) -> None:
+    """Name weights again and again, at moments that the faults do not know."""
+    while plan.naming_seconds:
+        pause_seconds = 2 * plan.naming_seconds * context.random.random()
+        if should_stop.wait(pause_seconds):
+            return
+        faults.publish_weights(context)
+
+
 def _compute_open_fraction(
     results: abc.Sequence[callers.CallResult],
 ) -> float:
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -32,6 +32,8 @@
 }
 """Behaviours of the server stand-in by route; repeated ones are likelier."""
 CALL_INTERVAL_SECONDS = 0.05
+STREAMS = ('/stream/', '/resumable/')
+"""Routes of calls with a prompt."""
 MAX_TAKE_UPS = 20
 READ_BYTES = 65_536
 MAX_RETRIES = 1
@@ -139,6 +141,7 @@
             'authorization': 'Bearer key-1',
             'x-pistachioseam-request-id': request_id,
             'x-pistachioseam-deadline-ms': '3000',
+            **(create_prompt(request_id) if prefix in STREAMS else {}),
         }
         result = CallResult(
             request_id=request_id,
@@ -193,6 +196,15 @@
         return ''
 
 
+def create_prompt(request_id: str) -> dict[str, str]:
+    """Return the headers of a short prompt of a call's own."""
+    return {
+        'x-pistachioseam-model': fleet.MODEL,
+        'x-pistachioseam-token-count': '20,8',
+        'x-pistachioseam-prompt-prefix': f'{request_id[:8]}:20',
+    }
+
+
 def is_reset_unread(error: Exception) -> bool:
     """Return whether a host closed a connection with unread bytes.
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -249,6 +249,6 @@
 def _is_whole(result: callers.CallResult) -> bool:
     if not result.is_stamped:
         return False
-    if result.prefix in ('/stream/', '/resumable/'):
+    if result.prefix in callers.STREAMS:
         return result.received + result.body in callers.WHOLE_STREAMS
     return result.body == result.request_id.encode()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -10,22 +10,37 @@
 import signal
 import threading
 import time
+import typing
 
 import attrs
 
 from pistachioseam_standins import deployment
 from pistachioseam_standins import fleet
+from pistachioseam_standins import metadata
 from tests import partitions
+from tests.soak import callers
 from tests.soak import checks
 from tests.soak import proxies
 
 MAX_FREEZE_SECONDS = 1.5
+MAX_BUSY_SECONDS = 6.0
+MAX_HOLD_SECONDS = 4.0
+"""Longest time for which a fault holds answers of the store."""
+HOLDS_SECONDS = (0.5, 0.9, 2.0, metadata.SILENT_SECONDS)
+"""Times by which answers come late; the last is never."""
+STORE_FAULTS = ('busy', 'silent', 'lose')
+"""Modes of the store stand-in in which it is disturbed."""
+LINK_FAULTS = ('delay', 'silent', 'one_way')
+"""Modes of a proxy in which its link is disturbed."""
 MAX_PARTITION_SECONDS = 4.0
 MAX_COPY_AGE_SECONDS = 1.5
 STORE_MODES = ('busy', 'silent', 'lose', 'forget', 'none', 'none')
 """Modes of the store stand-in; `none` is repeated to be likelier."""
 
 
+BEGIN_FIELDS = 4
+"""Number of fields of an engine's log line of a run."""
+MS_PER_SECOND = 1000.0
 ODD_ENTRY = {
     'service': fleet.PLAIN_SERVICE,
     'address': '127.0.0.1:9',
@@ -52,20 +67,125 @@
 class SoakFleet(partitions.PartitionedFleet):
     """Fleet that records the faults.
 
-    `kills` records each process that was killed while it ran. Faults on
-    several threads hold the lock of a process's name while they restart it,
-    and `store_lock` while they write to the store as its operators.
+    `kills` records each process that was killed while it ran, `namings` the
+    weights versions that were named, and `disturbances` what excuses a call
+    that begins on replaced weights. Faults on several threads hold the lock of
+    a process's name while they restart it, and `store_lock` while they write
+    to the store as its operators.
     """
 
     def __init__(self, spec: fleet.FleetSpec, folder: pathlib.Path) -> None:
         super().__init__(spec, folder)
         self.kills: list[checks.Kill] = []
+        self.namings: list[checks.Naming] = []
+        self.disturbances: list[checks.Disturbance] = []
         self.weights_version = 1
         self.locks: collections.defaultdict[str, threading.Lock] = (
             collections.defaultdict(threading.Lock)
         )
         self.store_lock = threading.Lock()
+        self._mode_locks: collections.defaultdict[str, threading.Lock] = (
+            collections.defaultdict(threading.Lock)
+        )
         self._start_times: dict[int, float] = {}
+        self._disturbed_since: dict[str, float] = {}
+
+    @contextlib.contextmanager
+    def disturb(
+        self, is_store: bool = False, is_link: bool = False, host: str = ''
+    ) -> abc.Iterator[None]:
+        """Record a disturbance for the time of the block."""
+        started_at = time.monotonic()
+        try:
+            yield
+        finally:
+            self._record_disturbance(started_at, is_store, is_link, host)
+
+    def _record_disturbance(
+        self,
+        started_at: float,
+        is_store: bool = False,
+        is_link: bool = False,
+        host: str = '',
+    ) -> None:
+        self.disturbances.append(
+            checks.Disturbance(
+                started_at=started_at,
+                ended_at=time.monotonic(),
+                is_store=is_store,
+                is_link=is_link,
+                host=host,
+            )
+        )
+
+    def set_weights_version(self, version: int) -> None:
+        """Name a weights version; record the acknowledgement."""
+        super().set_weights_version(version)
+        if version not in [naming.version for naming in self.namings]:
+            self.namings.append(checks.Naming(version, time.monotonic()))
+
+    def set_store_fault(self, mode: str) -> None:
+        """Set the fault mode of the store; record for how long it lasts."""
+        with self._mode_locks['store']:
+            started_at = time.monotonic()
+            super().set_store_fault(mode)
+            self._end_mode('store', is_store=True)
+            if mode in STORE_FAULTS:
+                self._disturbed_since['store'] = started_at
+            elif mode == 'restore':
+                self._record_disturbance(started_at, is_store=True)
+
+    def set_proxy_mode(self, number: int, mode: str) -> None:
+        """Set the mode of a host's link to the store; record for how long."""
+        name, host = f'proxy-{number}', self.entries[number].address
+        with self._mode_locks[name]:
+            started_at = time.monotonic()
+            self.proxies[number].set_mode(mode)
+            self._end_mode(name, is_link=True, host=host)
+            if mode in LINK_FAULTS:
+                self._disturbed_since[name] = started_at
+            elif mode == 'reset':
+                self._record_disturbance(started_at, is_link=True, host=host)
+
+    def _end_mode(self, name: str, **kind: typing.Any) -> None:
+        """Record the disturbance by the mode that ends, if it is one."""
+        started_at = self._disturbed_since.pop(name, None)
+        if started_at is not None:
+            self._record_disturbance(started_at, **kind)
+
+    def start_host(
+        self, number: int, previous: deployment.ServerProcess | None = None
+    ) -> deployment.ServerProcess:
+        """Start a host; it is out of touch for a while."""
+        host = super().start_host(number, previous)
+        self._record_disturbance(time.monotonic(), host=host.address)
+        return host
+
+    def list_begins(self) -> list[checks.Begin]:
+        """Return the begins of runs on weights from the servers' logs."""
+        return [
+            checks.Begin(
+                fields[0], int(fields[1]), float(fields[2]), float(fields[3])
+            )
+            for fields in self.list_logged_runs()
+            if len(fields) == BEGIN_FIELDS
+        ]
+
+    def find_violations(
+        self, results: abc.Sequence[callers.CallResult]
+    ) -> list[checks.Violation]:
+        """Return what calls and runs have broken; all faults must be over."""
+        return checks.find_violations(
+            results, self.list_logged_request_ids(), self.kills
+        ) + checks.find_outdated_begins(
+            self.list_begins(),
+            self.namings,
+            self.disturbances,
+            {result.request_id: result.address for result in results},
+            checks.WeightsBounds(
+                weights_seconds=self.fleet_spec.weights_ms / MS_PER_SECOND
+            ),
+        )
 
     @contextlib.contextmanager
     def replace_host(
@@ -74,8 +194,9 @@
         """Yield a host that the block ends, then start it again."""
         with self.locks[f'host-{number + 1}']:
             host = self.entries[number]
-            yield host
-            self.entries[number] = self.start_host(number, host)
+            with self.disturb(host=host.address):
+                yield host
+                self.entries[number] = self.start_host(number, host)
 
     def write_next_state(self) -> None:
         """Write a desired state with the next version."""
@@ -223,9 +344,76 @@
 def freeze_host(context: FaultContext) -> None:
     """SIGSTOP a host for up to `MAX_FREEZE_SECONDS`, then SIGCONT it."""
     host = context.random.choice(context.fleet.entries)
-    host.process.send_signal(signal.SIGSTOP)
-    time.sleep(context.random.random() * MAX_FREEZE_SECONDS)
-    host.process.send_signal(signal.SIGCONT)
+    with freeze(context.fleet, host):
+        time.sleep(context.random.random() * MAX_FREEZE_SECONDS)
+
+
+@contextlib.contextmanager
+def freeze(
+    running: SoakFleet, host: deployment.ServerProcess
+) -> abc.Iterator[None]:
+    """SIGSTOP a host for the time of the block, then SIGCONT it."""
+    with running.disturb(host=host.address):
+        host.process.send_signal(signal.SIGSTOP)
+        try:
+            yield
+        finally:
+            host.process.send_signal(signal.SIGCONT)
+
+
+@register
+def freeze_hosts(context: FaultContext) -> None:
+    """SIGSTOP up to half of the hosts for up to `MAX_FREEZE_SECONDS`.
+
+    Hosts whose leader is among them learn late of what is named meanwhile.
+    """
+    count = context.random.randint(1, (len(context.fleet.entries) + 1) // 2)
+    hosts = context.random.sample(context.fleet.entries, count)
+    with contextlib.ExitStack() as stack:
+        for host in hosts:
+            stack.enter_context(freeze(context.fleet, host))
+        time.sleep(context.random.random() * MAX_FREEZE_SECONDS)
+
+
+@register
+def hold_store_answers(context: FaultContext) -> None:
+    """Let the store answer some hosts late or never for a while."""
+    running = context.fleet
+    count = context.random.randint(1, len(running.proxies))
+    held = context.random.sample(running.proxies, count)
+    with running.disturb(is_store=True):
+        for proxy in held:
+            seconds = context.random.choice(HOLDS_SECONDS)
+            running.hold_store_answers(proxy.address, seconds)
+        time.sleep(context.random.random() * MAX_HOLD_SECONDS)
+        for proxy in held:
+            running.hold_store_answers(proxy.address, 0.0)
+
+
+@register
+def refuse_orders(context: FaultContext) -> None:
+    """Let some or all engines take no order for up to `MAX_BUSY_SECONDS`."""
+    engines = context.fleet.engines
+    some = context.random.randint(1, len(engines))
+    count = context.random.choice((some, len(engines)))
+    busy = context.random.sample(range(len(engines)), count)
+    set_order_acceptance(context.fleet, busy, False)
+    time.sleep(context.random.random() * MAX_BUSY_SECONDS)
+    set_order_acceptance(context.fleet, busy, True)
+
+
+def set_order_acceptance(
+    running: fleet.Fleet, numbers: abc.Iterable[int], is_accepting: bool
+) -> None:
+    """Set whether engines take orders; one that is down will take them."""
+    for number in numbers:
+        with contextlib.suppress(OSError):
+            deployment.call(
+                'POST',
+                running.engines[number].address,
+                '/standin/state',
+                {'accepts_orders': is_accepting},
+            )
 
 
 @register
@@ -235,11 +423,12 @@
     count = context.random.randint(1, len(paths))
     mode = context.random.choice(proxies.PARTITION_MODES)
     cut = context.random.sample(paths, count)
-    for path in cut:
-        path.set_mode(mode)
-    time.sleep(context.random.random() * MAX_PARTITION_SECONDS)
-    for path in cut:
-        path.set_mode('pass')
+    with context.fleet.disturb(is_link=True):
+        for path in cut:
+            path.set_mode(mode)
+        time.sleep(context.random.random() * MAX_PARTITION_SECONDS)
+        for path in cut:
+            path.set_mode('pass')
 
 
 @register
@@ -337,8 +526,9 @@
 @register
 def set_proxy_fault(context: FaultContext) -> None:
     """Delay, block, reset or restore one host's connections to the store."""
-    proxy = context.random.choice(context.fleet.proxies)
-    proxy.set_mode(context.random.choice(proxies.MODES))
+    number = context.random.randrange(len(context.fleet.proxies))
+    mode = context.random.choice(proxies.MODES)
+    context.fleet.set_proxy_mode(number, mode)
 
 
 @register
@@ -366,5 +556,6 @@
 def clear_faults(running: SoakFleet) -> None:
     """End the fault modes of the store and the proxies."""
     running.set_store_fault('none')
-    for proxy in (*running.proxies, *running.paths):
-        proxy.set_mode('pass')
+    for number, path in enumerate(running.paths):
+        running.set_proxy_mode(number, 'pass')
+        path.set_mode('pass')
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -4,7 +4,8 @@
 `SOAK_SEEDS=50 SOAK_SECONDS=20 SOAK_FIRST=1000 scripts/tests soak`.
 `SOAK_FAULTS` adds faults that are left out otherwise.
 `SOAK_HOSTS` and `SOAK_ENGINES` size the fleet; `SOAK_FOLDER` is a folder in
-which the logs of each seed are kept.
+which the logs of each seed are kept. `SOAK_WEIGHTS_MS` is the setting
+`weights_ms`.
 A seed that failed stays in `REGRESSIONS` with its cause.
 """
 
@@ -20,7 +21,6 @@
 from pistachioseam_standins import deployment
 from pistachioseam_standins import fleet
 from tests.soak import callers
-from tests.soak import checks
 from tests.soak import faults
 from tests import support
 
@@ -31,6 +31,7 @@
     hosts=int(os.environ.get('SOAK_HOSTS', '2')),
     engines=int(os.environ.get('SOAK_ENGINES', '4')),
     software_versions=callers.SOFTWARE_VERSIONS,
+    weights_ms=int(os.environ.get('SOAK_WEIGHTS_MS', '8000')),
 )
 CALLER_COUNT = max(4, FLEET_SPEC.hosts)
 INJECTOR_COUNT = 3
@@ -53,9 +54,7 @@
         results = _call_under_faults(running, seed)
         faults.clear_faults(running)
         results += _wait_until_served(running)
-        violations = checks.find_violations(
-            results, running.list_logged_request_ids(), running.kills
-        )
+        violations = running.find_violations(results)
         _print_summary(seed, results, running)
         case.assertEqual([], violations, f'seed {seed}')
         served_count = sum(result.status == 200 for result in results)
