Take the way to the relaying host off a relayed call's time limit

Targets got more time than was left (BUDGET) for relayed calls, by the way of the request to the relaying host, connect included, up to 0.4 s. Cause: that host counted the time from its own acceptance. Change: the order to send says how long the asking host has waited since its request (`waited_ms`, new); the relaying host takes that off, and its own wait for the order. Both count the way of the acceptance: the limit ends earlier by that way. Hosts of former builds send no such field, and ignore it.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
@@ -92,8 +92,10 @@
         started_at = self._runtime.now()
         for peer in self._get_peers().choose(started_at):
             relayed = RelayedCall(link.open_relay(peer.address), self._own)
-            waited_seconds = self._runtime.now() - started_at
-            answer = await relayed.request_relay(call.spend(waited_seconds))
+            asked_at = self._runtime.now()
+            answer = await relayed.request_relay(
+                call.spend(asked_at - started_at)
+            )
             if answer.target_refusal:
                 return _fail(Kind.NOT_SENT, answer.target_refusal)
             if not answer.nonce:
@@ -104,7 +106,10 @@
             if not self._may_send(call):
                 relayed.close()
                 return _fail(Kind.NOT_SENT, 'it may no longer be sent')
-            return await self._send_accepted(relayed, answer.nonce, peer, call)
+            waited_seconds = self._runtime.now() - asked_at
+            return await self._send_accepted(
+                relayed, answer.nonce, peer, call, waited_seconds
+            )
         return _fail(
             Kind.NOT_SENT, 'no path to targets, and no host relays the call'
         )
@@ -126,6 +131,7 @@
         nonce: bytes,
         peer: membership.Peer,
         call: ports.OutgoingCall,
+        waited_seconds: float,
     ) -> ports.SendResult:
         self._sink.emit(
             events.Event.CALL_RELAYED,
@@ -135,7 +141,7 @@
         )
         self._get_peers().start(peer.name)
         relayed.on_closed = lambda: self._get_peers().finish(peer.name)
-        return await relayed.send(nonce, self._decoder)
+        return await relayed.send(nonce, self._decoder, waited_seconds)
 
 
 @attrs.frozen(kw_only=True)
@@ -199,15 +205,22 @@
         )
 
     async def send(
-        self, nonce: bytes, decoder: HeadDecoder
+        self,
+        nonce: bytes,
+        decoder: HeadDecoder,
+        waited_seconds: float = 0.0,
     ) -> ports.SendResult:
         """Let the host send the call; return when the head has arrived.
 
+        `waited_seconds` is the time since the host was asked.
         From here on the call may run unless the host says that it was not
         sent.
         """
         try:
-            go = messages_pb2.RelayGo(nonce=nonce)
+            go = messages_pb2.RelayGo(
+                nonce=nonce,
+                waited_ms=relay_messages.encode_waited_ms(waited_seconds),
+            )
             await self._stream.send(self._create_message(relay_go=go))
             word = await self._receive_news()
         except asyncio.CancelledError:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_messages.py
@@ -1,5 +1,7 @@
 """Conversion of relayed calls to and from Protocol Buffers messages."""
 
+import math
+
 from pistachioseam.forwarding import ports
 from pistachioseam import interfaces
 from pistachioseam_peer.generated import messages_pb2
@@ -35,6 +37,11 @@
     return request
 
 
+def encode_waited_ms(seconds: float) -> int:
+    """Return a time that has passed in ms, rounded up."""
+    return math.ceil(max(0.0, seconds) * MS_PER_SECOND)
+
+
 def get_caller_seconds(request: messages_pb2.RelayRequest) -> float:
     """Return the time in seconds that the caller of a request waits."""
     if request.HasField('caller_time_left_ms'):
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_service.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_service.py
@@ -115,7 +115,13 @@
                 stream, interfaces.FailureKind.NOT_SENT, refusal
             )
             return
-        waited_seconds = self._router.runtime.now() - accepted_at
+        # Both hosts count the way of the acceptance: rather too short a limit
+        # than too long a one.
+        waited_seconds = (
+            self._router.runtime.now()
+            - accepted_at
+            + message.relay_go.waited_ms / relay_messages.MS_PER_SECOND
+        )
         call = relay_messages.decode_request(request, waited_seconds)
         self._router.sink.emit(
             events.Event.CALL_SENT_FOR_PEER,
--- a/tests/entry/test_relay_client.py
+++ b/tests/entry/test_relay_client.py
@@ -20,6 +20,9 @@
 CALL = test_relay_messages.CALL
 
 
+ANSWER_SECONDS = 0.3
+
+
 class SilentStream:
     """Stream to a host that never answers; keeps what it is sent."""
 
@@ -39,15 +42,28 @@
         """Do nothing."""
 
 
+class SlowStream(SilentStream):
+    """Stream to a host that accepts a call late and then ends the stream."""
+
+    async def receive(self) -> messages_pb2.Message | None:
+        """Return the acceptance, then None."""
+        if len(self.sent) > 1:
+            return None
+        await asyncio.sleep(ANSWER_SECONDS)
+        word = messages_pb2.RelayWord(accepted_nonce=b'nonce')
+        return messages_pb2.Message(relay_word=word)
+
+
 class Link:
-    """Connections to hosts that never answer."""
+    """Connections to hosts that all answer in the same way."""
 
-    def __init__(self) -> None:
+    def __init__(self, open_stream: type[SilentStream]) -> None:
         self.streams: list[SilentStream] = []
+        self._open_stream = open_stream
 
     def open_relay(self, address: str) -> SilentStream:
         """Return a new stream."""
-        self.streams.append(SilentStream())
+        self.streams.append(self._open_stream())
         return self.streams[-1]
 
     def disconnect_relay(self, address: str) -> None:
@@ -64,6 +80,12 @@
     def record_refusal(self, name: str, now: float) -> None:
         """Do nothing."""
 
+    def start(self, name: str) -> None:
+        """Do nothing."""
+
+    def finish(self, name: str) -> None:
+        """Do nothing."""
+
 
 def create_peer(name: str) -> membership.Peer:
     """Return a host."""
@@ -72,28 +94,33 @@
     )
 
 
+async def send(link: Link) -> None:
+    """Send `CALL` through the hosts of a link."""
+    sink = call_fakes.Sink()
+
+    def may_send(call: ports.OutgoingCall) -> bool:
+        return True
+
+    client = relay_client.RelayClient(
+        create_peer('host-1'),
+        lambda: typing.cast(relays.RelayPeers, Peers()),
+        runtime.AsyncioRuntime(sink),
+        sink,
+        partitioned_hosts.Decoder(),
+        lambda: link,
+        may_send,
+    )
+    await client.send(CALL)
+
+
 def test_time_for_which_a_host_is_silent_is_taken_off_the_time_limit(
     case: support.Case,
 ) -> None:
     """The host that is asked next would grant it again."""
 
     async def run() -> None:
-        sink = call_fakes.Sink()
-        link = Link()
-
-        def may_send(call: ports.OutgoingCall) -> bool:
-            return True
-
-        client = relay_client.RelayClient(
-            create_peer('host-1'),
-            lambda: typing.cast(relays.RelayPeers, Peers()),
-            runtime.AsyncioRuntime(sink),
-            sink,
-            partitioned_hosts.Decoder(),
-            lambda: link,
-            may_send,
-        )
-        await client.send(CALL)
+        link = Link(SilentStream)
+        await send(link)
         requests = [stream.sent[0].relay_request for stream in link.streams]
         first, second = map(relay_messages.get_caller_seconds, requests)
         case.assertAlmostEqual(
@@ -103,6 +130,25 @@
     clocks.run(run())
 
 
+def test_relaying_host_is_told_for_how_long_its_answer_was_waited_for(
+    case: support.Case,
+) -> None:
+    """It cannot know how long the request and its own answer took."""
+
+    async def run() -> None:
+        link = Link(SlowStream)
+        await send(link)
+        (stream,) = link.streams
+        _, go = stream.sent
+        case.assertAlmostEqual(
+            ANSWER_SECONDS * relay_messages.MS_PER_SECOND,
+            go.relay_go.waited_ms,
+            delta=1,
+        )
+
+    clocks.run(run())
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
--- /dev/null
+++ b/tests/entry/test_relay_service.py
@@ -0,0 +1,80 @@
+"""Relayed calls keep their limits at the host that sends them."""
+
+import asyncio
+import typing
+
+import attrs
+
+from pistachioseam.forwarding import paths
+from pistachioseam_entry import relay_messages
+from pistachioseam_entry import relay_service
+from pistachioseam_peer.generated import messages_pb2
+from tests import call_fakes
+from tests import clocks
+from tests.entry import test_relay_messages
+from tests import support
+
+WAITED_SECONDS = 0.3
+"""Time that passed at the other host until it ordered the call to be sent."""
+GO_SECONDS = 0.1
+"""Time that the order took."""
+
+
+class Stream:
+    """Stream of a host that relays one call and confirms it late."""
+
+    def __init__(self, request: messages_pb2.RelayRequest) -> None:
+        self._request: messages_pb2.RelayRequest | None = request
+        self._nonce = b''
+
+    async def send(self, message: messages_pb2.Message) -> None:
+        """Keep the nonce of the acceptance."""
+        self._nonce = message.relay_word.accepted_nonce or self._nonce
+
+    async def receive(self) -> messages_pb2.Message | None:
+        """Return the request, then the order to send it."""
+        if self._request is not None:
+            request, self._request = self._request, None
+            return messages_pb2.Message(relay_request=request)
+        await asyncio.sleep(GO_SECONDS)
+        waited_ms = int(WAITED_SECONDS * relay_messages.MS_PER_SECOND)
+        go = messages_pb2.RelayGo(nonce=self._nonce, waited_ms=waited_ms)
+        return messages_pb2.Message(relay_go=go)
+
+
+class OpenPaths:
+    """Paths that are never lost."""
+
+    def is_lost(self) -> bool:
+        """Return False."""
+        return False
+
+
+def test_time_to_agree_on_a_relayed_call_is_taken_off_its_limit(
+    case: support.Case,
+) -> None:
+    """The target would work for longer than the call may take."""
+
+    async def run() -> None:
+        target = call_fakes.create_target(1)
+        fixture = call_fakes.RouterFixture([target])
+        service = relay_service.RelayService(
+            fixture.router,
+            typing.cast(paths.TargetPaths, OpenPaths()),
+            fixture.targets,
+        )
+        call = attrs.evolve(test_relay_messages.CALL, incarnation=target.name)
+        fixture.targets.script.append([call_fakes.respond()])
+        await service.serve(Stream(relay_messages.encode_request(call)))
+        ((_, sent),) = fixture.targets.sent
+        case.assertLessEqual(
+            sent.get_target_seconds(),
+            call.seconds_left - WAITED_SECONDS - GO_SECONDS,
+        )
+
+    clocks.run(run())
+
+
+def load_tests(*_: object) -> object:
+    """Load the functions of this module."""
+    return support.load_functions(globals())
