End the time limit of outdated weights as early as hosts give up

Callers whose calls took over a second to reach an engine saw them begin on weights that had been replaced for over 10 s. Cause: the engine's limit ended at 0.9 of the bound and counts from the arrival, the give-up came at 0.94 with the wait for the proof; formerly 0.85. Change: one margin for both, 0.15 of the bound; the give-up with the wait for the proof comes 0.4 s later at most. Stand-in engines get calls and closes late. Result: test_calls_that_reach_engines_late_begin_in_time (way 1.3 s, linger 0) failed before, last begin 10.27 s, and passes.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -79,9 +79,10 @@
 """Part of the bound that is left when a call that still waits is given up. In
 it the engine learns of that; and hosts learn up to a second late that newer
 weights were named."""
-RUN_MARGIN_FRACTION = 0.1
+RUN_MARGIN_FRACTION = 0.15
 """Part of the bound that is left at the time limit that an engine gets, for
-the way of the call: the engine counts from when it arrives."""
+the way of the call, as for `BEGIN_MARGIN_FRACTION`: the engine counts from
+when it arrives."""
 
 
 class Codec(
--- a/tests/core/forwarding/test_outdated_queues.py
+++ b/tests/core/forwarding/test_outdated_queues.py
@@ -82,6 +82,15 @@
     case.assertLess(outcome.latest_begin_seconds, BOUND_SECONDS)
 
 
+def test_calls_that_reach_engines_late_begin_in_time(
+    case: support.Case,
+) -> None:
+    """An engine counts its time limit from when a call arrives."""
+    terms = queueing_engines.EngineTerms(linger_seconds=0.0, way_seconds=1.3)
+    outcome = clocks.run(play(terms))
+    case.assertLess(outcome.latest_begin_seconds, BOUND_SECONDS)
+
+
 def test_queued_calls_are_refused_as_not_run(case: support.Case) -> None:
     """Callers may send them again; only runs that were cut are unknown."""
     outcome = clocks.run(play(queueing_engines.EngineTerms()))
