Count the drain of a leaving target from when it said that it leaves

Calls reached targets past their drain time (DRAIN). A peer's word that a target leaves was dated by its receipt: a host that was told 2.9 s late took calls to be accepted until 6.4 s with a drain time of 4 s, and itself told others until 5.9 s.

Statuses now hold the age, as for limits, rounded up, and hosts count from the observation; the earliest one is kept. Former builds send no age, which is 0. The age is not part of the word's key, so it is not told again as it grows.

test_age_of_leaving_is_known_to_all_domains failed before (still announced 3.1 s after the observation); test_drain_of_a_target_counts_from_the_observation and test_leaving_target_of_a_former_build_has_no_age failed as there was no age.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/peer_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/peer_messages.py
@@ -7,6 +7,7 @@
 from pistachioseam.forwarding import confirmations
 from pistachioseam.forwarding import crash_evidence
 from pistachioseam.forwarding import known_versions
+from pistachioseam.forwarding import notices
 from pistachioseam.forwarding import rate_limits
 from pistachioseam.forwarding import rate_permits
 from pistachioseam.forwarding import store_clocks
@@ -148,6 +149,24 @@
     )
 
 
+def add_leaving(
+    message: messages_pb2.LeavingTarget, report: notices.LeavingReport
+) -> None:
+    """Set the fields of a `LeavingTarget` message, with the age rounded up."""
+    message.target, message.born_ms = report.incarnation
+    message.age_ms = math.ceil(report.age_seconds * MS_PER_SECOND)
+
+
+def decode_leaving(
+    message: messages_pb2.LeavingTarget,
+) -> notices.LeavingReport:
+    """Return the report that a `LeavingTarget` message holds."""
+    return notices.LeavingReport(
+        incarnation=(message.target, message.born_ms),
+        age_seconds=message.age_ms / MS_PER_SECOND,
+    )
+
+
 def add_named_weights(
     message: messages_pb2.NamedWeights, named: known_versions.NamedWeights
 ) -> None:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/status_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/status_messages.py
@@ -241,8 +241,8 @@
                     )
                 )
             )
-        for name, born_ms in self._router.notices.list_recently_leaving(now):
-            status.leaving.add(target=name, born_ms=born_ms)
+        for report in self._router.notices.list_recently_leaving(now):
+            peer_messages.add_leaving(status.leaving.add(), report)
         self._add_urgent(status)
         max_age_seconds = (
             float('inf') if is_handshake else rate_limits.ANNOUNCE_SECONDS
@@ -366,11 +366,11 @@
                 peer_messages.decode_part_reports(status), now
             )
         for leaving in status.leaving:
-            incarnation = (leaving.target, leaving.born_ms)
+            report = peer_messages.decode_leaving(leaving)
             if leaving.is_listed:
-                self._router.catalog.record_departure(incarnation, now)
+                self._router.catalog.record_departure(report.incarnation, now)
             else:
-                self._router.notices.record_leaving(incarnation, now)
+                self._router.notices.merge(report, now)
         for full in status.full_targets:
             self._router.brittleness.merge(
                 brittleness.FullTarget(
--- a/packages/pistachioseam/src/pistachioseam/forwarding/notices.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/notices.py
@@ -46,6 +46,14 @@
     )
 
 
+@attrs.frozen
+class LeavingReport:
+    """Target that has said that it leaves, and how long ago."""
+
+    incarnation: Incarnation
+    age_seconds: float
+
+
 class TargetNotices:
     """Targets that leave, and targets that have asked for a pause.
 
@@ -74,15 +82,23 @@
         if seconds is not None:
             self._record_pause(incarnation, seconds, now)
 
-    def record_leaving(self, incarnation: Incarnation, now: float) -> None:
-        """Record that a target leaves, as told by itself or by a peer."""
-        if incarnation in self._leaving_since:
+    def record_leaving(
+        self, incarnation: Incarnation, observed_at: float
+    ) -> None:
+        """Record when a target said that it leaves; the earliest is kept."""
+        known = self._leaving_since.get(incarnation)
+        if known is not None:
+            self._leaving_since[incarnation] = min(known, observed_at)
             return
-        self._leaving_since[incarnation] = now
+        self._leaving_since[incarnation] = observed_at
         self._sink.emit(
             events.Event.TARGET_SAID_LEAVING, target=incarnation[0]
         )
 
+    def merge(self, report: LeavingReport, now: float) -> None:
+        """Apply a peer's report of a target that leaves."""
+        self.record_leaving(report.incarnation, now - report.age_seconds)
+
     def _record_pause(
         self, incarnation: Incarnation, seconds: float, now: float
     ) -> None:
@@ -125,10 +141,10 @@
         drain_seconds = self.drain_seconds - DRAIN_MARGIN_SECONDS
         return now - leaving_since < drain_seconds
 
-    def list_recently_leaving(self, now: float) -> tuple[Incarnation, ...]:
+    def list_recently_leaving(self, now: float) -> tuple[LeavingReport, ...]:
         """Return the leaving targets that peers may not know yet."""
         return tuple(
-            incarnation
+            LeavingReport(incarnation, now - since)
             for incarnation, since in self._leaving_since.items()
             if now - since < ANNOUNCE_SECONDS
         )
--- a/tests/core/forwarding/test_notices.py
+++ b/tests/core/forwarding/test_notices.py
@@ -65,6 +65,23 @@
     clocks.run(run())
 
 
+def test_drain_of_a_target_counts_from_the_observation(
+    case: support.Case,
+) -> None:
+    """It got calls for a drain time from when a peer told of it."""
+    target = call_fakes.create_target(1)
+    held = notices.TargetNotices(call_fakes.Sink(), drain_seconds=4.0)
+    held.record_leaving(target.get_incarnation(), 10.0)
+    for age_seconds, until in ((0.0, 13.5), (2.9, 10.6), (1.0, 10.6)):
+        report = notices.LeavingReport(target.get_incarnation(), age_seconds)
+        held.merge(report, 10.0)
+        case.assertTrue(held.accepts_calls(target, until - 0.01))
+        case.assertFalse(held.accepts_calls(target, until + 0.01))
+    (told,) = held.list_recently_leaving(10.05)
+    case.assertAlmostEqual(2.95, told.age_seconds)
+    case.assertEqual((), held.list_recently_leaving(10.11))
+
+
 def test_next_incarnation_gets_calls(case: support.Case) -> None:
     """A target that starts again under its name does not leave."""
 
--- a/tests/entry/test_status_changes.py
+++ b/tests/entry/test_status_changes.py
@@ -62,6 +62,22 @@
     clocks.run(run())
 
 
+def test_age_of_a_leaving_target_is_no_new_word(case: support.Case) -> None:
+    """Each urgent status told of the target again."""
+
+    async def run() -> None:
+        changes = create_changes()
+        for age_ms in (1, 20, 900):
+            told = messages_pb2.HostStatus()
+            told.leaving.add(target='a', born_ms=1, age_ms=age_ms)
+            words = status_changes.list_words(told, 0.0)
+            status = messages_pb2.HostStatus()
+            has_words = changes.add_words(status, PEER, words, False)
+            case.assertEqual(age_ms == 1, has_words)
+
+    clocks.run(run())
+
+
 def test_named_weights_are_told_again_if_more_is_known(
     case: support.Case,
 ) -> None:
--- a/tests/entry/test_status_messages.py
+++ b/tests/entry/test_status_messages.py
@@ -269,6 +269,53 @@
     clocks.run(run())
 
 
+def test_age_of_leaving_is_known_to_all_domains(case: support.Case) -> None:
+    """Hosts that were told late sent calls past the target's drain time."""
+
+    async def run() -> None:
+        hosts = [Host(name) for name in 'abcd']
+        for host in hosts:
+            host.router.notices.drain_seconds = 4.0
+        hosts[0].router.notices.record_leaving(
+            ENGINE.get_incarnation(), hosts[0].router.runtime.now()
+        )
+        await asyncio.sleep(2.9)
+        exchange_statuses(*hosts)
+        await asyncio.sleep(0.2)
+        for host in hosts:
+            status = host.statuses.create_host_status()
+            case.assertEqual([], list(status.leaving), host.name)
+        for seconds, is_accepted in ((0.35, True), (0.1, False)):
+            await asyncio.sleep(seconds)
+            for host in hosts:
+                now = host.router.runtime.now()
+                accepts_calls = host.router.notices.accepts_calls(ENGINE, now)
+                case.assertEqual(is_accepted, accepts_calls, host.name)
+
+    clocks.run(run())
+
+
+def test_leaving_target_of_a_former_build_has_no_age(
+    case: support.Case,
+) -> None:
+    """Its hosts send none; the drain time then counts from the receipt."""
+
+    async def run() -> None:
+        former, host = Host('a'), Host('b')
+        former.router.notices.record_leaving(
+            ENGINE.get_incarnation(), former.router.runtime.now()
+        )
+        await asyncio.sleep(1.0)
+        status = former.statuses.create_host_status()
+        status.leaving[0].ClearField('age_ms')
+        host.statuses.apply_host_status(former.name, status)
+        now = host.router.runtime.now()
+        (told,) = host.router.notices.list_recently_leaving(now)
+        case.assertEqual(0.0, told.age_seconds)
+
+    clocks.run(run())
+
+
 def test_loading_engines_make_a_status_urgent(case: support.Case) -> None:
     """Loading engines, not loads or cache updates, make a status urgent."""
 
