Revert "Wait for the delivery of the former holder's orders"

The wait also holds where a holder is killed or lost: its successor would order 7.5 to 7.9 s after a naming instead of 5.0 to 5.5 s (virtual time), when the weights of all engines are too old for calls for 5.6 s of 8 s on small sites. A narrower way: a holder that leaves the lease with orders unanswered writes the row once more.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/leases.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/leases.py
@@ -6,8 +6,7 @@
 another one held the lease. Targets may
 ignore fencing tokens. Therefore a holder does not act after its renewal has
 expired, and a successor waits until the minimum handover time has passed since
-the last possible action of the previous holder has arrived. A row says whether
-its holder may act, so that one without actions is replaced sooner.
+the last possible action of the previous holder.
 """
 
 from collections import abc
@@ -21,9 +20,6 @@
 """Time until a renewal expires, counted from when the holder sent it."""
 RENEW_AFTER_SECONDS = 0.5
 """Age of the last renewal from which a holder renews before it acts."""
-DELIVERY_SECONDS = 2.5
-"""Upper limit of the time from when an action is sent until it arrives; the
-kernel closes a connection whose data are not acknowledged for this long."""
 CLOCK_MARGIN_SECONDS = 0.3
 """Upper limit of how far two hosts' clocks drift apart during one handover,
 plus the delays of store calls."""
@@ -35,7 +31,7 @@
 
     `min_handover_seconds` is the least time between the actions of two holders
     (setting `lease_ms`). `row` is None when the row must be read before it can
-    be written. Until `settles_at` actions of this host may be on their way.
+    be written.
     """
 
     holder: str
@@ -44,7 +40,6 @@
     row: ports.LeaseRow | None = None
     unchanged_since: float = 0.0
     renewed_at: float | None = None
-    settles_at: float = 0.0
 
     def record_read(self, row: ports.LeaseRow, sent_at: float) -> None:
         """Record the row from a read that was sent at `sent_at`.
@@ -62,8 +57,6 @@
         self.row = row
         self.unchanged_since = self.read_boot_clock()
         self.renewed_at = sent_at if row.is_conclusive() else None
-        if row.may_act:
-            self.settles_at = sent_at + VALIDITY_SECONDS + DELIVERY_SECONDS
 
     def invalidate(self) -> None:
         """Discard the row, which may have changed and must be read again."""
@@ -80,25 +73,12 @@
 
     def can_act(self) -> bool:
         """Return whether this host may act; check this before each action."""
-        return (
-            self.row is not None
-            and self.row.may_act
-            and self.get_renewal_age() < VALIDITY_SECONDS
-        )
-
-    def needs_renewal(self, is_to_act: bool) -> bool:
-        """Return whether to renew the lease.
+        return self.get_renewal_age() < VALIDITY_SECONDS
 
-        If `is_to_act`, it must be one under which this host may act.
-        """
-        if is_to_act and self.row is not None and not self.row.may_act:
-            return True
+    def needs_renewal(self) -> bool:
+        """Return whether this host must renew the lease before it acts."""
         return self.get_renewal_age() > RENEW_AFTER_SECONDS
 
-    def has_settled(self) -> bool:
-        """Return whether no action of this host can be on its way."""
-        return self.read_boot_clock() >= self.settles_at
-
     def get_renewal_age(self) -> float:
         """Return the time in seconds since the renewal, infinite if none."""
         if self.renewed_at is None:
@@ -124,7 +104,7 @@
 
         The last holder may at any time; another host waits until the row has
         been unchanged for the validity of a renewal, the minimum handover time
-        and the clock margin, and the delivery time of the holder's actions.
+        and the clock margin.
         """
         if self.row is None:
             return False
@@ -137,9 +117,6 @@
 
         `extra_seconds` is further time for which it must have been unchanged.
         """
-        row = self.row
-        if row is None or row.may_act or not row.is_conclusive():
-            extra_seconds += DELIVERY_SECONDS
         unchanged_seconds = self.read_boot_clock() - self.unchanged_since
         required_seconds = (
             self.min_handover_seconds + VALIDITY_SECONDS + CLOCK_MARGIN_SECONDS
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -282,14 +282,11 @@
     `version` is that of the row, whose number is 0 if there is none.
     `written_era` is the era that the holder saw before it wrote the row. If
     the store has been restored since, the row does not show who acted last.
-    `may_act` is False if the holder had no action on its way and will write
-    the row again before it acts; hosts of former builds do not say so.
     """
 
     holder: str
     version: store_versions.StoreVersion
     written_era: int = 0
-    may_act: bool = True
 
     def is_conclusive(self) -> bool:
         """Return whether nobody can have acted after the row's holder."""
@@ -393,7 +390,7 @@
         """Return the lease of a duty; version 0 if there is none."""
 
     async def write_lease(
-        self, lease_name: str, holder: str, previous: LeaseRow, may_act: bool
+        self, lease_name: str, holder: str, previous: LeaseRow
     ) -> result.Result[LeaseRow, StoreFailure]:
         """Replace the lease if it has not changed, else `is_conflict`.
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -209,10 +209,7 @@
         ):
             self._leave_lease(now)
             return
-        # A successor is late and orders at once; one write will do.
-        if self._should_renew(engine_count, now) and not await self._renew(
-            is_to_act=not self.lease.is_last_holder()
-        ):
+        if self._should_renew(engine_count, now) and not await self._renew():
             return
         self._start_upgrades(outdated)
 
@@ -234,7 +231,7 @@
             or renewed_at < self._outdated_since
             or self._has_renewal_failed
         ):
-            return self.lease.needs_renewal(is_to_act=False)
+            return self.lease.needs_renewal()
         return (
             now - renewed_at > engine_silence.STALL_SECONDS
             and not self._silence.has_lasted(
@@ -353,11 +350,9 @@
         if returns_pipeline.is_successful(read):
             self.lease.record_read(read.unwrap(), self._lease_read_at)
 
-    async def _renew(self, is_to_act: bool = False) -> bool:
+    async def _renew(self) -> bool:
         """Renew the lease if needed; return whether this host holds it.
 
-        Unless `is_to_act`, the lease is not renewed for orders, so that a
-        successor need not wait for their delivery.
         Concurrent upgrades share one write, and a failed write is followed by
         a pause. A host that reaches no target, or that no engine has answered,
         leaves the lease to others.
@@ -365,19 +360,19 @@
         if self._router.is_cut_off() or self._is_resting():
             return False
         async with self._renewal_lock:
-            if not self.lease.needs_renewal(is_to_act):
+            if not self.lease.needs_renewal():
                 return True
             now = self._router.read_boot_clock()
             if now < self._next_renewal_at:
                 return False
-            is_held = await self._write_lease(is_to_act)
+            is_held = await self._write_lease()
             self._has_renewal_failed = not is_held
             if not is_held:
                 now = self._router.read_boot_clock()
                 self._next_renewal_at = now + RENEW_RETRY_SECONDS
             return is_held
 
-    async def _write_lease(self, is_to_act: bool) -> bool:
+    async def _write_lease(self) -> bool:
         if not self.lease.can_write():
             await self._read_lease()
             return False
@@ -385,10 +380,7 @@
         was_last_holder = self.lease.is_last_holder()
         sent_at = self._router.read_boot_clock()
         written = await self._platform.write_lease(
-            LEASE_NAME,
-            self.lease.holder,
-            self.lease.row,
-            is_to_act or not self.lease.has_settled(),
+            LEASE_NAME, self.lease.holder, self.lease.row
         )
         if returns_pipeline.is_successful(written):
             row = written.unwrap()
@@ -596,9 +588,7 @@
 
         Return the seconds until the next check, None to end the upgrade.
         """
-        if self.lease.needs_renewal(is_to_act=True) and not await self._renew(
-            is_to_act=True
-        ):
+        if self.lease.needs_renewal() and not await self._renew():
             return None
         if not self._may_order():
             return None
