Take a body whose end was marked for complete after the time limit

Callers got all events of a stream and then an abort, as `outdated`, if its last chunk was read after the time limit for outdated weights. Cause: each body of undeclared length was taken for one that ends with its connection, chunked ones too. Change: responses say whether the end of their body was marked, by length or last chunk; relaying hosts pass that on (`is_end_marked`, new). Of hosts of former builds it is known only for declared lengths, as before. No test covers the new field of relayed bodies yet.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_bodies.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_bodies.py
@@ -53,6 +53,7 @@
 
     A body without a length ends with its connection. It is complete only if
     `is_reset` returns False: the connection was closed without a reset.
+    `is_end_marked` is set at the end of a body with a length or chunks.
     """
 
     def __init__(self, is_reset: abc.Callable[[], bool]) -> None:
@@ -62,6 +63,7 @@
         self._is_paused = False
         self._changed = asyncio.Event()
         self._end: ReadResult | None = None
+        self.is_end_marked = False
 
     def is_ended(self) -> bool:
         """Return whether the body has ended, complete or not."""
@@ -80,7 +82,8 @@
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
         """Record the end of the body, complete or truncated."""
-        is_complete = reason.check(client.ResponseDone) is not None
+        self.is_end_marked = reason.check(client.ResponseDone) is not None
+        is_complete = self.is_end_marked
         if reason.check(http.PotentialDataLoss):
             is_complete = not self._is_reset()
         if is_complete:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
@@ -171,6 +171,7 @@
 
     head: ports.ResponseHead
     declared_bytes: int | None = None
+    is_end_marked = False
 
     def __init__(self, stream: ClosableStream, own: membership.Peer) -> None:
         self.on_closed: abc.Callable[[], None] | None = None
@@ -282,6 +283,7 @@
             self.close()
             return result.Failure(relay_messages.decode_failure(word.failure))
         self._is_ended = True
+        self.is_end_marked = word.is_end_marked
         self.close()
         return result.Success(b'')
 
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_service.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_service.py
@@ -158,7 +158,11 @@
                     return
                 data = read.unwrap()
                 if not data:
-                    await _tell(stream, has_ended=True)
+                    await _tell(
+                        stream,
+                        has_ended=True,
+                        is_end_marked=response.is_end_marked,
+                    )
                     return
                 await _tell(stream, data=data)
         finally:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -609,6 +609,11 @@
         self._reader = call_bodies.BodyReader(lambda: connection.is_reset)
         response.deliverBody(self._reader)
 
+    @property
+    def is_end_marked(self) -> bool:
+        """Return whether the target has marked the end of the body."""
+        return self._reader.is_end_marked
+
     async def read(self) -> call_bodies.ReadResult:
         """Return the next bytes, empty at the end of a complete body."""
         return await self._reader.read()
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -230,9 +230,13 @@
     def _is_stopped(self, response: ports.OpenResponse) -> bool:
         """Return whether the end of a body may be that of its time limit.
 
-        A body of undeclared length may end with its connection.
+        Only a body that ends with its connection may have been stopped.
+        Relaying hosts of former builds tell that only of declared lengths.
         """
-        return response.declared_bytes is None and self._is_run_ended()
+        is_end_marked = (
+            response.is_end_marked or response.declared_bytes is not None
+        )
+        return not is_end_marked and self._is_run_ended()
 
     async def _process_response(
         self, target: catalog.LiveTarget, response: ports.OpenResponse
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -170,11 +170,17 @@
     """Response of a target whose head has arrived.
 
     `declared_bytes` is the length of the body, None if it is not declared.
+    `is_end_marked` is set at the end of a body that did not end with its
+    connection: its length was reached, or its last chunk was read.
     """
 
     head: ResponseHead
     declared_bytes: int | None
 
+    @property
+    def is_end_marked(self) -> bool:
+        """Return whether the target has marked the end of the body."""
+
     async def read(self) -> result.Result[bytes, interfaces.CallFailure]:
         """Return the next bytes of the body; empty at its complete end."""
 
--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -119,6 +119,7 @@
     ) -> None:
         self.head = head
         self.declared_bytes = None
+        self.is_end_marked = False
         self.is_aborted = False
         self.is_ended = False
         self._chunks = list(chunks)
--- a/tests/core/forwarding/test_begin_limits.py
+++ b/tests/core/forwarding/test_begin_limits.py
@@ -396,6 +396,24 @@
     clocks.run(run())
 
 
+def test_stream_whose_end_is_marked_is_complete(case: support.Case) -> None:
+    """Its last chunk may be read when the limit has passed."""
+
+    async def run() -> None:
+        fixture = create_fixture(weights_ms=3_000)
+        fixture.set_state(None, {call_fakes.MODEL: 2})
+        await asyncio.sleep(2.0)
+        response = respond(chunks=(event(1), 0.8))
+        response.is_end_marked = True
+        call, reply = await fixture.serve(
+            '/stream/', [response], prompt=PROMPT
+        )
+        case.assertTrue(call.is_served)
+        case.assertEqual(event(1), reply.body)
+
+    clocks.run(run())
+
+
 def test_timeout_of_an_engine_at_its_limit_is_not_passed_on(
     case: support.Case,
 ) -> None:
--- a/tests/entry/test_target_connections.py
+++ b/tests/entry/test_target_connections.py
@@ -217,6 +217,31 @@
     run(work)
 
 
+def test_only_a_body_that_ends_with_its_connection_has_no_marked_end(
+    case: support.Case,
+) -> None:
+    """A target that stops may end such a body early."""
+    chunked = HEAD + b'Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n'
+
+    async def work() -> None:
+        for data, is_end_marked in (
+            (RESPONSE, True),
+            (chunked, True),
+            (HEAD + b'\r\nok', False),
+        ):
+            async with FakeTarget(data) as target:
+                with target_connections.ConnectionPool(
+                    headers.HeaderCodec()
+                ) as pool:
+                    sent = await pool.send(target.address, create_call())
+                    response = sent.unwrap()
+                    body = await delivery.read_body(response)
+                    case.assertEqual(b'ok', body.unwrap())
+                    case.assertIs(is_end_marked, response.is_end_marked)
+
+    run(work)
+
+
 def test_keep_alive_timeout_is_respected(case: support.Case) -> None:
     """No request is sent on a connection that its target may be closing."""
     keep_alive = HEAD + b'Keep-Alive: timeout=1\r\nContent-Length: 2\r\n\r\nok'
--- a/tests/partitioned_hosts.py
+++ b/tests/partitioned_hosts.py
@@ -217,6 +217,7 @@
             stamp='stamp',
         )
         self.declared_bytes: int | None = None
+        self.is_end_marked = False
         self._connection = connection
         self._run = run
         self._chunks = chunks
