--- a/tests/entry/test_fleet_weights.py
+++ b/tests/entry/test_fleet_weights.py
@@ -16,6 +16,8 @@
 """Time after which no host may take replaced weights for younger than that."""
 ERROR_SECONDS = 0.9
 """Longest long poll of a host that reads the store, with its call."""
+RESTART_SECONDS = 0.5
+"""Time for which a host that restarts is down."""
 PHASES = 4
 """Draws of the time between a leader's read and the naming of a version."""
 
@@ -112,14 +114,18 @@
 
 
 def check_errors(
-    case: support.Case, seconds: float, is_reader_only: bool
+    case: support.Case,
+    seconds: float,
+    is_reader_only: bool,
+    inject: Fault = do_nothing,
 ) -> None:
-    """Check how much too old hosts of a calm fleet take replaced weights."""
+    """Check how much too old hosts of a fleet take replaced weights."""
 
     async def run(seed: int) -> None:
         fleet = watching_fleets.WatchingFleet(9, 3, seed)
         fleet.store.name_weights(MODEL, 1)
         await fleet.settle()
+        inject(fleet)
         await asyncio.sleep(0.05 + fleet.random.random())
         fleet.store.name_weights(MODEL, 2)
         await asyncio.sleep(seconds)
@@ -151,6 +157,69 @@
     check_errors(case, BOUND_SECONDS, is_reader_only=False)
 
 
+def test_weights_are_not_much_older_as_leaders_answer_late(
+    case: support.Case,
+) -> None:
+    """Followers read the store themselves, and get the leaders' dates."""
+    check_errors(
+        case, BOUND_SECONDS, is_reader_only=False, inject=delay_leaders
+    )
+
+
+async def restart_some(
+    fleet: watching_fleets.WatchingFleet, count: int, seconds: float
+) -> None:
+    """Restart hosts together, 1 s after a version is named.
+
+    Return `seconds` after it was named.
+    """
+    fleet.store.name_weights(MODEL, 1)
+    await fleet.settle()
+    fleet.store.name_weights(MODEL, 2)
+    await asyncio.sleep(1.0)
+    await asyncio.gather(*(fleet.restart(n) for n in range(count)))
+    await asyncio.sleep(seconds - 1.0 - RESTART_SECONDS)
+
+
+def test_restarted_host_knows_the_age_from_its_peers(
+    case: support.Case,
+) -> None:
+    """It counted from its first read."""
+
+    async def run(seed: int) -> None:
+        fleet = watching_fleets.WatchingFleet(9, 3, seed)
+        await restart_some(fleet, 1, BOUND_SECONDS)
+        host = fleet.hosts[0]
+        lag_seconds = host.get_lag_seconds(MODEL, 1)
+        case.assertTrue(host.router.desired.is_lag_known(MODEL, 1))
+        case.assertLessEqual(BOUND_SECONDS, lag_seconds, f'seed {seed}')
+        case.assertLessEqual(
+            lag_seconds, BOUND_SECONDS + ERROR_SECONDS, f'seed {seed}'
+        )
+
+    for seed in range(PHASES):
+        clocks.run(run(seed))
+
+
+def test_restarted_fleet_takes_no_age_for_known(case: support.Case) -> None:
+    """No host can tell the date; they count from their first read."""
+
+    async def run(seed: int) -> None:
+        fleet = watching_fleets.WatchingFleet(9, 3, seed)
+        await restart_some(fleet, len(fleet.hosts), BOUND_SECONDS)
+        down_seconds = 1.0 + RESTART_SECONDS
+        for host in fleet.hosts:
+            lag_seconds = host.get_lag_seconds(MODEL, 1)
+            case.assertFalse(host.router.desired.is_lag_known(MODEL, 1))
+            case.assertLessEqual(lag_seconds, BOUND_SECONDS - down_seconds)
+            case.assertLessEqual(
+                BOUND_SECONDS - down_seconds - ERROR_SECONDS, lag_seconds
+            )
+
+    for seed in range(PHASES):
+        clocks.run(run(seed))
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
