Doubt a body that ends with its connection right before the time limit

Callers got a stream as complete that its engine had stopped up to some ms before the time limit that the host reckons with. Cause: the limit is rounded down to ms on the wire, the clocks of engine and host differ, and the host compared the times without a margin. Change: `EARLY_STOP_SECONDS`, 0.05 s; only bodies without a marked end are concerned. One that ends by itself in these 0.05 s counts as stopped. Result: test_engine_that_stops_slightly_early_does_not_complete_a_stream failed before (5 ms before the limit, served) and passes. test_queued_calls_are_refused_as_not_run failed with the change, as its engines finished runs in the last 0.05 s without a marked end; they mark it now, the test itself is unchanged. test_begin_limits, test_outdated_queues: 22 passed.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -34,6 +34,9 @@
 PROOF_SECONDS = 0.4
 """Time in which the response of an engine that has stopped a call at its time
 limit arrives."""
+EARLY_STOP_SECONDS = 0.05
+"""Time before its time limit at which an engine may already stop a call: the
+limit is rounded down to ms, and the clocks of engine and host differ."""
 CLOCK_RESOLUTION_SECONDS = 0.001
 """Difference of two times that counts as none."""
 TIMED_OUT_STATUS = 504
@@ -236,7 +239,8 @@
         is_end_marked = (
             response.is_end_marked or response.declared_bytes is not None
         )
-        return not is_end_marked and self._is_run_ended()
+        stops_at = self._run_ends_at - EARLY_STOP_SECONDS
+        return not is_end_marked and self._router.runtime.now() >= stops_at
 
     async def _process_response(
         self, target: catalog.LiveTarget, response: ports.OpenResponse
--- a/tests/core/forwarding/test_begin_limits.py
+++ b/tests/core/forwarding/test_begin_limits.py
@@ -396,6 +396,27 @@
     clocks.run(run())
 
 
+def test_engine_that_stops_slightly_early_does_not_complete_a_stream(
+    case: support.Case,
+) -> None:
+    """Its limit is rounded down, and its clock need not run as the host's."""
+
+    async def run() -> None:
+        for early_seconds, is_served in ((0.005, False), (0.2, True)):
+            fixture = create_fixture(weights_ms=3_000)
+            fixture.set_state(None, {call_fakes.MODEL: 2})
+            await asyncio.sleep(2.0)
+            seconds = fixture.router.max_run_lag_seconds - 2.0 - early_seconds
+            call, _ = await fixture.serve(
+                '/stream/',
+                [respond(chunks=(event(1), seconds))],
+                prompt=PROMPT,
+            )
+            case.assertIs(is_served, call.is_served)
+
+    clocks.run(run())
+
+
 def test_stream_whose_end_is_marked_is_complete(case: support.Case) -> None:
     """Its last chunk may be read when the limit has passed."""
 
--- a/tests/queueing_engines.py
+++ b/tests/queueing_engines.py
@@ -86,7 +86,7 @@
             return self._respond(call, 200, (event(1), seconds_left, broken))
         self.record.finished += 1
         chunks = (event(1), self._terms.run_seconds, event(2))
-        return self._respond(call, 200, chunks)
+        return self._respond(call, 200, chunks, is_end_marked=True)
 
     @staticmethod
     def _respond(
@@ -94,12 +94,10 @@
         status: int,
         chunks: tuple[call_fakes.Chunk, ...],
         is_not_run: bool = False,
+        is_end_marked: bool = False,
     ) -> ports.SendResult:
-        return result.Success(
-            call_fakes.respond(
-                status,
-                chunks,
-                request_id=call.request_id,
-                is_not_run=is_not_run,
-            )
+        response = call_fakes.respond(
+            status, chunks, request_id=call.request_id, is_not_run=is_not_run
         )
+        response.is_end_marked = is_end_marked
+        return result.Success(response)
