Log the connection of each attempt and what it has carried

No decision depends on it.

test_response_tells_what_its_connection_has_carried passes; no new line is written for a call that is served at the first attempt.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
@@ -172,6 +172,7 @@
     head: ports.ResponseHead
     declared_bytes: int | None = None
     is_end_marked = False
+    connection = ''
 
     def __init__(self, stream: ClosableStream, own: membership.Peer) -> None:
         self.on_closed: abc.Callable[[], None] | None = None
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_service.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_service.py
@@ -133,6 +133,17 @@
         assert target is not None
         await self._relay(stream, target.address, call)
 
+    def _log_response(
+        self, call: ports.OutgoingCall, outcome: str, connection: str
+    ) -> None:
+        self._router.sink.emit(
+            events.Event.RELAYED_CALL_FAILED,
+            request_id=call.request_id,
+            target=call.incarnation,
+            outcome=outcome,
+            connection=connection,
+        )
+
     async def _relay(
         self,
         stream: servers.RelayStream,
@@ -145,9 +156,14 @@
         )
         if not pipeline.is_successful(sent):
             failure = sent.failure()
+            self._log_response(call, failure.kind.value, failure.connection)
             await _tell_failure(stream, failure.kind, failure.detail)
             return
         response = sent.unwrap()
+        if response.head.status >= 400:
+            self._log_response(
+                call, f'status {response.head.status}', response.connection
+            )
         try:
             await _tell(stream, head=relay_messages.encode_head(response))
             while True:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -79,6 +79,7 @@
     `on_received` when bytes have arrived, `on_lost` when it has been closed.
     `is_reset` is set if it was not closed cleanly, `is_broken` if the target
     closed it before the end of a response, or idle earlier than it had stated.
+    `number` counts the connections of a pool.
     """
 
     def __init__(
@@ -87,9 +88,11 @@
         on_idle: abc.Callable[['Connection'], None],
         on_lost: abc.Callable[['Connection'], None],
         on_received: abc.Callable[[], None],
+        number: int = 0,
     ) -> None:
         super().__init__(on_idle)
         self.address = address
+        self.number = number
         self.idle_since = 0.0
         self.max_idle_seconds = DEFAULT_IDLE_SECONDS
         self.is_reset = False
@@ -97,6 +100,11 @@
         self._is_dropped = False
         self._has_stated_idle_time = False
         self._head_bytes = 0
+        self._request_count = 0
+        self._extra_count = 0
+        # Hashes of the requests' ids; a collision costs a new connection.
+        self._carried_ids: set[int] = set()
+        self._is_id_repeated = False
         self._on_lost = on_lost
         self._on_received = on_received
 
@@ -167,6 +175,7 @@
         """Send a request; return the first response that is accepted."""
         if not self.is_idle():
             return defer.fail(_newclient.RequestNotSent())
+        self._request_count += 1
         pending = self.request(request)
         if self._parser is not None:
             parser = response_parsers.ResponseParser(
@@ -200,6 +209,29 @@
         idle_seconds = reactors.get_reactor().seconds() - self.idle_since
         return idle_seconds < self.max_idle_seconds
 
+    def record_request(self, request_id: str) -> None:
+        """Record the id of the next request; an empty one is no id."""
+        self._is_id_repeated = self.has_carried(request_id)
+        if request_id:
+            self._carried_ids.add(hash(request_id))
+
+    def record_extra_response(self) -> None:
+        """Record a response that belongs to another request."""
+        self._extra_count += 1
+
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a request with this id has been sent on it."""
+        return hash(request_id) in self._carried_ids
+
+    def get_use(self) -> ports.ConnectionUse:
+        """Return what the connection has carried."""
+        return ports.ConnectionUse(
+            number=self.number,
+            requests=self._request_count,
+            extra_responses=self._extra_count,
+            is_id_repeated=self._is_id_repeated,
+        )
+
     def is_idle(self) -> bool:
         """Return whether a request may be sent."""
         return self.state == 'QUIESCENT' and not self._is_dropped
@@ -432,10 +464,14 @@
             int(port),
             timeout=seconds,
         )
+        self.opened_count += 1
         connection = Connection(
-            address, self._add_idle, self._remove, lambda: self.on_received()
+            address,
+            self._add_idle,
+            self._remove,
+            lambda: self.on_received(),
+            self.opened_count,
         )
-        self.opened_count += 1
         try:
             connecting = endpoints.connectProtocol(endpoint, connection)
             await connecting.asFuture(asyncio.get_running_loop())
@@ -494,10 +530,9 @@
         heads = ReceivedHeads(
             self._codec,
             call.request_id,
-            lambda head: self.report_response(
-                connection.address, call, sent_at, head
-            ),
+            lambda head: self._report_on(connection, call, sent_at, head),
         )
+        connection.record_request(call.request_id)
         pending = connection.request_response(request, heads)
         try:
             response = await pending.asFuture(asyncio.get_running_loop())
@@ -512,30 +547,51 @@
         except Exception as raised:
             connection.drop()
             reason = failures.Failure(raised)
-            return _fail(Kind.BROKEN, call_bodies.describe_failure(reason))
+            return _break(connection, call_bodies.describe_failure(reason))
         head = heads.last
         assert head is not None
         if head.is_ambiguous:
             connection.drop()
-            return _fail(
-                Kind.BROKEN,
+            return _break(
+                connection,
                 f'head of two responses, status {head.status},'
                 f' request id {head.request_id}',
             )
         if head.request_id != call.request_id:
             connection.drop()
-            return _fail(Kind.BROKEN, 'response without a request id')
+            return _break(connection, 'response without a request id')
         return result.Success(TargetResponse(connection, response, head))
 
+    def _report_on(
+        self,
+        connection: Connection,
+        call: ports.OutgoingCall,
+        sent_at: float,
+        head: ports.ResponseHead,
+    ) -> None:
+        """Report a head that has arrived on a connection of this pool."""
+        if head.request_id not in ('', call.request_id):
+            connection.record_extra_response()
+        self.report_response(
+            connection.address,
+            call,
+            sent_at,
+            head,
+            connection.get_use().describe(),
+        )
+
     def report_response(
         self,
         address: str,
         call: ports.OutgoingCall,
         sent_at: float,
         head: ports.ResponseHead,
+        connection: str = '',
     ) -> None:
         """Call the listeners with the head of a response."""
-        received = ports.ReceivedHead.create(address, call, sent_at, head)
+        received = ports.ReceivedHead.create(
+            address, call, sent_at, head, connection
+        )
         for listener in self._listeners:
             listener(received)
 
@@ -585,6 +641,14 @@
     return result.Failure(interfaces.CallFailure(kind, detail))
 
 
+def _break(connection: Connection, detail: str) -> ports.SendResult:
+    """Return the failure of a call whose response on a connection broke."""
+    failure = interfaces.CallFailure(
+        Kind.BROKEN, detail, connection=connection.get_use().describe()
+    )
+    return result.Failure(failure)
+
+
 def _list_headers(
     headers: typing.Any,
 ) -> abc.Iterator[tuple[bytes, bytes]]:
@@ -603,6 +667,7 @@
         head: ports.ResponseHead,
     ) -> None:
         self.head = head
+        self.connection = connection.get_use().describe()
         self._connection = connection
         has_length = isinstance(response.length, int)
         self.declared_bytes = response.length if has_length else None
--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -158,6 +158,11 @@
         Level.WARNING,
         'response to another request passed over',
     )
+    RELAYED_CALL_FAILED = EventKind(
+        322,
+        Level.WARNING,
+        'call of another host failed, or its target answered with an error',
+    )
     CLAIM_DROPPED = EventKind(
         401,
         Level.WARNING,
--- a/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
@@ -21,6 +21,8 @@
     `tokens_by_source` holds the result of `RunPlan.count_tokens`: the prompt's
     tokens by label of `pistachioseam_prompt_tokens_total`. `first_event_at` is
     the time at which the first event of a stream was ready for the caller.
+    `connection` is the text of `ports.ConnectionUse`, empty if the attempt
+    used none of this host.
     """
 
     target: catalog.LiveTarget
@@ -28,6 +30,7 @@
     expected_seconds: float = 0.0
     failure: str = ''
     first_event_at: float | None = None
+    connection: str = ''
     tokens_by_source: abc.Mapping[str, int] = attrs.field(factory=dict)
 
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -198,14 +198,20 @@
         outgoing = attrs.evolve(outgoing, run_seconds_left=run_seconds)
         sent = await self._router.connections.send(target.address, outgoing)
         if not returns_pipeline.is_successful(sent):
+            self._record_connection(sent.failure().connection)
             return self._explain_failure(sent.failure())
         response = sent.unwrap()
+        self._record_connection(response.connection)
         try:
             failure = await self._process_response(target, response)
         finally:
             response.abort()
         return self._explain_failure(failure)
 
+    def _record_connection(self, connection: str) -> None:
+        if self._call.attempts:
+            self._call.attempts[-1].connection = connection
+
     def _explain_failure(
         self, failure: interfaces.CallFailure | None
     ) -> interfaces.CallFailure | None:
@@ -605,6 +611,7 @@
             f'{attempt.target.name}:{attempt.failure or "ok"}'
             for attempt in call.attempts
         ],
+        connections=[attempt.connection for attempt in call.attempts],
         first_byte=None
         if first_byte_at is None
         else round(first_byte_at - call.received_at, 3),
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -122,6 +122,27 @@
     max_rejections: float | None = None
 
 
+@attrs.frozen(kw_only=True)
+class ConnectionUse:
+    """What a connection has carried when a response arrives on it.
+
+    `number` counts the connections of a host. `requests` includes the one
+    that waits; `extra_responses` are those passed over as belonging to other
+    requests. `is_id_repeated` is set if the connection had carried the id of
+    the waiting request before.
+    """
+
+    number: int
+    requests: int
+    extra_responses: int
+    is_id_repeated: bool
+
+    def describe(self) -> str:
+        """Return `number/requests/extra responses`, with a mark on repeats."""
+        text = f'{self.number}/{self.requests}/{self.extra_responses}'
+        return f'{text} repeated id' if self.is_id_repeated else text
+
+
 @attrs.frozen(kw_only=True)
 class ReceivedHead:
     """Head of a response and the call that it came for.
@@ -130,7 +151,8 @@
     time at which it was sent. `is_own` is set if the response names the id of
     a caller's request; another one may be the late copy of an earlier
     response, or the response to a control call. `awaited_request_id` is the id
-    of the call that waits, empty for a control call.
+    of the call that waits, empty for a control call. `connection` is the text
+    of `ConnectionUse`, empty if another host has sent the call.
     """
 
     address: str
@@ -139,6 +161,7 @@
     is_own: bool
     head: ResponseHead
     awaited_request_id: str = ''
+    connection: str = ''
 
     @classmethod
     def create(
@@ -147,6 +170,7 @@
         call: OutgoingCall,
         sent_at: float,
         head: ResponseHead,
+        connection: str = '',
     ) -> 'ReceivedHead':
         """Return the head of a response that came while a call waits."""
         return cls(
@@ -156,6 +180,7 @@
             is_own=head.request_id == call.request_id != '',
             head=head,
             awaited_request_id=call.request_id,
+            connection=connection,
         )
 
     def is_passed_over(self) -> bool:
@@ -172,10 +197,13 @@
     `declared_bytes` is the length of the body, None if it is not declared.
     `is_end_marked` is set at the end of a body that did not end with its
     connection: its length was reached, or its last chunk was read.
+    `connection` is the text of `ConnectionUse`, empty if another host has
+    sent the call.
     """
 
     head: ResponseHead
     declared_bytes: int | None
+    connection: str
 
     @property
     def is_end_marked(self) -> bool:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -135,6 +135,7 @@
                 target=received.incarnation,
                 response_id=head.request_id,
                 status=head.status,
+                connection=received.connection,
             )
         target = self.catalog.get(
             head.other_incarnation or received.incarnation
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -322,6 +322,7 @@
         target=name,
         failure=failure.kind.value,
         detail=failure.detail,
+        connection=attempt.connection,
         seconds=round(router.runtime.now() - attempt.started_at, 3),
     )
     if failure.kind is Kind.BUSY:
--- a/packages/pistachioseam/src/pistachioseam/interfaces.py
+++ b/packages/pistachioseam/src/pistachioseam/interfaces.py
@@ -166,11 +166,14 @@
     """Failure of one call to a target.
 
     `is_refused` is set if the target's machine refused the connection.
+    `connection` names the one that the call was sent on, for the log; it is
+    empty if there was none or it is not known.
     """
 
     kind: FailureKind
     detail: str
     is_refused: bool = False
+    connection: str = ''
 
 
 @attrs.frozen
--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -120,6 +120,7 @@
         self.head = head
         self.declared_bytes = None
         self.is_end_marked = False
+        self.connection = ''
         self.is_aborted = False
         self.is_ended = False
         self._chunks = list(chunks)
--- a/tests/entry/test_target_connections.py
+++ b/tests/entry/test_target_connections.py
@@ -147,6 +147,29 @@
     run(work)
 
 
+def test_response_tells_what_its_connection_has_carried(
+    case: support.Case,
+) -> None:
+    """The log names the connection on which an answer was believed."""
+    other = RESPONSE.replace(b'Id: 1', b'Id: 2')
+
+    async def work() -> None:
+        async with FakeTarget(RESPONSE, RESPONSE + other, other) as target:
+            with target_connections.ConnectionPool(
+                headers.HeaderCodec()
+            ) as pool:
+                described = []
+                for request_id in ('1', '2', '2'):
+                    call = attrs.evolve(create_call(), request_id=request_id)
+                    sent = await pool.send(target.address, call)
+                    response = sent.unwrap()
+                    described.append(response.connection)
+                    await delivery.read_body(response)
+                case.assertEqual(['1/1/0', '1/2/1', '2/1/0'], described)
+
+    run(work)
+
+
 def test_call_that_expires_during_the_connect_is_not_written(
     case: support.Case,
 ) -> None:
--- a/tests/partitioned_hosts.py
+++ b/tests/partitioned_hosts.py
@@ -218,6 +218,7 @@
         )
         self.declared_bytes: int | None = None
         self.is_end_marked = False
+        self.connection = ''
         self._connection = connection
         self._run = run
         self._chunks = chunks
