Known reds: a copy of a rejection meets the same request sent again

Callers would see: an order that a target rejected, and that is sent again under its id on the same connection, is refused with 503 although it runs, or runs twice (test_copy_of_a_rejection_decides_about_the_same_request_sent_again).

--- a/tests/entry/test_adversary.py
+++ b/tests/entry/test_adversary.py
@@ -140,9 +140,9 @@
             targets.append(attrs.evolve(target, address=address))
         return targets
 
-    async def call(self, prefix: str) -> None:
-        """Send one call through the filters."""
-        request_id = f'call-{len(self.calls)}'
+    async def call(self, prefix: str, request_id: str = '') -> None:
+        """Send one call through the filters, by default with a new id."""
+        request_id = request_id or f'call-{len(self.calls)}'
         call = self.fixture.create_call(
             prefix,
             timeout_seconds=CALL_SECONDS,
