Let a connection carry a request id once

Callers saw an order run twice, or refused with 503 although it ran: a late copy of a rejection bears the id of the rejected request, and met that request, sent again, on the same connection, where the id tells nothing.

Cause: what has to hold is a property of the connection, and the guard looked at the attempts of one call, by the names of their targets. It missed a request that its caller sends again under its id, one that another host relays, and an attempt at a second entry with the same address. Each connection remembers the ids that it has carried, is passed over for a request with one of them, and is closed after 256 requests, so that the memory is bounded. send_on holds every sender to it. The word needs_new_connection replaces an idle time of 0; the guard at the call stays, by address, for relaying hosts of earlier builds, which only know that.

The tests of the pool sent the same id with every call on purpose of brevity; their calls have ids of their own now, and check what they checked.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_messages.py
@@ -8,6 +8,8 @@
 
 MS_PER_SECOND = 1000.0
 NO_IDLE_LIMIT = float('inf')
+NEW_CONNECTION_MS = 0
+"""Bound on the idle time that no connection meets: a new one is opened."""
 
 
 def encode_request(call: ports.OutgoingCall) -> messages_pb2.RelayRequest:
@@ -28,7 +30,9 @@
         save_to=call.save_to,
         after_event=call.after_event,
     )
-    if call.max_idle_seconds != NO_IDLE_LIMIT:
+    if call.needs_new_connection:
+        request.max_idle_ms = NEW_CONNECTION_MS
+    elif call.max_idle_seconds != NO_IDLE_LIMIT:
         request.max_idle_ms = int(call.max_idle_seconds * MS_PER_SECOND)
     if call.run_seconds_left < call.seconds_left:
         request.caller_time_left_ms = max(
@@ -76,6 +80,8 @@
         save_to=request.save_to,
         after_event=request.after_event,
         max_idle_seconds=max_idle_seconds,
+        needs_new_connection=request.HasField('max_idle_ms')
+        and request.max_idle_ms == NEW_CONNECTION_MS,
     )
     return call.spend(waited_seconds)
 
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -48,6 +48,8 @@
 STATUS_LINE_PATTERN = re.compile(rb'HTTP/\d\.\d \d{3}')
 """Start of a response. Inside a head it shows that the response before it has
 broken off there."""
+MAX_REQUESTS = 256
+"""Requests that a connection carries; it remembers the ids of all of them."""
 MAX_HEAD_BYTES = 65_536
 """Longest head of a response, interim responses (1xx) included."""
 USER_TIMEOUT_MS = 2_500
@@ -104,7 +106,6 @@
         self._extra_count = 0
         # Hashes of the requests' ids; a collision costs a new connection.
         self._carried_ids: set[int] = set()
-        self._is_id_repeated = False
         self._on_lost = on_lost
         self._on_received = on_received
 
@@ -170,12 +171,17 @@
     def request_response(
         self,
         request: _newclient.Request,
+        request_id: str,
         head_filter: response_parsers.HeadFilter,
     ) -> defer.Deferred[typing.Any]:
-        """Send a request; return the first response that is accepted."""
-        if not self.is_idle():
+        """Send a request; return the first response that is accepted.
+
+        One whose id the connection has carried before is not sent.
+        """
+        if not self.is_idle() or self.has_carried(request_id):
             return defer.fail(_newclient.RequestNotSent())
         self._request_count += 1
+        self._carried_ids.add(hash(request_id))
         pending = self.request(request)
         if self._parser is not None:
             parser = response_parsers.ResponseParser(
@@ -209,19 +215,17 @@
         idle_seconds = reactors.get_reactor().seconds() - self.idle_since
         return idle_seconds < self.max_idle_seconds
 
-    def record_request(self, request_id: str) -> None:
-        """Record the id of the next request; an empty one is no id."""
-        self._is_id_repeated = self.has_carried(request_id)
-        if request_id:
-            self._carried_ids.add(hash(request_id))
-
     def record_extra_response(self) -> None:
         """Record a response that belongs to another request."""
         self._extra_count += 1
 
     def has_carried(self, request_id: str) -> bool:
-        """Return whether a request with this id has been sent on it."""
-        return hash(request_id) in self._carried_ids
+        """Return whether a request with this id has been sent on it.
+
+        A late copy of its response could not be told from that to the same
+        request, sent again. An empty text is no id.
+        """
+        return bool(request_id) and hash(request_id) in self._carried_ids
 
     def get_use(self) -> ports.ConnectionUse:
         """Return what the connection has carried."""
@@ -229,13 +233,16 @@
             number=self.number,
             requests=self._request_count,
             extra_responses=self._extra_count,
-            is_id_repeated=self._is_id_repeated,
         )
 
     def is_idle(self) -> bool:
         """Return whether a request may be sent."""
         return self.state == 'QUIESCENT' and not self._is_dropped
 
+    def is_used_up(self) -> bool:
+        """Return whether it has carried as many requests as it may."""
+        return self._request_count >= MAX_REQUESTS
+
     def drop(self) -> None:
         """Close the connection at once, without sending buffered data."""
         # The transport reports the loss only in a later iteration of the loop.
@@ -429,28 +436,29 @@
     def take_idle(
         self, address: str, call: ports.OutgoingCall
     ) -> Connection | None:
-        """Return the last used idle connection, None if idle for too long.
+        """Return the last used idle connection that may carry a call, or None.
 
         Connections idle beyond their own `max_idle_seconds` are closed.
         """
-        idle = self._idle.get(address)
+        idle = self._idle.get(address, ())
         now = reactors.get_reactor().seconds()
-        while idle:
-            connection = idle.pop()
+        for connection in reversed(tuple(idle)):
             idle_seconds = now - connection.idle_since
-            max_target_idle_seconds = connection.max_idle_seconds
-            if connection.is_idle() and idle_seconds < min(
-                call.max_idle_seconds, max_target_idle_seconds
-            ):
-                return connection
             if (
                 not connection.is_idle()
-                or idle_seconds >= max_target_idle_seconds
+                or idle_seconds >= connection.max_idle_seconds
             ):
+                self._idle[address].remove(connection)
                 connection.drop()
                 continue
-            idle.append(connection)
-            return None
+            if (
+                call.needs_new_connection
+                or idle_seconds >= call.max_idle_seconds
+            ):
+                return None
+            if not connection.has_carried(call.request_id):
+                self._idle[address].remove(connection)
+                return connection
         return None
 
     async def connect(
@@ -492,7 +500,13 @@
         return result.Success(connection)
 
     def _add_idle(self, connection: Connection) -> None:
-        """Add a connection to the idle ones; close the oldest if too many."""
+        """Add a connection to the idle ones; close the oldest if too many.
+
+        One that is used up is closed.
+        """
+        if connection.is_used_up():
+            connection.drop()
+            return
         connection.idle_since = reactors.get_reactor().seconds()
         idle = self._idle.setdefault(connection.address, collections.deque())
         idle.append(connection)
@@ -532,8 +546,7 @@
             call.request_id,
             lambda head: self._report_on(connection, call, sent_at, head),
         )
-        connection.record_request(call.request_id)
-        pending = connection.request_response(request, heads)
+        pending = connection.request_response(request, call.request_id, heads)
         try:
             response = await pending.asFuture(asyncio.get_running_loop())
         except asyncio.CancelledError:
@@ -541,8 +554,7 @@
             raise
         except _newclient.RequestNotSent:
             return _fail(
-                Kind.NOT_SENT,
-                'the connection had been closed before the request was sent',
+                Kind.NOT_SENT, 'the connection could not take the request'
             )
         except Exception as raised:
             connection.drop()
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -543,7 +543,10 @@
         seconds_left=call.deadline - router.runtime.now(),
         incarnation=target.name,
         account=call.get_account_name(),
-        max_idle_seconds=_get_max_idle_seconds(call, target),
+        max_idle_seconds=float('inf')
+        if call.is_retryable()
+        else NON_RETRYABLE_MAX_IDLE_SECONDS,
+        needs_new_connection=_was_tried(call, target.address),
         is_retryable=call.is_retryable(),
         after_event=call.head.after_event
         if last_event_id is None
@@ -551,20 +554,17 @@
     )
 
 
-def _get_max_idle_seconds(
-    call: calls.Call, target: catalog.LiveTarget
-) -> float:
-    """Return for how long the connection may have been idle.
+def _was_tried(call: calls.Call, address: str) -> bool:
+    """Return whether an attempt at an address has failed.
 
-    A second attempt at a target gets a new connection: a late copy of the
-    first response bears the same request id.
+    A late copy of its response would bear the id of the next attempt. This
+    host's connections carry an id once; relaying hosts of earlier builds need
+    to be told.
     """
-    for attempt in call.attempts:
-        if attempt.failure and attempt.target.name == target.name:
-            return 0.0
-    if call.is_retryable():
-        return float('inf')
-    return NON_RETRYABLE_MAX_IDLE_SECONDS
+    return any(
+        attempt.failure and attempt.target.address == address
+        for attempt in call.attempts
+    )
 
 
 def add_plan(
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -52,7 +52,8 @@
     with another name rejects the call with status 421. `fetch_from` is the
     address of an engine or KV cache store from which the engine fetches
     missing KV cache, `save_to` that of the store to which it saves.
-    `max_idle_seconds` bounds how long a reused connection may have been idle.
+    `max_idle_seconds` bounds how long a reused connection may have been idle;
+    with `needs_new_connection` none is reused.
     `is_retryable` is set if the call may run more than once. The target stops
     after `run_seconds_left` if that is shorter than `seconds_left`, the time
     that the caller waits.
@@ -74,6 +75,7 @@
     save_to: str = ''
     after_event: str = ''
     max_idle_seconds: float = float('inf')
+    needs_new_connection: bool = False
     is_retryable: bool = False
 
     def get_target_seconds(self) -> float:
@@ -128,19 +130,16 @@
 
     `number` counts the connections of a host. `requests` includes the one
     that waits; `extra_responses` are those passed over as belonging to other
-    requests. `is_id_repeated` is set if the connection had carried the id of
-    the waiting request before.
+    requests.
     """
 
     number: int
     requests: int
     extra_responses: int
-    is_id_repeated: bool
 
     def describe(self) -> str:
-        """Return `number/requests/extra responses`, with a mark on repeats."""
-        text = f'{self.number}/{self.requests}/{self.extra_responses}'
-        return f'{text} repeated id' if self.is_id_repeated else text
+        """Return `number/requests/extra responses`."""
+        return f'{self.number}/{self.requests}/{self.extra_responses}'
 
 
 @attrs.frozen(kw_only=True)
--- a/tests/core/forwarding/test_forward.py
+++ b/tests/core/forwarding/test_forward.py
@@ -252,8 +252,8 @@
             )
             case.assertTrue(call.is_served)
             first, second = [sent for _, sent in fixture.targets.sent]
-            case.assertGreater(first.max_idle_seconds, 0)
-            case.assertEqual(0, second.max_idle_seconds)
+            case.assertFalse(first.needs_new_connection)
+            case.assertTrue(second.needs_new_connection)
 
     clocks.run(run())
 
--- a/tests/entry/test_target_connections.py
+++ b/tests/entry/test_target_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 import contextlib
+import itertools
 import socket
 import struct
 import typing
@@ -19,7 +20,9 @@
 from tests import support
 
 Kind = interfaces.FailureKind
-HEAD = b'HTTP/1.1 200 OK\r\nX-Pistachioseam-Request-Id: 1\r\n'
+OWN_ID = b'X-Pistachioseam-Request-Id: 1\r\n'
+"""Header of the responses to a call, by the default id of calls."""
+HEAD = b'HTTP/1.1 200 OK\r\n' + OWN_ID
 RESPONSE = HEAD + b'Content-Length: 2\r\n\r\nok'
 TEST_TIMEOUT_SECONDS = 10.0
 PIECE_PAUSE_SECONDS = 0.02
@@ -30,11 +33,15 @@
 """Time in which a target accepts a connection over a full link."""
 
 
+call_numbers = itertools.count()
+
+
 class FakeTarget:
     """Server that writes the next of the given byte strings for each request.
 
     It closes the connection after None or a response without a length. Two
-    strings are written one after the other, with a pause between them.
+    strings are written one after the other, with a pause between them. An
+    `OWN_ID` in them becomes that of the request.
     """
 
     def __init__(self, *responses: bytes | tuple[bytes, bytes] | None) -> None:
@@ -76,13 +83,18 @@
     ) -> None:
         while self.responses:
             self.heads.append(await reader.readuntil(b'\r\n\r\n'))
+            own_id = read_own_id(self.heads[-1])
             response = self.responses.pop(0)
             if response is None:
                 return
             if isinstance(response, tuple):
-                writer.write(response[0])
+                cut = len(response[0])
+                data = b''.join(response).replace(OWN_ID, own_id)
+                writer.write(data[:cut])
                 await asyncio.sleep(PIECE_PAUSE_SECONDS)
-                response = response[1]
+                response = data[cut:]
+            else:
+                response = response.replace(OWN_ID, own_id)
             writer.write(response)
             await writer.drain()
             if b'Content-Length' not in response:
@@ -97,13 +109,25 @@
     loop.run_until_complete(asyncio.wait_for(work(), TEST_TIMEOUT_SECONDS))
 
 
-def create_call(max_idle_seconds: float = 60.0) -> ports.OutgoingCall:
+def read_own_id(head: bytes) -> bytes:
+    """Return the header of a request's id, `OWN_ID` if it has none."""
+    name = OWN_ID.partition(b':')[0]
+    for line in head.split(b'\r\n'):
+        if line.startswith(name):
+            return line + b'\r\n'
+    return OWN_ID
+
+
+def create_call(
+    max_idle_seconds: float = 60.0, request_id: str = '1'
+) -> ports.OutgoingCall:
     """Return a call without a body."""
+    named = (headers.REQUEST_ID, request_id.encode())
     return ports.OutgoingCall(
-        request_id='1',
+        request_id=request_id,
         method=b'GET',
         uri=b'/x',
-        headers=((b'Host', b'h'), (b'X-Pistachioseam-Request-Id', b'1')),
+        headers=((b'Host', b'h'), named),
         body=b'',
         seconds_left=5.0,
         incarnation='i',
@@ -114,8 +138,13 @@
 async def fetch(
     pool: target_connections.ConnectionPool, address: str, **fields: float
 ) -> typing.Any:
-    """Return the body of a response, or the kind of the failure."""
-    sent = await pool.send(address, create_call(**fields))
+    """Return the body of a response, or the kind of the failure.
+
+    Each call has an id of its own.
+    """
+    request_id = f'call-{next(call_numbers)}'
+    call = create_call(request_id=request_id, **fields)
+    sent = await pool.send(address, call)
     if not pipeline.is_successful(sent):
         return sent.failure().kind
     response = sent.unwrap()
@@ -151,16 +180,16 @@
     case: support.Case,
 ) -> None:
     """The log names the connection on which an answer was believed."""
-    other = RESPONSE.replace(b'Id: 1', b'Id: 2')
+    other = RESPONSE.replace(b'Id: 1', b'Id: other')
 
     async def work() -> None:
-        async with FakeTarget(RESPONSE, RESPONSE + other, other) as target:
+        async with FakeTarget(RESPONSE, other + RESPONSE, RESPONSE) as target:
             with target_connections.ConnectionPool(
                 headers.HeaderCodec()
             ) as pool:
                 described = []
-                for request_id in ('1', '2', '2'):
-                    call = attrs.evolve(create_call(), request_id=request_id)
+                for request_id in ('a', 'b', 'c'):
+                    call = create_call(request_id=request_id)
                     sent = await pool.send(target.address, call)
                     response = sent.unwrap()
                     described.append(response.connection)
@@ -170,6 +199,58 @@
     run(work)
 
 
+def test_connection_carries_a_request_id_once(case: support.Case) -> None:
+    """Guards against TWICE, whoever sends a request again."""
+
+    async def work() -> None:
+        async with FakeTarget(*[RESPONSE] * 6) as target:
+            with target_connections.ConnectionPool(
+                headers.HeaderCodec()
+            ) as pool:
+                connections = []
+                for request_id in ('a', 'b', 'a', 'b', 'c', ''):
+                    call = create_call(request_id=request_id)
+                    sent = await pool.send(target.address, call)
+                    if pipeline.is_successful(sent):
+                        response = sent.unwrap()
+                        connections.append(response.connection)
+                        await delivery.read_body(response)
+                case.assertEqual(
+                    ['1/1/0', '1/2/0', '2/1/0', '2/2/0', '2/3/0'],
+                    connections[:5],
+                )
+                case.assertEqual(2, target.connections)
+                # A sender with a connection of its own is held to it, too.
+                connection = pool.take_idle(
+                    target.address, create_call(request_id='d')
+                )
+                assert connection is not None
+                sent = await pool.send_on(
+                    connection, create_call(request_id='a')
+                )
+                case.assertEqual(Kind.NOT_SENT, sent.failure().kind)
+
+    run(work)
+
+
+def test_connection_is_closed_after_its_last_request(
+    case: support.Case,
+) -> None:
+    """It remembers the ids of all requests that it has carried."""
+
+    async def work() -> None:
+        count = target_connections.MAX_REQUESTS + 1
+        async with FakeTarget(*[RESPONSE] * count) as target:
+            with target_connections.ConnectionPool(
+                headers.HeaderCodec()
+            ) as pool:
+                for _ in range(count):
+                    case.assertEqual(b'ok', await fetch(pool, target.address))
+                case.assertEqual(2, target.connections)
+
+    run(work)
+
+
 def test_call_that_expires_during_the_connect_is_not_written(
     case: support.Case,
 ) -> None:
