Test relays and upgrades of connections that carry an id once

A relaying host of an earlier build knows a bound on the idle time only, so a second attempt is sent to it with a bound of 0: test_hosts_of_former_builds_open_a_connection_for_a_second_attempt. The text of a connection is made only for responses that are passed over, and once an attempt.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -582,14 +582,12 @@
         head: ports.ResponseHead,
     ) -> None:
         """Report a head that has arrived on a connection of this pool."""
+        described = ''
         if head.request_id not in ('', call.request_id):
             connection.record_extra_response()
+            described = connection.get_use().describe()
         self.report_response(
-            connection.address,
-            call,
-            sent_at,
-            head,
-            connection.get_use().describe(),
+            connection.address, call, sent_at, head, described
         )
 
     def report_response(
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -151,7 +151,7 @@
     a caller's request; another one may be the late copy of an earlier
     response, or the response to a control call. `awaited_request_id` is the id
     of the call that waits, empty for a control call. `connection` is the text
-    of `ConnectionUse`, empty if another host has sent the call.
+    of `ConnectionUse` for a response that is passed over, empty for others.
     """
 
     address: str
--- a/tests/entry/test_relay_messages.py
+++ b/tests/entry/test_relay_messages.py
@@ -42,6 +42,23 @@
     case.assertEqual(2000, request.time_left_ms)
 
 
+def test_hosts_of_former_builds_open_a_connection_for_a_second_attempt(
+    case: support.Case,
+) -> None:
+    """Guards against TWICE: they know only a bound on the idle time."""
+    second = attrs.evolve(CALL, needs_new_connection=True)
+    request = relay_messages.encode_request(second)
+    case.assertTrue(request.HasField('max_idle_ms'))
+    case.assertEqual(0, request.max_idle_ms)
+    relayed = relay_messages.decode_request(request, 0.0)
+    case.assertTrue(relayed.needs_new_connection)
+    for first in (CALL, attrs.evolve(CALL, max_idle_seconds=2.0)):
+        request = relay_messages.encode_request(first)
+        relayed = relay_messages.decode_request(request, 0.0)
+        case.assertFalse(relayed.needs_new_connection)
+        case.assertEqual(first.max_idle_seconds, relayed.max_idle_seconds)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
--- a/tests/failures/test_builds.py
+++ b/tests/failures/test_builds.py
@@ -15,7 +15,7 @@
 from tests.soak import faults
 from tests import support
 
-EARLIER_BUILDS = ('385b8a8', 'a5f422d', '1c093af', 'df0f13b')
+EARLIER_BUILDS = ('385b8a8', 'a5f422d', '1c093af', 'df0f13b', 'e7a9c85')
 """Commits of the builds that hosts are upgraded from."""
 HOST_COUNT = 3
 CALLER_COUNT = 4
