--- a/tests/core/forwarding/test_notices.py
+++ b/tests/core/forwarding/test_notices.py
@@ -13,6 +13,8 @@
 
 respond = call_fakes.respond
 DRAIN_SECONDS = notices.DEFAULT_DRAIN_SECONDS
+PAUSE_SECONDS = 30.0
+"""Time after which a target that asked for a pause takes calls again."""
 
 
 def create_fixture(count: int) -> call_fakes.RouterFixture:
@@ -150,6 +152,49 @@
     clocks.run(run())
 
 
+def test_late_copy_of_a_rejection_asks_for_nothing(case: support.Case) -> None:
+    """Its pause and its limit are over; the rejection was counted before."""
+
+    async def run() -> None:
+        fixture = create_fixture(1)
+        router = fixture.router
+        (target,) = router.catalog.list_all()
+        rejection = respond(
+            503,
+            request_id='first',
+            is_not_run=True,
+            retry_after_seconds=1.0,
+            max_request_rate=3.0,
+            max_rejections=2.0,
+        ).head
+        answer = respond(request_id='second').head
+        for request_id, head in (
+            ('first', rejection),
+            ('second', answer),
+            ('third', rejection),
+        ):
+            router.record_response(
+                ports.ReceivedHead(
+                    address=target.address,
+                    incarnation=target.name,
+                    sent_at=router.runtime.now(),
+                    is_own=head.request_id == request_id,
+                    head=head,
+                    awaited_request_id=request_id,
+                )
+            )
+            await asyncio.sleep(PAUSE_SECONDS)
+        incarnation = target.get_incarnation()
+        now = router.runtime.now() - PAUSE_SECONDS
+        case.assertEqual(0.0, router.get_pause_seconds(target, now))
+        case.assertIsNone(router.rate_limits.get(incarnation))
+        kinds = fixture.sink.list_kinds()
+        case.assertEqual(1, kinds.count(events.Event.TARGET_FULL))
+        case.assertIn(events.Event.RESPONSE_PASSED_OVER, kinds)
+
+    clocks.run(run())
+
+
 def test_short_pause_is_waited_for(case: support.Case) -> None:
     """A call is held for a pause that is far below its objective."""
 
--- a/tests/entry/test_relay_messages.py
+++ b/tests/entry/test_relay_messages.py
@@ -46,7 +46,9 @@
     case: support.Case,
 ) -> None:
     """Guards against TWICE: they know only a bound on the idle time."""
-    second = attrs.evolve(CALL, needs_new_connection=True)
+    second = attrs.evolve(
+        CALL, max_idle_seconds=2.0, needs_new_connection=True
+    )
     request = relay_messages.encode_request(second)
     case.assertTrue(request.HasField('max_idle_ms'))
     case.assertEqual(0, request.max_idle_ms)
