Learn from a late copy of a response only that its target leaves

A target that had long been free again was paused anew, its lifted limit was in force again, and all hosts paced their calls to it as after a rejection.

Cause: the head of a response that is passed over was recorded like any other. It is a repetition: the first one was recorded, at the time that it spoke of. That a target leaves stays true, so it is still recorded.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -125,7 +125,8 @@
         """Record what the head of a response says about its target.
 
         A target that is in no list, as a KV cache store, is known by its
-        address.
+        address. Of a late copy only the leaving counts: what else it asks for
+        was recorded with the first one, and may be over.
         """
         head = received.head
         if received.is_passed_over():
@@ -144,6 +145,10 @@
             target.get_incarnation() if target else (received.address, 0)
         )
         now = self.runtime.now()
+        if received.is_passed_over():
+            if head.is_leaving:
+                self.notices.record_leaving(incarnation, now)
+            return
         self.notices.record(incarnation, notices.read_notice(head), now)
         self.rate_limits.record_response(incarnation, received, now)
         if target is not None:
