Replace a connection that is kept from a call by its id

Calls that repeat an id, as a caller that sends every request under the same one, held 16 idle connections of each host to each target, where one was enough. They count against the target's limit for all hosts, which resets what is beyond it.

Cause: a call that no idle connection may carry opens a new one, and the old one stayed idle. The oldest that has carried the id is closed instead. The number of connections that are opened stays the same.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -438,29 +438,35 @@
     ) -> Connection | None:
         """Return the last used idle connection that may carry a call, or None.
 
-        Connections idle beyond their own `max_idle_seconds` are closed.
+        Connections idle beyond their own `max_idle_seconds` are closed. So is
+        the oldest that is kept from the call by its id: a new one replaces it.
         """
         idle = self._idle.get(address, ())
         now = reactors.get_reactor().seconds()
+        replaced: Connection | None = None
         for connection in reversed(tuple(idle)):
             idle_seconds = now - connection.idle_since
             if (
                 not connection.is_idle()
                 or idle_seconds >= connection.max_idle_seconds
             ):
-                self._idle[address].remove(connection)
-                connection.drop()
-                continue
-            if (
-                call.needs_new_connection
-                or idle_seconds >= call.max_idle_seconds
+                self._close_idle_one(connection)
+            elif connection.has_carried(call.request_id):
+                replaced = connection
+            elif (
+                not call.needs_new_connection
+                and idle_seconds < call.max_idle_seconds
             ):
-                return None
-            if not connection.has_carried(call.request_id):
                 self._idle[address].remove(connection)
                 return connection
+        if replaced is not None:
+            self._close_idle_one(replaced)
         return None
 
+    def _close_idle_one(self, connection: Connection) -> None:
+        self._idle[connection.address].remove(connection)
+        connection.drop()
+
     async def connect(
         self, address: str, seconds: float = CONNECT_TIMEOUT_SECONDS
     ) -> OpenResult:
