Close the connection of a cancelled call only while it carries the call

An order was cut, with an unknown outcome, as the call before it on its connection was cancelled.

Cause: the connection is idle once an empty response has been read, and the next call may be on it before the first one is told; a cancellation in between closed the connection whatever it carried.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -243,6 +243,11 @@
         """Return whether it has carried as many requests as it may."""
         return self._request_count >= MAX_REQUESTS
 
+    def drop_request(self, request: _newclient.Request) -> None:
+        """Close the connection, unless it carries a later request."""
+        if self._currentRequest in (None, request):
+            self.drop()
+
     def drop(self) -> None:
         """Close the connection at once, without sending buffered data."""
         # The transport reports the loss only in a later iteration of the loop.
@@ -556,7 +561,7 @@
         try:
             response = await pending.asFuture(asyncio.get_running_loop())
         except asyncio.CancelledError:
-            connection.drop()
+            connection.drop_request(request)
             raise
         except _newclient.RequestNotSent:
             return _fail(
