Test that second attempts keep to a target's connection limit

A target that accepts one connection reset the new one of a second attempt, as the first one stayed idle: the call ended with 502 where the target was free.

--- a/tests/entry/test_repeated_ids.py
+++ b/tests/entry/test_repeated_ids.py
@@ -17,6 +17,8 @@
 REPEATS = 12
 REJECTION = adversary.Answer(status=503, is_executed=False, copy='next')
 """Its second copy comes before the next response on the connection."""
+REFUSAL = adversary.Answer(status=503, is_executed=False)
+"""No second copy of it comes."""
 MISMATCH = attrs.evolve(REJECTION, status=421)
 
 
@@ -112,6 +114,34 @@
     case.assertEqual([], [c.refusal for c in targets.calls if c.refusal])
 
 
+def test_second_attempts_keep_to_the_connection_limit(
+    case: support.Case,
+) -> None:
+    """A target resets what is beyond it, and the outcome is unknown."""
+
+    async def work(targets: test_adversary.AdversarialTargets) -> None:
+        for server in targets.servers:
+            server.max_connections = 1
+        for number in range(REPEATS):
+            prefix = ('/once/', '/stream/')[number % 2]
+            if number % 4 < 2:
+                rejections = [REFUSAL] * test_adversary.SERVERS
+                targets.script.extend(rejections)
+            await targets.call(prefix)
+            targets.script.clear()
+            await targets.call(prefix, 'repeated')
+
+    targets = run(work)
+    statuses = {call.refusal.status for call in targets.calls if call.refusal}
+    case.assertLessEqual(statuses, {503})
+    attempts = [
+        tuple(attempt.target.name for attempt in call.attempts)
+        for call in targets.calls
+    ]
+    again = [names for names in attempts if len(names) > len(set(names))]
+    case.assertGreaterEqual(len(again), 2, attempts)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
