Test copies of rejections beside requests that are under way twice

Calls repeat an id one after another and at the same time, on routes whose calls may run once, before servers that reject 45 in 100 and send most answers again. No more of them may run than were not refused.

--- a/tests/entry/test_repeated_ids.py
+++ b/tests/entry/test_repeated_ids.py
@@ -1,9 +1,11 @@
 """A request that is sent again under its id meets no copy of its rejection."""
 
 import asyncio
+import collections
 from collections import abc
 import contextlib
 import io
+import random
 import typing
 
 import attrs
@@ -15,6 +17,8 @@
 from tests import support
 
 REPEATS = 12
+ROUNDS = 60
+REJECTED_SHARE = 0.45
 REJECTION = adversary.Answer(status=503, is_executed=False, copy='next')
 """Its second copy comes before the next response on the connection."""
 REFUSAL = adversary.Answer(status=503, is_executed=False)
@@ -142,6 +146,55 @@
     case.assertGreaterEqual(len(again), 2, attempts)
 
 
+def draw_answer(generator: random.Random) -> adversary.Answer:
+    """Return a rejection or an answer, mostly with a copy that comes late."""
+    answer = adversary.Answer(
+        copy=generator.choice(('', 'next', 'next', 'idle')),
+        copy_seconds=generator.uniform(0, test_adversary.MAX_RUN_SECONDS),
+    )
+    if generator.random() < REJECTED_SHARE:
+        split = generator.choice((1.0, generator.random()))
+        return attrs.evolve(answer, status=503, is_executed=False, split=split)
+    return attrs.evolve(
+        answer,
+        status=generator.choice((200, 200, 500)),
+        framing=generator.choice(('length', 'chunks', 'close')),
+        run_seconds=generator.uniform(0, test_adversary.MAX_RUN_SECONDS),
+    )
+
+
+def test_copies_decide_about_no_request_under_way_twice(
+    case: support.Case,
+) -> None:
+    """Guards against TWICE and REFUSED: at most those not refused have run."""
+    generator = random.Random(1)
+
+    async def work(targets: test_adversary.AdversarialTargets) -> None:
+        for number in range(ROUNDS):
+            targets.script.clear()
+            targets.script.extend(draw_answer(generator) for _ in range(12))
+            prefix = generator.choice(test_adversary.ONCE_PREFIXES)
+            for _ in range(generator.choice((1, 2, 3))):
+                request_ids = [f'repeated-{number}'] * generator.choice((1, 2))
+                await asyncio.gather(
+                    targets.call(prefix),
+                    *(targets.call(prefix, name) for name in request_ids),
+                )
+        await asyncio.sleep(test_adversary.LATE_SECONDS)
+
+    targets = run(work)
+    runs = targets.count_runs()
+    unrefused = collections.Counter(
+        call.request_id
+        for call in targets.calls
+        if call.refusal is None or call.refusal.status != 503
+    )
+    for request_id, count in runs.items():
+        case.assertLessEqual(count, unrefused[request_id], request_id)
+    refused = len(targets.calls) - unrefused.total()
+    case.assertGreaterEqual(refused, ROUNDS // 4)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
