Send each request of the product's own tables on its own connection

Cause: responses of these targets bear no request id, so on a kept connection a late copy of an earlier response is taken for the answer: a model request that runs counts as not run and is sent again, a caller gets the answer of another call, a resumed stream is given up.

Change: the client has no pool. Twisted's Agent then asks the target to close after the response, so no copy precedes an answer. Ids that targets repeat were not chosen: the targets' interface does not ask for them, and a response without one would still have to be believed. The answer to a call that may run once was on its own connection before.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/targets.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/targets.py
@@ -15,8 +15,6 @@
 from pistachioseam_entry import reactors
 from pistachioseam_entry import settings
 
-MAX_IDLE_SECONDS = 10
-"""Time after which an idle pooled connection is closed."""
 CANCEL_TIMEOUT_SECONDS = 2.0
 
 CallResult: typing.TypeAlias = result.Result[
@@ -28,28 +26,19 @@
 
 
 class HttpTargetClient:
-    """HTTP client of targets.
+    """HTTP client of targets; each request has a connection of its own.
 
-    Only GET and model requests, which may be sent again, use pooled
-    connections. For other calls a target could close a pooled connection while
-    the request is being sent, and it would be unknown whether the call has
-    run.
+    Responses bear no request id. On a kept connection a late copy of an
+    earlier response would be taken for the answer, and a target could close
+    it while a request is being sent, so that it would be unknown whether the
+    call has run.
     """
 
     def __init__(self, options: settings.Requests) -> None:
         self._options = options
-        pool = client.HTTPConnectionPool(
-            reactors.get_reactor(), persistent=True
-        )
-        pool.retryAutomatically = False
-        pool.maxPersistentPerHost = 64
-        pool.cachedConnectionTimeout = MAX_IDLE_SECONDS
-        timeout = options.connect_timeout_seconds
-        self._pooled = client.Agent(
-            reactors.get_reactor(), connectTimeout=timeout, pool=pool
-        )
-        self._unpooled = client.Agent(
-            reactors.get_reactor(), connectTimeout=timeout
+        self._agent = client.Agent(
+            reactors.get_reactor(),
+            connectTimeout=options.connect_timeout_seconds,
         )
 
     async def call(
@@ -122,13 +111,12 @@
         headers = {name: [value] for name, value in request.headers.items()}
         headers['request-id'] = [request.request_id]
         headers['fencing-number'] = [str(request.fencing_number)]
-        is_pooled = request.method == 'GET' or _is_model_request(request)
         sent = treq.request(
             request.method,
             f'http://{address}{request.path}',
             headers=headers,
             data=request.body or None,
-            agent=self._pooled if is_pooled else self._unpooled,
+            agent=self._agent,
             allow_redirects=False,
             unbuffered=True,
         )
