Believe no copy of a report from before an order

Cause: reports bear no id, so a late copy of the report before an order counted as the next one: older weights, not loading. The holder sent a further order, which the engine rejected by the number of orders (409).

The same number is believed the second time, so that an engine whose count does go back is held up by one read only. No connection is opened for it.

Not told apart: a copy with the same number of orders.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -147,6 +147,7 @@
         self.loading: set[tuple[str, int]] = set()
         self._retry_at: dict[tuple[str, int], float] = {}
         self._ordered: set[tuple[str, int]] = set()
+        self._known_orders: dict[tuple[str, int], int] = {}
         self._report_sent_at: dict[tuple[str, int], float] = {}
         self._renewal_lock = asyncio.Lock()
         self._next_renewal_at = 0.0
@@ -290,6 +291,8 @@
         }
         for incarnation in [i for i in self._retry_at if i not in live]:
             del self._retry_at[incarnation]
+        for incarnation in [i for i in self._known_orders if i not in live]:
+            del self._known_orders[incarnation]
 
     async def _observe_idle_lease(self, now: float) -> None:
         """Read the lease if this host is one of the first standbys.
@@ -541,6 +544,13 @@
             return None
         self._record_answer(engine)
         report = read.unwrap()
+        if not self._is_current(engine, report):
+            detail = f'report from before an order: {report.orders} orders'
+            self._log_failure(
+                engine,
+                interfaces.CallFailure(interfaces.FailureKind.FAILED, detail),
+            )
+            return drains.REPORT_POLL_SECONDS
         newest = self._router.desired.get_newest_version(engine.model)
         loaded = report.weights.get(engine.model, 0)
         if loaded:
@@ -569,6 +579,19 @@
         order = attrs.evolve(engine, version=newest)
         return await self._send_order(order, report.orders, switch)
 
+    def _is_current(
+        self, engine: OutdatedEngine, report: ports.EngineReport
+    ) -> bool:
+        """Return False for the late copy of a report from before an order.
+
+        Reports bear no id, and the orders of an engine only grow. The same
+        number is believed when it is read again.
+        """
+        incarnation = engine.target.get_incarnation()
+        known = self._known_orders.get(incarnation, 0)
+        self._known_orders[incarnation] = report.orders
+        return report.orders >= known
+
     async def _read_report(
         self, engine: OutdatedEngine, now: float
     ) -> result.Result[ports.EngineReport, interfaces.CallFailure]:
@@ -625,6 +648,9 @@
             self._router.weights.record(
                 engine.target, engine.model, engine.version
             )
+        elif status == 202:
+            incarnation = engine.target.get_incarnation()
+            self._known_orders[incarnation] = orders + 1
         return (
             FIRST_REPORT_DELAY_SECONDS
             if status == 202
@@ -654,6 +680,11 @@
         incarnation = engine.target.get_incarnation()
         self._retry_at[incarnation] = now + UNREACHABLE_RETRY_SECONDS
         self._silence.record_failure(incarnation, failure, now)
+        self._log_failure(engine, failure)
+
+    def _log_failure(
+        self, engine: OutdatedEngine, failure: interfaces.CallFailure
+    ) -> None:
         self._router.sink.emit(
             events.Event.ORDER_FAILED,
             target=engine.target.name,
--- a/tests/core/forwarding/test_rollouts.py
+++ b/tests/core/forwarding/test_rollouts.py
@@ -329,6 +329,68 @@
     clocks.run(run())
 
 
+class CopyingEngines(Engines):
+    """Engines whose first report after an accepted order comes late.
+
+    A copy of the report before is read in its place. `rejected` counts the
+    orders that were rejected.
+    """
+
+    def __init__(self, fixture: call_fakes.RouterFixture) -> None:
+        super().__init__(fixture)
+        self.copies: dict[str, ports.EngineReport] = {}
+        self.rejected = 0
+        self._last: dict[str, ports.EngineReport] = {}
+
+    async def read_report(
+        self, target: catalog.LiveTarget
+    ) -> result.Result[ports.EngineReport, interfaces.CallFailure]:
+        """Return the engine's report, or the copy that is due."""
+        read = await super().read_report(target)
+        copy = self.copies.pop(target.name, None)
+        self._last[target.name] = read.unwrap()
+        return result.Success(copy) if copy else read
+
+    async def order_weights(
+        self,
+        target: catalog.LiveTarget,
+        order: ports.WeightsOrder,
+        may_send: abc.Callable[[], bool],
+    ) -> result.Result[int, interfaces.CallFailure]:
+        """Start to load, and send the last report once more."""
+        ordered = await super().order_weights(target, order, may_send)
+        if ordered.unwrap() == 202:
+            self.copies[target.name] = self._last[target.name]
+        else:
+            self.rejected += 1
+        return ordered
+
+
+def test_copy_of_a_report_from_before_an_order_is_not_believed(
+    case: support.Case,
+) -> None:
+    """A further order would follow from it, which the engine rejects."""
+
+    async def run() -> None:
+        fixture = create_fixture(3)
+        engines = CopyingEngines(fixture)
+        start(fixture, Store(), engines)
+        await asyncio.sleep(0.5)
+        for version in (2, 3):
+            fixture.set_state(None, {MODEL: version})
+            await asyncio.sleep(5.0)
+            loaded = [
+                engines.read_version(target)
+                for target in fixture.router.catalog.list_all()
+            ]
+            case.assertEqual([version] * 3, loaded)
+        case.assertEqual({}, engines.copies)
+        case.assertEqual(6, len(engines.accepted_orders))
+        case.assertEqual(0, engines.rejected)
+
+    clocks.run(run())
+
+
 def test_replaced_versions_are_skipped(case: support.Case) -> None:
     """An engine that has not started to load loads only the newest version."""
 
