Confirm a changed epoch of a KV cache store on a new connection

Cause: answers of KV cache stores bear no id, so a late copy of an earlier answer or of a 503 counted as the current state: all that hosts expected of the store was dropped, twice for a copied epoch.

Change: an answer that differs from the known state is read again on a new connection, which no copy precedes. It costs one read and one connection at each change, none else. Calls without an answer are believed at once, so that a dead store is known as fast as before.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/cache_store_watches.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/cache_store_watches.py
@@ -8,12 +8,15 @@
 from collections import abc
 
 from returns import pipeline as returns_pipeline
+from returns import result
 
 from pistachioseam import events
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import router as routers
+from pistachioseam import interfaces
 
+ReadResult = result.Result[ports.CacheStoreEpoch, interfaces.CallFailure]
 POLL_SECONDS = 1.0
 """Pause between two reads of a cache store's epoch; the platform charges for
 each read."""
@@ -22,6 +25,8 @@
 class CacheStoreWatch:
     """Polls the epochs of the KV cache stores that this host watches.
 
+    Answers bear no id, so one that shows a change may be the late copy of an
+    earlier one; it is confirmed on a new connection, which carries no copy.
     `should_watch` returns whether this host watches a domain's cache stores.
     Only one host in the cache store's region does: two hosts could disagree,
     and traffic between regions is expensive.
@@ -62,6 +67,10 @@
             return
         cursor = self._cursors.get(address, 0)
         read = await self._control.read_epoch(address, cursor)
+        if self._shows_change(address, read):
+            read = await self._control.read_epoch(
+                address, 0, needs_new_connection=True
+            )
         if returns_pipeline.is_successful(read):
             current = read.unwrap()
             self._cursors[address] = current.cursor
@@ -70,6 +79,16 @@
             self._cursors.pop(address, None)
             record_epoch(self._router, address, DOWN_EPOCH)
 
+    def _shows_change(self, address: str, read: ReadResult) -> bool:
+        """Return whether an answer shows another state than the known one."""
+        known = self._router.cache_store_epochs.get(address)
+        if known is None:
+            return False
+        if returns_pipeline.is_successful(read):
+            return read.unwrap().epoch != known
+        is_answer = read.failure().kind is interfaces.FailureKind.FAILED
+        return is_answer and known != DOWN_EPOCH
+
 
 DOWN_EPOCH = -1
 """Epoch of a cache store that does not respond."""
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -502,9 +502,10 @@
         """
 
     async def read_epoch(
-        self, address: str, after: int
+        self, address: str, after: int, *, needs_new_connection: bool = False
     ) -> result.Result[CacheStoreEpoch, interfaces.CallFailure]:
         """Return the current epoch of a KV cache store.
 
-        `after` is the cursor of the last read, 0 at first.
+        `after` is the cursor of the last read, 0 at first. An answer of an odd
+        status or content fails with the kind `FAILED`.
         """
--- a/tests/core/forwarding/test_cache_store_watches.py
+++ b/tests/core/forwarding/test_cache_store_watches.py
@@ -19,18 +19,27 @@
 
 
 class Control:
-    """Engine control with a cache store whose epoch the test sets."""
+    """Engine control with a cache store whose epoch the test sets.
+
+    `copies` are late copies of its earlier answers, which come on connections
+    that were used before.
+    """
 
     def __init__(self) -> None:
         self.epoch: int | None = 1
         self.cursors: list[int] = []
+        self.copies: list[
+            result.Result[ports.CacheStoreEpoch, interfaces.CallFailure]
+        ] = []
 
     async def read_epoch(
-        self, address: str, after: int
+        self, address: str, after: int, *, needs_new_connection: bool = False
     ) -> result.Result[ports.CacheStoreEpoch, interfaces.CallFailure]:
         """Return the epoch, or fail while there is none."""
         self.cursors.append(after)
         await asyncio.sleep(0.1)
+        if self.copies and not needs_new_connection:
+            return self.copies.pop()
         if self.epoch is None:
             return result.Failure(
                 call_fakes.create_failure(call_fakes.Kind.NOT_SENT)
@@ -38,6 +47,21 @@
         return result.Success(ports.CacheStoreEpoch(self.epoch, after + 10))
 
 
+async def start_and_fill(
+    fixture: call_fakes.RouterFixture, control: Control
+) -> None:
+    """Watch a cache store, and record that it has a prompt's parts."""
+    watch = cache_store_watches.CacheStoreWatch(
+        fixture.router,
+        typing.cast(ports.EngineControl, control),
+        lambda _: True,
+    )
+    fixture.runtime.start(watch.run())
+    await asyncio.sleep(1.5)
+    update = residency.CacheUpdate(STORE, 's', test_caches.PARTS)
+    plans.apply_cache_update(fixture.router, update, is_own=True)
+
+
 def test_restart_and_outage_are_detected(case: support.Case) -> None:
     """A restarted cache store counts as empty, and one that is down is unused.
 
@@ -49,13 +73,7 @@
         fixture = test_caches.create_fixture(2)
         router = fixture.router
         control = Control()
-        watch = cache_store_watches.CacheStoreWatch(
-            router, typing.cast(ports.EngineControl, control), lambda _: True
-        )
-        fixture.runtime.start(watch.run())
-        await asyncio.sleep(1.5)
-        update = residency.CacheUpdate(STORE, 's', test_caches.PARTS)
-        plans.apply_cache_update(router, update, is_own=True)
+        await start_and_fill(fixture, control)
 
         def count() -> int:
             return router.cache_models.count_prefix_tokens(
@@ -77,6 +95,36 @@
     clocks.run(run())
 
 
+def test_copy_of_an_earlier_answer_does_not_empty_a_store(
+    case: support.Case,
+) -> None:
+    """Prompts would be read again whose KV cache entries the store has."""
+    copies: tuple[
+        result.Result[ports.CacheStoreEpoch, interfaces.CallFailure], ...
+    ] = (
+        result.Failure(call_fakes.create_failure(call_fakes.Kind.FAILED)),
+        result.Success(ports.CacheStoreEpoch(1, 0)),
+    )
+
+    async def run() -> None:
+        fixture = test_caches.create_fixture(2)
+        router = fixture.router
+        control = Control()
+        control.epoch = 2
+        await start_and_fill(fixture, control)
+        for copy in copies:
+            control.copies.append(copy)
+            await asyncio.sleep(2.0)
+            case.assertEqual([], control.copies)
+            tokens = router.cache_models.count_prefix_tokens(
+                STORE, 's', test_caches.PARTS
+            )
+            case.assertEqual(6000, tokens)
+            case.assertEqual(2, router.cache_store_epochs[STORE])
+
+    clocks.run(run())
+
+
 def test_store_is_polled_once_a_second_from_its_cursor(
     case: support.Case,
 ) -> None:
--- a/tests/entry/test_targets.py
+++ b/tests/entry/test_targets.py
@@ -59,7 +59,9 @@
         """Answer the requests of a connection until it ends."""
         self.connections += 1
         copy = b''
-        with contextlib.suppress(asyncio.IncompleteReadError):
+        with contextlib.suppress(
+            asyncio.IncompleteReadError, ConnectionResetError
+        ):
             while True:
                 head = await reader.readuntil(b'\r\n\r\n')
                 fields = head.lower().split(b'\r\n')
@@ -92,21 +94,30 @@
 
 
 @contextlib.asynccontextmanager
-async def run_target(
-    *responses: bytes,
-) -> abc.AsyncIterator[tuple[CopyingTarget, targets.HttpTargetClient]]:
-    """Run a target and a client of it."""
+async def run_server(*responses: bytes) -> abc.AsyncIterator[CopyingTarget]:
+    """Run a target on a free port."""
     target = CopyingTarget(*responses)
     server = await asyncio.start_server(target.serve, '127.0.0.1')
     port = server.sockets[0].getsockname()[1]
     target.address = f'127.0.0.1:{port}'
+    try:
+        yield target
+    finally:
+        server.close()
+
+
+@contextlib.asynccontextmanager
+async def run_target(
+    *responses: bytes,
+) -> abc.AsyncIterator[tuple[CopyingTarget, targets.HttpTargetClient]]:
+    """Run a target and a client of it."""
     reactor = reactors.get_reactor()
     former_resolver = reactor.installNameResolver(AddressResolver())
     try:
-        yield target, targets.HttpTargetClient(settings.Requests())
+        async with run_server(*responses) as target:
+            yield target, targets.HttpTargetClient(settings.Requests())
     finally:
         reactor.installNameResolver(former_resolver)
-        server.close()
 
 
 def create_request(
