Give calls that tests have in flight together ids of their own

Three tests sent unlike calls that may run only once beside each other, all under the fake's one request id, as no id was looked at. They check what they checked: test_hot_part_spreads_over_engines, test_parts_in_flight_at_crashes_ are_served and the other tests of its Fleet, test_overload_is_refused_not_queued. The last one counts as refused only what is refused as overloaded, so that no other refusal can stand in for it.

--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -176,7 +176,8 @@
             now = asyncio.get_running_loop().time()
             self._free_at = max(self._free_at, now) + self.prefill_seconds
             await asyncio.sleep(self._free_at - now)
-            return result.Success(respond(chunks=(event(1),)))
+            response = respond(chunks=(event(1),), request_id=call.request_id)
+            return result.Success(response)
         steps_ = self.script.pop(0)
         for step in steps_:
             if isinstance(step, float):
--- a/tests/core/forwarding/test_caches.py
+++ b/tests/core/forwarding/test_caches.py
@@ -176,11 +176,14 @@
         fixture = create_fixture(4)
         used_engines: set[str] = set()
         for number in range(24):
-            fixture.targets.script = [
-                [call_fakes.respond(chunks=(call_fakes.event(1), 60.0))]
-            ]
+            response = call_fakes.respond(
+                chunks=(call_fakes.event(1), 60.0), request_id=f'call-{number}'
+            )
+            fixture.targets.script = [[response]]
             call = fixture.create_call(
-                '/stream/', create_prompt('hot', number)
+                '/stream/',
+                create_prompt('hot', number),
+                request_id=f'call-{number}',
             )
             fixture.runtime.start(_serve(fixture, call))
             await clocks.run_pending()
--- a/tests/core/forwarding/test_crash_evidence.py
+++ b/tests/core/forwarding/test_crash_evidence.py
@@ -65,17 +65,18 @@
             output_tokens=5,
             parts=tuple(prompts.Part(name, 5) for name in (*names, own)),
         )
-        return host.create_call('/stream/', prompt, body=own.encode())
+        return host.create_call(
+            '/stream/', prompt, body=own.encode(), request_id=own
+        )
 
-    async def serve(
-        self, number: int, *names: str, answer: typing.Any = None
-    ) -> calls.Call:
+    async def serve(self, number: int, *names: str) -> calls.Call:
         """Run a call with the given shared parts; its target serves it."""
         host = self.hosts[number]
-        host.targets.script = [
-            [answer or call_fakes.respond(chunks=(call_fakes.event(1),))]
-        ]
         call = self._create_call(host, names)
+        answer = call_fakes.respond(
+            chunks=(call_fakes.event(1),), request_id=call.request_id
+        )
+        host.targets.script = [[answer]]
         await routers.run_filters(call, host.router)
         self.exchange()
         return call
@@ -89,20 +90,21 @@
         """
         host = self.hosts[number]
         failure = call_fakes.create_failure(call_fakes.Kind.BROKEN)
+        crashing = [self._create_call(host, names) for names in parts]
         host.targets.script = [
             [0.02, failure]
             if not answered
             else [
                 call_fakes.respond(
-                    chunks=(call_fakes.event(1), answered, failure)
+                    chunks=(call_fakes.event(1), answered, failure),
+                    request_id=call.request_id,
                 )
             ]
-            for _ in parts
+            for call in crashing
         ]
         host.targets.crashed_addresses = {
             target.address for target in host.router.catalog.list_all()
         }
-        crashing = [self._create_call(host, names) for names in parts]
         await asyncio.gather(
             *(routers.run_filters(call, host.router) for call in crashing)
         )
--- a/tests/core/forwarding/test_placement.py
+++ b/tests/core/forwarding/test_placement.py
@@ -8,6 +8,7 @@
 from pistachioseam.forwarding import prompts
 from pistachioseam.forwarding import residency
 from pistachioseam.forwarding import router as routers
+from pistachioseam import refusals
 from tests import call_fakes
 from tests import clocks
 from tests import support
@@ -132,19 +133,24 @@
         fixture.targets.prefill_seconds = 1000 / 40_000
         late, served, refused = 0, 0, 0
 
-        async def send_call() -> None:
+        async def send_call(number: int) -> None:
             nonlocal late, served, refused
-            call = fixture.create_call('/stream/', PROMPT)
+            call = fixture.create_call(
+                '/stream/', PROMPT, request_id=f'call-{number}'
+            )
             started = fixture.runtime.now()
             await routers.run_filters(call, fixture.router)
             served += call.is_served
-            refused += not call.is_served
+            refused += (
+                call.refusal is not None
+                and call.refusal.reason is refusals.Reason.OVERLOADED
+            )
             elapsed = fixture.runtime.now() - started
             # The objective is 1 s; calls expected within 1.2 s are admitted.
             late += call.is_served and elapsed > 1.26
 
-        for _ in range(400):
-            fixture.runtime.start(send_call())
+        for number in range(400):
+            fixture.runtime.start(send_call(number))
             await asyncio.sleep(1 / 80)
         await asyncio.sleep(3.0)
         case.assertEqual(0, late)
