Send a call in progress no second time under its id

Callers saw an order run twice: they lost patience or their connection, sent the order again under its request id, and the host sent it to a target at once although the first one went on, as a call that may run only once does after its caller has left. Ordinary HTTP clients repeat a request unchanged.

The forward step holds each call that may run only once, by account and id, as long as it works on it, sent or waiting. The same id meanwhile gets 502, reason in_progress, outcome unknown, at once: 408, 421, 429 and 503 would promise that it never runs. For the same reason the listener turns a 503 of a stopping host, or of one whose keys are stale, into this refusal while the first call is in progress. Ids of ended calls are not remembered, other hosts are not asked, and a relaying host does not check. Safe and resumable calls are not held.

Without the changes to forward and call_listener, test_call_in_progress_is_not_ sent_again_under_its_id fails with 2 sends instead of 1, test_call_goes_on_alone_after_its_caller_has_left and test_impatient_caller_ gets_the_answer_of_its_first_try with 200 instead of 502, and test_stopping_ host_promises_nothing_of_a_call_in_progress with 503; all pass now.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
@@ -11,6 +11,7 @@
 from twisted.web import server
 
 from pistachioseam import events
+from pistachioseam.forwarding import call_refusals
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import delivery
 from pistachioseam.forwarding import desired
@@ -163,6 +164,7 @@
             request.setHeader('connection', 'close')
         try:
             await self._run_filters(request, call)
+            call.refusal = call_refusals.restate_refusal(call, self._router)
             if call.refusal is not None:
                 await reply.refuse(call.request_id, call.refusal)
         except asyncio.CancelledError:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/call_refusals.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/call_refusals.py
@@ -2,6 +2,8 @@
 
 from pistachioseam.forwarding import admission
 from pistachioseam.forwarding import calls
+from pistachioseam.forwarding import delivery
+from pistachioseam.forwarding import router as routers
 from pistachioseam.forwarding import selection
 from pistachioseam import interfaces
 from pistachioseam import refusals
@@ -125,3 +127,35 @@
         'the deadline passed before any target accepted the call',
         retry_after_seconds=RETRY_AFTER_SECONDS,
     )
+
+
+def refuse_in_progress() -> refusals.Refusal:
+    """Refuse a call that this host already works on under the same id."""
+    return refusals.Refusal(
+        502,
+        refusals.Reason.IN_PROGRESS,
+        'a call with this request id is in progress',
+        refusals.Outcome.UNKNOWN,
+    )
+
+
+def restate_refusal(
+    call: calls.Call, router: routers.CallRouter
+) -> refusals.Refusal | None:
+    """Return a call's refusal, without a promise about one in progress.
+
+    A call may be refused before its route and account are known.
+    """
+    refusal = call.refusal
+    if (
+        refusal is None
+        or refusal.status not in delivery.NOT_RUN_STATUSES
+        or call.is_retryable()
+    ):
+        return refusal
+    state = router.desired.state
+    account = state.find_account(call.head.key) if state else None
+    names = {'', account.name} if account else {''}
+    if any(router.in_progress.is_held(n, call.request_id) for n in names):
+        return refuse_in_progress()
+    return refusal
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -22,6 +22,7 @@
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import rate_limits
 from pistachioseam.forwarding import rate_permits
+from pistachioseam.forwarding import repeats
 from pistachioseam.forwarding import residency
 from pistachioseam.forwarding import software_versions
 from pistachioseam.forwarding import stream_origins
@@ -97,6 +98,9 @@
         factory=rendezvous.RendezvousHash
     )
     busy_until: dict[str, float] = attrs.field(factory=dict)
+    in_progress: repeats.CallsInProgress = attrs.field(
+        factory=repeats.CallsInProgress
+    )
     restore_listeners: list[abc.Callable[[], None]] = attrs.field(factory=list)
     store_era: int = 0
     target_doubts: doubts.TargetDoubts = attrs.field(init=False)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -43,6 +43,16 @@
 @routers.register('forward')
 async def forward_call(
     call: calls.Call, router: routers.CallRouter
+) -> filter_chains.FilterResult:
+    """Send the call unless it is in progress under its request id."""
+    with router.in_progress.hold(call) as is_alone:
+        if not is_alone:
+            return result.Failure(call_refusals.refuse_in_progress())
+        return await _forward_in_time(call, router)
+
+
+async def _forward_in_time(
+    call: calls.Call, router: routers.CallRouter
 ) -> filter_chains.FilterResult:
     """Send the call and deliver the response before its deadline."""
     assert call.service is not None
--- a/packages/pistachioseam/src/pistachioseam/refusals.py
+++ b/packages/pistachioseam/src/pistachioseam/refusals.py
@@ -35,6 +35,7 @@
     NOT_READY = 'not_ready'
     TARGET_FAILED = 'target_failed'
     OUTCOME_UNKNOWN = 'outcome_unknown'
+    IN_PROGRESS = 'in_progress'
     INTERNAL_ERROR = 'internal_error'
     CALLER_LEFT = 'caller_left'
     """Only recorded; the caller has disconnected and gets no response."""
