--- a/tests/core/forwarding/test_repeats.py
+++ b/tests/core/forwarding/test_repeats.py
@@ -215,24 +215,27 @@
 def send_again(
     case: support.Case, *script: call_fakes.Step, status: int
 ) -> None:
-    """Check that a call with some end is sent again, at the same host."""
+    """Check that a call with some end is sent again, by any host."""
 
-    async def run() -> None:
-        fixture = create_fixture()
-        call, _ = await fixture.serve('/once/', script, script, script, script)
-        refused = call.refusal.status if call.refusal else call.status
-        case.assertEqual(status, refused)
-        sent = len(fixture.targets.sent)
-        again, _ = await fixture.serve('/once/', [respond()])
+    async def run(prefix: str, is_same: bool) -> None:
+        targets = call_fakes.ScriptedTargets()
+        hosts = [create_fixture(targets) for _ in range(2)]
+        call, _ = await hosts[0].serve(prefix, script, script, script, script)
+        found = call.refusal.status if call.refusal else call.status
+        case.assertEqual(status, found)
+        sent = len(targets.sent)
+        again, _ = await hosts[not is_same].serve(prefix, [answer()])
         case.assertTrue(again.is_served)
-        case.assertEqual(sent + 1, len(fixture.targets.sent))
+        case.assertEqual(sent + 1, len(targets.sent))
 
-    clocks.run(run())
+    for prefix in ONCE_PREFIXES:
+        for is_same in (True, False):
+            clocks.run(run(prefix, is_same))
 
 
 def test_call_runs_again_after_its_answer(case: support.Case) -> None:
     """Line 200 of the table in `http.md`."""
-    send_again(case, respond(), status=200)
+    send_again(case, answer(), status=200)
 
 
 def test_call_is_sent_again_after_an_unknown_outcome(
@@ -251,7 +254,7 @@
 
 def test_call_is_sent_again_after_its_deadline(case: support.Case) -> None:
     """Line 504 of the table in `http.md`."""
-    send_again(case, 60.0, respond(), status=504)
+    send_again(case, 60.0, answer(), status=504)
 
 
 def test_other_host_sends_a_call_under_the_same_id(
--- a/tests/entry/test_repeated_calls.py
+++ b/tests/entry/test_repeated_calls.py
@@ -5,10 +5,12 @@
 import json
 import typing
 
+import attrs
 from twisted.internet import error
 from twisted.internet import testing
 from twisted.python import failure
 
+from pistachioseam.forwarding import notices
 from pistachioseam_entry import call_listener
 from pistachioseam_entry import metrics
 from pistachioseam_entry import reactors
@@ -17,6 +19,9 @@
 from tests import support
 
 RUN_SECONDS = 0.1
+PAUSE_SECONDS = 0.1
+"""Pause of a target that is short enough for a call to wait."""
+LAST_CHUNK = b'0\r\n\r\n'
 TEST_TIMEOUT_SECONDS = 10.0
 
 
@@ -24,18 +29,22 @@
     """Connection of a caller on which one call under `REQUEST_ID` is sent."""
 
     def __init__(
-        self, listener: call_listener.CallListener, prefix: str
+        self,
+        listener: call_listener.CallListener,
+        prefix: str,
+        missing_bytes: int = 0,
     ) -> None:
         self._protocol: typing.Any = listener.create_site().buildProtocol(None)
         self._transport = testing.StringTransport()
         self._protocol.makeConnection(self._transport)
         self._protocol.dataReceived(
             b'POST %bx HTTP/1.1\r\nHost: host.example\r\n'
-            b'%b: %b\r\nContent-Length: 0\r\n\r\n'
+            b'%b: %b\r\nContent-Length: %d\r\n\r\n'
             % (
                 prefix.encode(),
                 headers.REQUEST_ID,
                 call_fakes.REQUEST_ID.encode(),
+                missing_bytes,
             )
         )
 
@@ -43,6 +52,12 @@
         """Close the connection."""
         self._protocol.connectionLost(failure.Failure(error.ConnectionDone()))
 
+    async def wait_until_closed(self) -> bytes:
+        """Return the response once the host has closed the connection."""
+        while not self._transport.disconnecting:
+            await asyncio.sleep(0.001)
+        return self._transport.value()
+
     async def receive(self) -> tuple[int, str]:
         """Return the status, and the code if it is a refusal's."""
         while b'\r\n\r\n' not in self._transport.value():
@@ -172,6 +187,70 @@
     run(work)
 
 
+def test_call_that_waited_never_runs_after_its_caller_has_left(
+    case: support.Case,
+) -> None:
+    """Only the second try runs."""
+
+    async def work(host: Host) -> None:
+        for target in host.fixture.router.catalog.list_all():
+            host.fixture.router.notices.record(
+                target.get_incarnation(),
+                notices.Notice(retry_after_seconds=PAUSE_SECONDS),
+                host.fixture.runtime.now(),
+            )
+        first = await host.send('/once/')
+        case.assertEqual(1, host.listener.active_requests)
+        first.leave()
+        again = await host.send('/once/')
+        case.assertEqual(0, host.count_sent())
+        case.assertEqual((200, ''), await again.receive())
+        case.assertEqual(1, host.count_sent())
+
+    run(work)
+
+
+def test_stream_that_broke_is_sent_again(case: support.Case) -> None:
+    """Its caller, whose connection the host has closed, knows no outcome."""
+
+    async def work(host: Host) -> None:
+        broken = call_fakes.create_failure(call_fakes.Kind.BROKEN)
+        host.fixture.targets.script.insert(
+            0, [call_fakes.respond(chunks=(call_fakes.event(1), broken))]
+        )
+        first = await host.send('/stream/')
+        response = await first.wait_until_closed()
+        case.assertIn(call_fakes.event(1), response)
+        case.assertFalse(response.endswith(LAST_CHUNK))
+        again = await host.send('/stream/')
+        case.assertEqual((200, ''), await again.receive())
+        case.assertEqual(2, host.count_sent())
+
+    run(work)
+
+
+def test_call_that_came_too_slowly_is_sent_when_it_comes_again(
+    case: support.Case,
+) -> None:
+    """A try that is answered 408 has not run."""
+
+    async def work(host: Host) -> None:
+        state = host.fixture.router.desired.state
+        assert state is not None
+        limits = attrs.evolve(
+            state.limits, header_seconds=RUN_SECONDS, idle_seconds=RUN_SECONDS
+        )
+        host.fixture.set_state(attrs.evolve(state, version=2, limits=limits))
+        first = Caller(host.listener, '/once/', missing_bytes=1)
+        response = await first.wait_until_closed()
+        case.assertTrue(response.startswith(b'HTTP/1.1 408 '), response)
+        again = await host.send('/once/')
+        case.assertEqual((200, ''), await again.receive())
+        case.assertEqual(1, host.count_sent())
+
+    run(work)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
