Test callers that send a rejected call again under its id

Two targets reject an order or a stream, the caller sends it again under its id, and late copies of the rejections come on kept connections.

The shared check also wants that some call was served, so that it cannot pass before a host that refuses all.

--- a/tests/failures/test_forwarding.py
+++ b/tests/failures/test_forwarding.py
@@ -251,16 +251,21 @@
 
 
 def check_copies_decide_nothing(
-    case: support.Case, behaviours: tuple[str, ...]
+    case: support.Case, behaviours: tuple[str, ...], keeps_id: bool = False
 ) -> None:
-    """Check that orders and streams run at most once, refused ones never."""
+    """Check that orders and streams run at most once, refused ones never.
+
+    A caller that keeps its id sends the same request with all behaviours.
+    """
     running = start_fleet(case, hosts=1, engines=2, plain=2)
     host = running.entries[0].address
     for prefix in ('/once/', '/stream/'):
         statuses: dict[str, int] = {}
         for number in range(COPY_ROUNDS):
             for behaviour in behaviours:
-                request_id = f'{number}-{prefix}{behaviour}'
+                request_id = f'{number}-{prefix}'
+                if not keeps_id:
+                    request_id += behaviour
                 response = send(
                     host, prefix + behaviour, request_id=request_id
                 )
@@ -270,6 +275,7 @@
             case.assertLessEqual(runs[request_id], 1, request_id)
             if status == 503:
                 case.assertEqual(0, runs[request_id], request_id)
+        case.assertIn(200, statuses.values())
 
 
 def test_late_copies_of_rejections_decide_about_no_other_call(
@@ -279,6 +285,13 @@
     check_copies_decide_nothing(case, ('copy', 'whole', 'again'))
 
 
+def test_late_copies_of_rejections_decide_about_no_repeat_of_their_call(
+    case: support.Case,
+) -> None:
+    """The same when a caller sends a rejected request again under its id."""
+    check_copies_decide_nothing(case, ('copy', 'whole'), keeps_id=True)
+
+
 def test_torn_copies_of_rejections_decide_about_no_other_call(
     case: support.Case,
 ) -> None:
