Be ready only when the versions of all targets are listed

A host whose write of a software version met another host's counted that as an update, so that it was ready before it might begin streams at its targets, and forgot the rows until the next check, 0.1 s later. Now it reads them again at once, which mostly shows that the other host has listed the same version, and is ready when no version of its targets is unlisted, as before 3 s after the start at the latest.

test_host_is_ready_only_when_it_may_begin_streams fails before and passes now.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/software_versions.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/software_versions.py
@@ -108,7 +108,9 @@
             is_updated = await self.update()
             seconds = self._runtime.now() - started_at
             if self._targets.has_synced() and self._state.state is not None:
-                self._has_synced |= is_updated or seconds > UNLISTED_SECONDS
+                self._has_synced |= seconds > UNLISTED_SECONDS or (
+                    is_updated and not self._list_unlisted()
+                )
             if not is_updated:
                 jitter = 0.5 + self._random.random()
                 await self._runtime.sleep(RETRY_SECONDS * jitter)
@@ -209,9 +211,11 @@
                 attrs.evolve(row, versions=tuple(sorted(versions)))
             )
             if not returns_pipeline.is_successful(written):
+                if written.failure().is_conflict:
+                    continue
                 # The next check reads the rows again.
                 self._rows = {}
-                return written.failure().is_conflict
+                return False
             self._sink.emit(
                 events.Event.SOFTWARE_VERSIONS_CHANGED,
                 service=service,
--- a/tests/core/forwarding/test_software_versions.py
+++ b/tests/core/forwarding/test_software_versions.py
@@ -126,6 +126,28 @@
     clocks.run(run())
 
 
+def test_host_is_ready_only_when_it_may_begin_streams(
+    case: support.Case,
+) -> None:
+    """Hosts that start at once meet conflicts, which list no version."""
+
+    async def run() -> None:
+        store = row_stores.RowStore()
+        hosts = [Host(store, f'v{number}') for number in range(9)]
+        for host in hosts:
+            host.runtime.start(host.software.run())
+        has_begun = [False] * len(hosts)
+        for _ in range(2000):
+            await asyncio.sleep(0.001)
+            for number, host in enumerate(hosts):
+                if host.software.has_synced() and not has_begun[number]:
+                    has_begun[number] = True
+                    case.assertTrue(host.may_begin(f'v{number}'))
+        case.assertEqual([True] * len(hosts), has_begun)
+
+    clocks.run(run())
+
+
 def test_silent_store_holds_no_caller_for_long(case: support.Case) -> None:
     """Its calls end only after a second; no stale rows are taken for new."""
 
