Let a call wait while the version of its only targets is being listed

The known red test_interrupted_stream_is_resumed showed what callers see: 503 "the service has no ready target" from a host that knew ready engines.

Cause, from the logs of three failed runs: the refused call came 73, 91 and 112 ms after the entries of the engines had been read. The check of versions runs each 0.1 s, and its first one came before the entries; so their version was not listed yet, and no stream may begin at an unlisted one. The same gap opens at any host, long ready, when the first target of a new version appears and no other serves. A call that only waits for the listing now makes the check run at once and waits for it, for 0.5 s at the longest (as for rows before); while the store fails it is refused at once. No stream begins at an unlisted version, as before.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -1,5 +1,6 @@
 """Placement of a call on one of the live targets of its service."""
 
+from collections import abc
 import hashlib
 
 from pistachioseam.forwarding import calls
@@ -52,17 +53,10 @@
     preference that some of them meet, in this order: not leaving, not tried by
     this call, healthy, neither busy nor draining or loading.
     """
-    assert call.service is not None
     now = router.runtime.now()
-    ready = [
-        target
-        for target in router.catalog.list_service(call.service.name)
-        if router.catalog.is_available(target)
-        and router.notices.accepts_calls(target, now)
-        and not router.get_pause_seconds(target, now)
-        and _fits_stream(call, router, target)
-    ]
-    ready = _filter_by_weights(call, router, ready)
+    ready = _list_ready(
+        call, router, lambda target: _fits_stream(call, router, target)
+    )
     ready = [
         target for target in ready if not router.notices.is_leaving(target)
     ] or ready
@@ -81,6 +75,34 @@
     ] or eligible
 
 
+def _list_ready(
+    call: calls.Call,
+    router: routers.CallRouter,
+    fits_stream: abc.Callable[[catalog.LiveTarget], bool],
+) -> list[catalog.LiveTarget]:
+    assert call.service is not None
+    now = router.runtime.now()
+    ready = [
+        target
+        for target in router.catalog.list_service(call.service.name)
+        if router.catalog.is_available(target)
+        and router.notices.accepts_calls(target, now)
+        and not router.get_pause_seconds(target, now)
+        and fits_stream(target)
+    ]
+    return _filter_by_weights(call, router, ready)
+
+
+def awaits_listing(call: calls.Call, router: routers.CallRouter) -> bool:
+    """Return whether a target may begin the call's stream once it is listed.
+
+    Its software version is known to this host, but not yet in the store.
+    """
+    return call.origin is None and bool(
+        _list_ready(call, router, router.software.is_being_listed)
+    )
+
+
 def _fits_stream(
     call: calls.Call, router: routers.CallRouter, target: catalog.LiveTarget
 ) -> bool:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/software_versions.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/software_versions.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections import abc
+import contextlib
 import typing
 
 import attrs
@@ -25,9 +26,10 @@
 from pistachioseam import interfaces
 
 STORE_WAIT_SECONDS = 0.5
-"""Longest wait of a call that resumes a stream for a read of the rows."""
+"""Longest wait of a call for the rows: for a read if it resumes a stream, for
+the listing of a target's version if it begins one."""
 CHECK_SECONDS = 0.1
-"""Pause between two checks of the targets' versions."""
+"""Pause between two checks of the targets' versions, unless a call waits."""
 RETRY_SECONDS = 0.3
 """Shortest pause after a failed call to the store, before jitter."""
 WRITE_SPREAD_SECONDS = 0.01
@@ -100,6 +102,9 @@
         self._reads_begun = 0
         self._is_last_read_ok = False
         self._has_synced = False
+        self._is_failing = False
+        self._wanted = runtime.create_signal()
+        self._updated = runtime.create_signal()
 
     async def run(self) -> None:
         """Keep the rows in line with the registered targets, forever."""
@@ -111,10 +116,31 @@
                 self._has_synced |= seconds > UNLISTED_SECONDS or (
                     is_updated and not self._list_unlisted()
                 )
+            self._report_update(is_updated)
             if not is_updated:
                 jitter = 0.5 + self._random.random()
                 await self._runtime.sleep(RETRY_SECONDS * jitter)
-            await self._runtime.sleep(CHECK_SECONDS)
+            await self._pause()
+
+    def _report_update(self, is_updated: bool) -> None:
+        """Wake the calls that wait for an update."""
+        self._is_failing = not is_updated
+        self._updated.set()
+        self._updated = self._runtime.create_signal()
+
+    async def _pause(self) -> None:
+        """Return when the next check is due, or a call waits for it."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CHECK_SECONDS):
+                await self._wanted.wait()
+        self._wanted = self._runtime.create_signal()
+
+    async def wait_for_update(self, max_seconds: float) -> None:
+        """Return after an update, which begins at once, or the given time."""
+        self._wanted.set()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(max_seconds):
+                await self._updated.wait()
 
     async def update(self) -> bool:
         """List new versions, retire old ones; return whether that worked."""
@@ -268,6 +294,17 @@
         seconds = now - sighting.first_seen_at
         return seconds > UNLISTED_SECONDS or self._is_in_row(*service_version)
 
+    def is_being_listed(self, target: catalog.LiveTarget) -> bool:
+        """Return whether streams may soon begin at a target, but not yet.
+
+        False if the store fails, which may take long.
+        """
+        return (
+            not self._is_failing
+            and target.service in self._list_services()
+            and not self.may_begin_streams(target)
+        )
+
     def has_several(self) -> bool:
         """Return whether a service may have streams of several versions."""
         versions: dict[str, set[str]] = {}
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -16,6 +16,7 @@
 from pistachioseam.forwarding import placement
 from pistachioseam.forwarding import router as routers
 from pistachioseam.forwarding import selection
+from pistachioseam.forwarding import software_versions
 from pistachioseam.forwarding.steps import authenticate
 from pistachioseam import interfaces
 from pistachioseam import proofs
@@ -104,6 +105,9 @@
     Everything that may change during the wait is checked again each time.
     """
     max_doubt_at = router.runtime.now() + MAX_DOUBT_SECONDS
+    max_listing_at = (
+        router.runtime.now() + software_versions.STORE_WAIT_SECONDS
+    )
     while True:
         key_check = authenticate.check_key_freshness(call, router)
         if router.quarantine.is_quarantined(crashes.digest_call(call)):
@@ -124,6 +128,10 @@
             if is_doubtful and router.runtime.now() < max_doubt_at:
                 await router.runtime.sleep(DOUBT_CHECK_SECONDS)
                 continue
+            listing_seconds = max_listing_at - router.runtime.now()
+            if listing_seconds > 0 and placement.awaits_listing(call, router):
+                await router.software.wait_for_update(listing_seconds)
+                continue
             pause = placement.get_pause_seconds(call, router)
             if pause is not None and _can_wait(call, router, pause):
                 await router.runtime.sleep(pause)
--- a/tests/core/forwarding/test_software_versions.py
+++ b/tests/core/forwarding/test_software_versions.py
@@ -5,12 +5,14 @@
 import attrs
 
 from pistachioseam.forwarding import software_versions
+from pistachioseam.forwarding import stream_origins
 from tests import call_fakes
 from tests import clocks
 from tests import row_stores
 from tests import support
 
 SERVICE = call_fakes.ENGINE_SERVICE
+EVENT = call_fakes.event(1)
 MANY_SECONDS = 2 * software_versions.RETIRE_SECONDS
 
 
@@ -26,6 +28,15 @@
         target = call_fakes.create_target(9, SERVICE, software_version=version)
         return self.software.may_begin_streams(target)
 
+    async def begin_stream(self, **fields: str) -> tuple[int, float]:
+        """Return the status of a call for a stream, and its seconds."""
+        start = self.runtime.now()
+        call, reply = await self.serve(
+            '/resumable/', [call_fakes.respond(chunks=(EVENT,))], **fields
+        )
+        status = call.refusal.status if call.refusal else reply.status
+        return status, self.runtime.now() - start
+
 
 def test_streams_begin_only_at_listed_versions(case: support.Case) -> None:
     """A host that is lost right after has left word of the version."""
@@ -126,6 +137,79 @@
     clocks.run(run())
 
 
+def test_call_right_after_the_start_waits_for_the_listing(
+    case: support.Case,
+) -> None:
+    """The host has read the targets; it has yet to list their version."""
+
+    async def run() -> None:
+        host = Host(row_stores.RowStore())
+        host.runtime.start(host.software.run())
+        await asyncio.sleep(software_versions.CHECK_SECONDS / 2)
+        host.add_target(call_fakes.create_engines('v1')[0])
+        status, seconds = await host.begin_stream()
+        case.assertEqual(200, status)
+        case.assertTrue(host.may_begin('v1'))
+        case.assertLess(seconds, software_versions.CHECK_SECONDS / 2)
+
+    clocks.run(run())
+
+
+def test_calls_are_refused_at_once_while_the_store_fails(
+    case: support.Case,
+) -> None:
+    """A version that cannot be listed keeps no caller waiting."""
+
+    async def run() -> None:
+        store = row_stores.RowStore()
+        host = Host(store, 'v1')
+        store.is_down = True
+        host.runtime.start(host.software.run())
+        await asyncio.sleep(0.0)
+        case.assertEqual(503, (await host.begin_stream())[0])
+        case.assertEqual((503, 0.0), await host.begin_stream())
+        store.is_down = False
+        await asyncio.sleep(software_versions.UNLISTED_SECONDS / 2)
+        case.assertEqual((200, 0.0), await host.begin_stream())
+
+    clocks.run(run())
+
+
+def test_silent_store_holds_no_new_stream_for_long(
+    case: support.Case,
+) -> None:
+    """Its responses come only after seconds."""
+
+    async def run() -> None:
+        store = row_stores.RowStore()
+        store.read_seconds = 30.0
+        host = Host(store, 'v1')
+        host.runtime.start(host.software.run())
+        status, seconds = await host.begin_stream()
+        case.assertEqual(503, status)
+        case.assertLessEqual(seconds, software_versions.STORE_WAIT_SECONDS)
+
+    clocks.run(run())
+
+
+def test_unlisted_version_holds_no_stream_of_another(
+    case: support.Case,
+) -> None:
+    """A stream of a version that has left cannot go on after the listing."""
+
+    async def run() -> None:
+        host = Host(row_stores.RowStore(), 'v1')
+        origin = stream_origins.StreamOrigin(SERVICE, 'v0')
+        key = stream_origins.compute_key('', 'first')
+        host.router.stream_origins.record(key, origin, host.runtime.now())
+        found = await host.begin_stream(
+            resumed_request_id='first', after_event='1'
+        )
+        case.assertEqual((503, 0.0), found)
+
+    clocks.run(run())
+
+
 def test_host_is_ready_only_when_it_may_begin_streams(
     case: support.Case,
 ) -> None:
