Soak, rehearsals: report an id that comes again on its connection (REPEATED)

The rule that the pool holds, one connection carries a request id once, had no check where all hosts and servers are processes. The stand-ins log each request whose id its connection has carried, however that was answered, and soak and rehearsals report each as REPEATED, a name of our own.

test_id_that_comes_again_on_its_connection_is_found sends raw requests to an adversarial server, and fails without the record.

--- a/packages/pistachioseam-standins/src/pistachioseam_standins/adversarial_server.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/adversarial_server.py
@@ -170,6 +170,7 @@
         request.body, self._buffer = rest[:length], rest[length:]
         self._is_busy = True
         self._request_count += 1
+        self._server.record_arrival(self, request.get_id())
         self._write(self._late_copy)
         self._late_copy = b''
         self._serve(request)
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/fleet.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/fleet.py
@@ -260,17 +260,25 @@
         return [fields[0] for fields in self.list_logged_runs()]
 
     def list_logged_runs(self) -> list[list[str]]:
-        """Return what the servers' logs say of each execution.
+        """Return what the servers' logs say of each execution."""
+        return self._list_logged(fleet_server.RUN_LOG_PREFIX)
 
-        The fields are those after `fleet_server.RUN_LOG_PREFIX`.
-        """
+    def list_logged_repeats(self) -> list[str]:
+        """Return the ids that came again on their connections to servers."""
+        return [
+            fields[0]
+            for fields in self._list_logged(fleet_server.REPEAT_LOG_PREFIX)
+        ]
+
+    def _list_logged(self, prefix: str) -> list[list[str]]:
+        """Return the fields after a prefix in the servers' logs."""
         return [
             fields.split(' ')
             for path in self.folder.glob('*.log')
             for line in path.read_text(errors='replace').splitlines()
-            if line.startswith(fleet_server.RUN_LOG_PREFIX)
+            if line.startswith(prefix)
             # The line of a server that was killed may lack its end.
-            for fields in line.split(fleet_server.RUN_LOG_PREFIX)[1:]
+            for fields in line.split(prefix)[1:]
         ]
 
     def list_executed_request_ids(
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
@@ -70,6 +70,9 @@
 """Prefix of the log line of each execution, before the request's id; engines
 add the weights version, and the monotonic times, in seconds, at which the
 request arrived and began."""
+REPEAT_LOG_PREFIX = 'repeated '
+"""Prefix of the log line of each request that comes on a connection that has
+carried its id before."""
 REJECTION = (
     b'HTTP/1.1 503 Service Unavailable\r\n'
     b'X-Pistachioseam-Request-Id: %b\r\n'
@@ -127,6 +130,9 @@
         self._late_copies: weakref.WeakKeyDictionary[typing.Any, bytes] = (
             weakref.WeakKeyDictionary()
         )
+        self._carried_ids: weakref.WeakKeyDictionary[typing.Any, set[str]] = (
+            weakref.WeakKeyDictionary()
+        )
         self._started_ms = time.time_ns() // 1_000_000
         self._agent = client.Agent(_REACTOR, connectTimeout=1.0)
         self._heartbeat_count = 0
@@ -276,6 +282,7 @@
         request_id = request.getHeader('x-pistachioseam-request-id') or ''
         request.setHeader('x-pistachioseam-request-id', request_id)
         request.setHeader('keep-alive', f'timeout={IDLE_SECONDS}')
+        self.record_arrival(request.channel, request_id)
         self._send_late_copy(request.channel)
         behaviour = request.path.decode().rpartition('/')[2]
         self.is_leaving = self.is_leaving or behaviour == 'leave'
@@ -359,6 +366,14 @@
             return bytes(LARGE_BYTES)
         return request.content.read() or request.uri
 
+    def record_arrival(self, connection: typing.Any, request_id: str) -> None:
+        """Log a request whose id its connection has carried before."""
+        carried = self._carried_ids.setdefault(connection, set())
+        if request_id in carried:
+            _log(REPEAT_LOG_PREFIX + request_id)
+        if request_id:
+            carried.add(request_id)
+
     def create_recorder(self, request_id: str) -> typing.Callable[[], None]:
         """Return what records the execution of a request that has arrived."""
         arrived_at = time.monotonic()
@@ -373,9 +388,7 @@
                 f' {self.weights_version} {arrived_at:.3f}'
                 f' {time.monotonic():.3f}'
             )
-        # Flushed so that the log keeps the execution if the process crashes.
-        sys.stdout.write(line + '\n')
-        sys.stdout.flush()
+        _log(line)
 
     async def _stream_events(
         self, request: typing.Any, behaviour: str, run: run_queues.Run
@@ -405,6 +418,12 @@
                 return
 
 
+def _log(line: str) -> None:
+    """Write a line of the log; it is kept if the process crashes."""
+    sys.stdout.write(line + '\n')
+    sys.stdout.flush()
+
+
 def _reject(request: typing.Any) -> bytes:
     """Reject a request as not executed; return the empty body."""
     request.setResponseCode(503)
--- a/tests/rehearsals/rehearsal.py
+++ b/tests/rehearsals/rehearsal.py
@@ -38,6 +38,7 @@
     'AGAIN',
     'REFUSED',
     'UNREAD',
+    'REPEATED',
     'MIXED',
     'LOST',
     'UNASKED',
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -68,8 +68,9 @@
 class Violation:
     """Broken promise about one call.
 
-    `rule` is the users' name of it; AGAIN (work that ran as several calls) and
-    UNREAD (a call that ran after a reset) are names of our own.
+    `rule` is the users' name of it; AGAIN (work that ran as several calls),
+    UNREAD (a call that ran after a reset) and REPEATED (an id that came again
+    on its connection to a server) are names of our own.
     """
 
     rule: str
@@ -113,6 +114,12 @@
     return violations
 
 
+def find_repeats(request_ids: abc.Iterable[str]) -> list[Violation]:
+    """Return the requests that came on connections that knew their ids."""
+    message = 'came again on its connection to a server'
+    return [Violation('REPEATED', message, name) for name in request_ids]
+
+
 def find_outdated_begins(
     begins: abc.Iterable[Begin],
     namings: abc.Collection[Naming],
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -175,9 +175,11 @@
         self, results: abc.Sequence[callers.CallResult]
     ) -> list[checks.Violation]:
         """Return what calls and runs have broken; all faults must be over."""
-        return checks.find_violations(
+        broken = checks.find_violations(
             results, self.list_logged_request_ids(), self.kills
-        ) + checks.find_outdated_begins(
+        )
+        broken += checks.find_repeats(self.list_logged_repeats())
+        return broken + checks.find_outdated_begins(
             self.list_begins(),
             self.namings,
             self.disturbances,
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -1,9 +1,18 @@
 """The checks of the soak test find each kind of violation."""
 
+import contextlib
+import pathlib
+
 import attrs
+import fixtures
+from twisted.internet import testing
 
+from pistachioseam_standins import adversarial_server
+from pistachioseam_standins import adversary
+from pistachioseam_standins import fleet
 from tests.soak import callers
 from tests.soak import checks
+from tests.soak import faults
 from tests import support
 
 HOST = '127.0.0.1:1'
@@ -69,6 +78,34 @@
     case.assertEqual([], checks.find_violations(results, ['id-2'], []))
 
 
+def test_id_that_comes_again_on_its_connection_is_found(
+    case: support.Case,
+) -> None:
+    """Servers log it; other connections may carry the id."""
+    server = adversarial_server.AdversarialServer(
+        *[''] * 6, faults=adversary.Faults(rejected=1.0, copied=0.0)
+    )
+    first, second = (adversarial_server.Connection(server) for _ in range(2))
+    folder = pathlib.Path(case.useFixture(fixtures.TempDir()).path)
+    running = faults.SoakFleet(fleet.FleetSpec(), folder)
+    path = folder / 'plain-1.log'
+    with path.open('w') as log, contextlib.redirect_stdout(log):
+        for connection in (first, second):
+            connection.makeConnection(testing.StringTransport())
+        for connection, name in (
+            *((first, 'id-1'), (second, 'id-1'), (first, 'id-2')),
+            *((first, 'id-1'), (first, ''), (first, '')),
+        ):
+            connection.dataReceived(
+                b'POST / HTTP/1.1\r\nX-Pistachioseam-Request-Id: %b'
+                b'\r\n\r\n' % name.encode()
+            )
+    found = running.find_violations([])
+    case.assertEqual(
+        [('REPEATED', 'id-1')], [(v.rule, v.request_id) for v in found]
+    )
+
+
 def test_call_that_ran_though_reset_as_unread_is_found(
     case: support.Case,
 ) -> None:
