Soak, rehearsals: send refused work again under its id, too

The seed now draws one of four ways: a new id at any host, and the same id on the same connection, on a new connection to the same host, or at another host.

The results of one id then share its runs. A caller numbers its repeats in a header, which hosts pass on; servers log the number with the run, and callers send it as the body. So each run belongs to the sending that reached the server, without any comparison of times: REFUSED, UNREAD and LOST are checked for each sending, UNASKED and the body of a whole response, too. TWICE counts all sendings under an id, once for the id; AGAIN counts different ids of a work. For calls that are sent once nothing changes: all tests of the checks are as they were. test_refused_call_may_run_when_it_is_sent_again_under_its_id holds what is found: a run of the refused sending, beside one of the later, a second run of the later, a run of either when both are refused.

--- a/packages/pistachioseam-standins/src/pistachioseam_standins/adversarial_server.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/adversarial_server.py
@@ -75,7 +75,12 @@
             fleet_server.read_seconds_left(
                 request.headers.get('x-pistachioseam-deadline-ms')
             ),
-            self.create_recorder(request.get_id()),
+            self.create_recorder(
+                fleet_server.name_sending(
+                    request.get_id(),
+                    request.headers.get(fleet_server.REPEAT_HEADER),
+                )
+            ),
         )
 
     def create_body(self, request: 'Request') -> bytes:
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
@@ -67,9 +67,9 @@
 or go on."""
 MS_PER_SECOND = 1000.0
 RUN_LOG_PREFIX = 'ran '
-"""Prefix of the log line of each execution, before the request's id; engines
-add the weights version, and the monotonic times, in seconds, at which the
-request arrived and began."""
+"""Prefix of the log line of each execution, before the name of the sending;
+engines add the weights version, and the monotonic times, in seconds, at which
+the request arrived and began."""
 REPEAT_LOG_PREFIX = 'repeated '
 """Prefix of the log line of each request that comes on a connection that has
 carried its id before."""
@@ -84,6 +84,8 @@
 )
 LATE_COPIES = {'copy': REJECTION, 'torn': TORN_REJECTION}
 """Second copy of a rejection by the behaviour of which it is a part."""
+REPEAT_HEADER = 'repeat'
+"""Header by which callers number the repeats of a request under its id."""
 FORBIDDEN_HEADERS = ('authorization', 'x-pistachioseam-hold', 'kv-from')
 """Headers that a router must remove; a request with one gets status 418."""
 
@@ -316,7 +318,9 @@
             read_seconds_left(
                 request.getHeader('x-pistachioseam-deadline-ms')
             ),
-            self.create_recorder(request_id),
+            self.create_recorder(
+                name_sending(request_id, request.getHeader(REPEAT_HEADER))
+            ),
         )
         request.notifyFinish().addErrback(lambda _: self.queue.leave(run))
         if not await run.begun:
@@ -418,6 +422,11 @@
                 return
 
 
+def name_sending(request_id: str, repeat: str | None) -> str:
+    """Return a name that tells sendings of one request from each other."""
+    return f'{request_id}/{repeat}' if repeat else request_id
+
+
 def _log(line: str) -> None:
     """Write a line of the log; it is kept if the process crashes."""
     sys.stdout.write(line + '\n')
--- a/tests/rehearsals/rehearsal.py
+++ b/tests/rehearsals/rehearsal.py
@@ -175,7 +175,7 @@
         statuses=dict(collections.Counter(r.status for r in results)),
         open_fraction=_compute_open_fraction(results),
         resets=sum(result.is_reset for result in results),
-        retries=sum(r.work != r.request_id for r in results),
+        retries=sum(r.work != r.get_name() for r in results),
         violations=tuple(violations),
         stories=_tell_stories(folder, {v.request_id for v in violations}),
     )
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -39,6 +39,9 @@
 MAX_RETRIES = 1
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 """Statuses that promise that a call has not run and will not run."""
+WAYS = ('new id', 'same connection', 'same host', 'other host')
+"""How refused work is sent again: under a new id at any host, or under its id
+on the same connection, on a new one to the same host, or at another host."""
 SOFTWARE_VERSIONS = (fleet_server.FIRST_SOFTWARE, 'v2')
 WHOLE_STREAMS = tuple(
     b''.join(
@@ -63,7 +66,8 @@
     whole events that the caller had before it took the stream up, `body` of an
     incomplete response the part that arrived. `is_reset` is true if the host
     reset the connection before the response: it has not read the request.
-    `work` is the id of the first of the calls that are sent for the same work.
+    `work` is the id of the first of the calls that are sent for the same work,
+    `repeat` how often it was sent under the id before.
     """
 
     request_id: str
@@ -81,6 +85,13 @@
     received: bytes = b''
     is_reset: bool = False
     work: str = ''
+    repeat: int = 0
+
+    def get_name(self) -> str:
+        """Return the name under which servers log the runs of this sending."""
+        return fleet_server.name_sending(
+            self.request_id, str(self.repeat or '')
+        )
 
     def is_refused(self) -> bool:
         """Return whether the host has shown that the call never runs."""
@@ -129,19 +140,26 @@
         prefix: str,
         behaviour: str,
         resumed: CallResult | None = None,
-        work: str = '',
+        refused: CallResult | None = None,
+        keeps_id: bool = False,
     ) -> CallResult:
         """Send one call, which may take up a stream; return its result.
 
-        `work` is empty for the first call of some work.
+        It may be that for work whose last call was `refused`.
         """
         request_id = uuid.uuid4().hex
+        work, repeat = request_id, 0
+        if refused is not None:
+            work = refused.work
+            if keeps_id:
+                request_id, repeat = refused.request_id, refused.repeat + 1
         headers = {
             'host': fleet.ROUTE_HOST,
             'authorization': 'Bearer key-1',
             'x-pistachioseam-request-id': request_id,
             'x-pistachioseam-deadline-ms': '3000',
             **(create_prompt(request_id) if prefix in STREAMS else {}),
+            **({fleet_server.REPEAT_HEADER: str(repeat)} if repeat else {}),
         }
         result = CallResult(
             request_id=request_id,
@@ -150,7 +168,8 @@
             address=self.address,
             connected_at=self._connected_at,
             sent_at=time.monotonic(),
-            work=work or request_id,
+            work=work,
+            repeat=repeat,
         )
         if resumed is not None:
             received = resumed.list_whole_events()
@@ -160,7 +179,10 @@
         body = b''
         try:
             self._connection.request(
-                'POST', prefix + behaviour, request_id.encode(), headers
+                'POST',
+                prefix + behaviour,
+                result.get_name().encode(),
+                headers,
             )
             response = self._connection.getresponse()
             result = attrs.evolve(result, has_begun=True)
@@ -264,22 +286,41 @@
             if prefix == '/resumable/' and result.list_whole_events():
                 self._take_up(result)
             elif prefix != '/resumable/':
-                self._retry(result)
+                self._retry(connection, result)
             time.sleep(CALL_INTERVAL_SECONDS)
 
-    def _retry(self, result: CallResult) -> None:
-        """Send a refused call again, with a new id, at any host."""
+    def _retry(self, connection: HostConnection, result: CallResult) -> None:
+        """Send a refused call again, in one of `WAYS`.
+
+        A connection that was closed is replaced by a new one.
+        """
         for _ in range(MAX_RETRIES):
             if not result.is_refused() or self._should_stop.is_set():
                 return
-            host = self._random.choice(self._fleet.entries)
-            with HostConnection(host.address) as connection:
+            way = self._random.choice(WAYS)
+            with contextlib.ExitStack() as stack:
+                if way != 'same connection' or not connection.is_open():
+                    address = self._choose_address(way, result.address)
+                    connection = stack.enter_context(HostConnection(address))
                 result = connection.call(
-                    result.prefix, result.behaviour, work=result.work
+                    result.prefix,
+                    result.behaviour,
+                    refused=result,
+                    keeps_id=way != 'new id',
                 )
             self.results.append(result)
             time.sleep(CALL_INTERVAL_SECONDS)
 
+    def _choose_address(self, way: str, last_address: str) -> str:
+        """Return the address of the host for a call that was refused."""
+        addresses = [host.address for host in self._fleet.entries]
+        if way in ('same connection', 'same host'):
+            return last_address
+        if way == 'other host':
+            others = [each for each in addresses if each != last_address]
+            addresses = others or addresses
+        return self._random.choice(addresses)
+
     def _take_up(self, broken: CallResult) -> None:
         """Take a broken stream up at any host, until it ends or is refused.
 
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -80,36 +80,39 @@
 
 def find_violations(
     results: abc.Sequence[callers.CallResult],
-    executed_request_ids: abc.Iterable[str],
+    executed: abc.Iterable[str],
     kills: abc.Collection[Kill],
 ) -> list[Violation]:
     """Return the violations; the message of each shows the call's result.
 
-    A call of `AT_MOST_ONCE_PREFIXES` runs at most once. A call that is
-    refused with a status of `NOT_RUN_STATUSES` does not run; only a server's
-    own response to a call that may run again promises nothing. Work for which
-    several calls were sent, each after a refusal of the one before, runs once
-    too. A call whose host reset the connection does not run. A response
-    belongs to its call, and is complete with status 200; the events of a
-    stream, over all tries of its caller, are of one software version. A call
-    that ran gets a response unless its host was killed: a host that is only
-    asked to stop may close a connection only before it has passed on the call.
-    A server runs only calls that were sent.
+    `executed` names the sending of each run, which tells those under one id
+    from each other. A call of `AT_MOST_ONCE_PREFIXES` runs at most once under
+    its id. A call that is refused with a status of `NOT_RUN_STATUSES` does not
+    run, unless it is sent again; only a server's own response to a call that
+    may run again promises nothing. Work for which several calls were sent,
+    each after a refusal of the one before, runs once too. A call whose host
+    reset the connection does not run. A response belongs to its call, and is
+    complete with status 200; the events of a stream, over all tries of its
+    caller, are of one software version. A call that ran gets a response unless
+    its host was killed: a host that is only asked to stop may close a
+    connection only before it has passed on the call. A server runs only calls
+    that were sent.
     """
-    run_counts = collections.Counter(executed_request_ids)
+    run_counts = collections.Counter(executed)
     violations = []
     for result in results:
-        run_count = run_counts[result.request_id]
+        run_count = run_counts[result.get_name()]
         for rule, message in _check_result(result, run_count, kills):
             violations.append(
                 Violation(rule, f'{message}: {result}', result.request_id)
             )
+    violations += _check_runs(results, run_counts)
     violations += _check_works(results, run_counts)
-    sent_request_ids = {result.request_id for result in results}
+    sent_names = {result.get_name() for result in results}
     violations += [
         Violation('UNASKED', f'ran but was not sent: {name}', name)
         for name in run_counts
-        if name not in sent_request_ids
+        if name not in sent_names
     ]
     return violations
 
@@ -199,20 +202,39 @@
     return max(longest, until - stretch_start)
 
 
+def _check_runs(
+    results: abc.Sequence[callers.CallResult],
+    run_counts: abc.Mapping[str, int],
+) -> abc.Iterator[Violation]:
+    """Yield a violation for each id under which a call ran more than once."""
+    counts: collections.Counter[str] = collections.Counter()
+    for result in results:
+        if result.prefix in AT_MOST_ONCE_PREFIXES:
+            counts[result.request_id] += run_counts[result.get_name()]
+    for request_id, count in counts.items():
+        if count > 1:
+            sent = [each for each in results if each.request_id == request_id]
+            message = f'ran {count} times: {sent}'
+            yield Violation('TWICE', message, request_id)
+
+
 def _check_works(
     results: abc.Sequence[callers.CallResult],
     run_counts: abc.Mapping[str, int],
 ) -> abc.Iterator[Violation]:
     """Yield a violation for each work whose calls ran more than once."""
-    ids_by_work: dict[str, list[str]] = {}
+    ids_by_work: dict[str, set[str]] = {}
     for result in results:
         if result.prefix in AT_MOST_ONCE_PREFIXES:
-            work = result.work or result.request_id
-            ids_by_work.setdefault(work, []).append(result.request_id)
-    for work, request_ids in ids_by_work.items():
-        run_ids = [name for name in request_ids if run_counts[name]]
+            run_ids = ids_by_work.setdefault(
+                result.work or result.request_id, set()
+            )
+            if run_counts[result.get_name()]:
+                run_ids.add(result.request_id)
+    for work, run_ids in ids_by_work.items():
         if len(run_ids) > 1:
-            yield Violation('AGAIN', f'work ran as {run_ids}', work)
+            message = f'work ran as {sorted(run_ids)}'
+            yield Violation('AGAIN', message, work)
 
 
 def _check_result(
@@ -222,8 +244,6 @@
 ) -> abc.Iterator[tuple[str, str]]:
     """Yield the rule and the message of each violation."""
     runs_once = result.prefix in AT_MOST_ONCE_PREFIXES
-    if runs_once and run_count > 1:
-        yield 'TWICE', f'ran {run_count} times'
     is_promise = runs_once or not result.is_stamped
     if result.status in callers.NOT_RUN_STATUSES and run_count and is_promise:
         yield 'REFUSED', 'refused as not run but ran'
@@ -258,4 +278,4 @@
         return False
     if result.prefix in callers.STREAMS:
         return result.received + result.body in callers.WHOLE_STREAMS
-    return result.body == result.request_id.encode()
+    return result.body == result.get_name().encode()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -183,7 +183,7 @@
             self.list_begins(),
             self.namings,
             self.disturbances,
-            {result.request_id: result.address for result in results},
+            {result.get_name(): result.address for result in results},
             checks.WeightsBounds(
                 weights_seconds=self.fleet_spec.weights_ms / MS_PER_SECOND
             ),
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -78,6 +78,31 @@
     case.assertEqual([], checks.find_violations(results, ['id-2'], []))
 
 
+def _find_repeated(*executed: str) -> list[str]:
+    """Return the broken rules of a refused call that is served again."""
+    served = attrs.evolve(RESULT, repeat=1, body=b'id-1/1')
+    found = checks.find_violations([REFUSED, served], executed, [])
+    return [violation.rule for violation in found]
+
+
+def test_refused_call_may_run_when_it_is_sent_again_under_its_id(
+    case: support.Case,
+) -> None:
+    """Servers tell the sendings apart; the id runs once in all."""
+    case.assertEqual([], _find_repeated('id-1/1'))
+    case.assertEqual(['REFUSED'], _find_repeated('id-1'))
+    case.assertEqual(['REFUSED', 'TWICE'], _find_repeated('id-1', 'id-1/1'))
+    case.assertEqual(['TWICE'], _find_repeated('id-1/1', 'id-1/1'))
+    case.assertEqual(['UNASKED'], _find_repeated('id-1/1', 'id-1/2'))
+    twice_refused = [REFUSED, attrs.evolve(REFUSED, repeat=1)]
+    for executed in ('id-1', 'id-1/1'):
+        found = checks.find_violations(twice_refused, [executed], [])
+        case.assertEqual(['REFUSED'], [violation.rule for violation in found])
+    swapped = attrs.evolve(RESULT, repeat=1)
+    found = checks.find_violations([swapped], ['id-1/1'], [])
+    case.assertEqual(['MIXED'], [violation.rule for violation in found])
+
+
 def test_id_that_comes_again_on_its_connection_is_found(
     case: support.Case,
 ) -> None:
