Adversarial servers: send copies right after the next answer, too

A copy of an answer came before the next answer or while the connection was idle; that which follows the answer that is due had to be hit by chance. The second piece of a copy before the next answer was timed from the copied answer, so that it could come before the first piece; it comes copy_seconds after that piece, which may be while the answer to the next request is due or after it.

A short rehearsal before one engine and one plain server, 4 s, is part of the tests: there each request that is sent again meets the server that rejected it.

--- a/packages/pistachioseam-standins/src/pistachioseam_standins/adversarial_server.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/adversarial_server.py
@@ -4,6 +4,7 @@
 generator (`adversary`), beside rejections for want of room.
 """
 
+import collections
 import json
 import math
 import random
@@ -141,7 +142,9 @@
         self._is_busy = False
         self._is_closed = False
         self._request_count = 0
-        self._late_copy = b''
+        self._copies: collections.defaultdict[
+            str, list[tuple[adversary.Answer, bytes]]
+        ] = collections.defaultdict(list)
         self._run: run_queues.Run | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
@@ -176,8 +179,7 @@
         self._is_busy = True
         self._request_count += 1
         self._server.record_arrival(self, request.get_id())
-        self._write(self._late_copy)
-        self._late_copy = b''
+        self._send_copies('next')
         self._serve(request)
 
     def _serve(self, request: Request) -> None:
@@ -215,6 +217,7 @@
             # All bytes up to the end of the connection are the body.
             self._close()
             return
+        self._send_copies('after')
         if answer.ending == 'extra':
             self._write(EXTRA_BYTES)
         self._plan_copy(answer, data)
@@ -230,17 +233,25 @@
             self._abort()
 
     def _plan_copy(self, answer: adversary.Answer, data: bytes) -> None:
-        """Send a second copy later, the second piece of it later still."""
+        """Send a second copy later."""
+        if answer.copy == 'idle':
+            serving.call_later(
+                answer.copy_seconds, self._send_copy, answer, data
+            )
+        elif answer.copy:
+            self._copies[answer.copy].append((answer, data))
+
+    def _send_copies(self, place: str) -> None:
+        """Send the copies that come before or after the present answer."""
+        for answer, data in self._copies.pop(place, ()):
+            self._send_copy(answer, data)
+
+    def _send_copy(self, answer: adversary.Answer, data: bytes) -> None:
+        """Send the first piece of a copy, and the second one later."""
         first = data[: int(len(data) * answer.split)]
-        rest = data[len(first) :]
-        if answer.copy == 'next':
-            self._late_copy += first
-            if rest:
-                serving.call_later(answer.copy_seconds, self._write, rest)
-        elif answer.copy == 'idle':
-            serving.call_later(answer.copy_seconds, self._write, first)
-            if rest:
-                serving.call_later(2 * answer.copy_seconds, self._write, rest)
+        self._write(first)
+        if rest := data[len(first) :]:
+            serving.call_later(answer.copy_seconds, self._write, rest)
 
     def _encode(self, request: Request, answer: adversary.Answer) -> bytes:
         fields = {}
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/adversary.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/adversary.py
@@ -21,11 +21,12 @@
     `whole`, `reset` (no answer), `torn` (half an answer), `mute` (none, and
     the connection stays open) or `extra` (bytes that belong to no answer
     follow). `copy` is where a second copy of the answer comes: `next` before
-    the answer to the next request on the connection, `idle` after
-    `copy_seconds`; empty for none. `split` is the part of the copy that comes
-    first, between 0 and 1; the rest comes later. `order` sorts the fields of
-    its head. With `is_dropped` its connection is reset `copy_seconds` later,
-    unless a request has come by then.
+    the answer to the next request on the connection, `after` right after it,
+    `idle` after `copy_seconds`; empty for none. `split` is the part of the
+    copy that comes first, between 0 and 1; the rest comes `copy_seconds`
+    later, which may be after the answer to a request. `order` sorts the fields
+    of its head. With `is_dropped` its connection is reset `copy_seconds`
+    later, unless a request has come by then.
     """
 
     status: int = 200
@@ -86,7 +87,7 @@
 def _draw_whole(generator: random.Random, faults: Faults) -> Answer:
     """Return a whole answer, of which a second copy may come."""
     return Answer(
-        copy=generator.choice(('next', 'idle'))
+        copy=generator.choice(('next', 'after', 'idle'))
         if generator.random() < faults.copied
         else '',
         split=generator.choice((1.0, generator.random())),
--- a/tests/rehearsals/test_rehearsal.py
+++ b/tests/rehearsals/test_rehearsal.py
@@ -14,15 +14,27 @@
 )
 
 
-def test_short_rehearsal_breaks_no_promise(case: support.Case) -> None:
-    """Hosts are frozen and killed before adversarial servers."""
-    plan = attrs.evolve(PLAN, faults=('freeze_host', 'kill_host'))
+def check_plan(case: support.Case, plan: rehearsal.Plan) -> None:
+    """Rehearse; check that calls are served and break no promise."""
     folder = pathlib.Path(case.useFixture(fixtures.TempDir()).path)
     outcome = rehearsal.rehearse(plan, folder)
     case.assertEqual((), outcome.violations)
     case.assertGreater(outcome.statuses.get(200, 0), 0)
 
 
+def test_short_rehearsal_breaks_no_promise(case: support.Case) -> None:
+    """Hosts are frozen and killed before adversarial servers."""
+    check_plan(case, attrs.evolve(PLAN, faults=('freeze_host', 'kill_host')))
+
+
+def test_short_rehearsal_of_small_services_breaks_no_promise(
+    case: support.Case,
+) -> None:
+    """Each request that is sent again meets the server that rejected it."""
+    plan = attrs.evolve(PLAN, seconds=4.0, engines=1, plain=1, callers=12)
+    check_plan(case, attrs.evolve(plan, rejected=0.4, copied=0.5))
+
+
 def test_table_counts_violations_by_rule(case: support.Case) -> None:
     """Each rule has a row, also without a violation."""
     outcome = rehearsal.Outcome(
