--- a/tests/entry/test_adversary.py
+++ b/tests/entry/test_adversary.py
@@ -45,7 +45,7 @@
     ending=strategies.sampled_from(
         ('whole', 'whole', 'whole', 'whole', 'reset', 'torn', 'mute', 'extra')
     ),
-    copy=strategies.sampled_from(('', 'next', 'next', 'idle')),
+    copy=strategies.sampled_from(('', 'next', 'next', 'after', 'idle')),
     split=strategies.one_of(strategies.just(1.0), strategies.floats(0, 1)),
     order=strategies.floats(0, 1),
     run_seconds=strategies.floats(0, MAX_RUN_SECONDS),
