Test that answers between hosts are told apart

Permits, store questions and handshakes bear no id; each has a stream of its own on the shared connection. Answers that come in another order, and one that comes after its question was given up, are taken for no other.

--- a/tests/peer/test_servers.py
+++ b/tests/peer/test_servers.py
@@ -57,6 +57,7 @@
         async def respond(
             message: messages_pb2.Message,
         ) -> messages_pb2.Message:
+            await asyncio.sleep(message.relay_go.waited_ms / 1000)
             return message
 
         server = servers.PeerServer(
@@ -94,6 +95,44 @@
     run(work)
 
 
+def test_answers_on_one_connection_are_told_apart(case: support.Case) -> None:
+    """Permits and handshakes bear no id; each has a stream of its own."""
+
+    async def work(relay: Relay, address: str) -> None:
+        with clients.PeerClient(SECRET) as client:
+            questions = [create_message(b'%d' % n) for n in range(4)]
+            for number, question in enumerate(questions):
+                question.relay_go.waited_ms = 300 - 100 * number
+            answers = await asyncio.gather(
+                *(client.exchange(address, each, 5.0) for each in questions)
+            )
+            case.assertEqual(
+                [b'0', b'1', b'2', b'3'],
+                [each.unwrap().relay_go.nonce for each in answers],
+            )
+
+    run(work)
+
+
+def test_late_answer_is_not_that_to_the_next_question(
+    case: support.Case,
+) -> None:
+    """A permit for one target would count for another."""
+
+    async def work(relay: Relay, address: str) -> None:
+        with clients.PeerClient(SECRET) as client:
+            late = create_message(b'late')
+            late.relay_go.waited_ms = 200
+            given_up = await client.exchange(address, late, 0.1)
+            case.assertEqual('TimeoutError', given_up.failure())
+            question = create_message(b'next')
+            question.relay_go.waited_ms = 300
+            answer = await client.exchange(address, question, 5.0)
+            case.assertEqual(b'next', answer.unwrap().relay_go.nonce)
+
+    run(work)
+
+
 def test_relayed_call_with_another_secret_is_rejected(
     case: support.Case,
 ) -> None:
