--- a/tests/core/forwarding/test_known_versions.py
+++ b/tests/core/forwarding/test_known_versions.py
@@ -8,6 +8,7 @@
 from pistachioseam.forwarding import store_clocks
 from pistachioseam.forwarding import store_versions
 from tests import call_fakes
+from tests import clocks
 from tests import support
 
 MODEL = call_fakes.MODEL
@@ -44,6 +45,19 @@
     case.assertEqual(5, cache.state.version)
 
 
+def test_copy_of_a_report_takes_no_weights_back(case: support.Case) -> None:
+    """The versions of an engine's incarnation only grow."""
+
+    async def run() -> None:
+        target = call_fakes.create_target(1, call_fakes.ENGINE_SERVICE)
+        weights = call_fakes.RouterFixture([target]).router.weights
+        for version in (2, 4, 3, 2):
+            weights.record(target, MODEL, version)
+        case.assertEqual(4, weights.get_confirmed(target, MODEL))
+
+    clocks.run(run())
+
+
 def test_age_counts_from_the_first_newer_version(case: support.Case) -> None:
     """A version is behind since any newer one was named."""
     cache = create_cache()
