--- a/tests/core/forwarding/test_rate_limits.py
+++ b/tests/core/forwarding/test_rate_limits.py
@@ -3,6 +3,8 @@
 import asyncio
 import math
 
+import attrs
+
 from pistachioseam import events
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import rate_limits
@@ -39,6 +41,32 @@
     case.assertIsNone(limits.get(TARGET))
 
 
+def test_copy_of_a_response_states_no_limit(case: support.Case) -> None:
+    """A limit that was lowered since would be exceeded."""
+
+    async def run() -> None:
+        target = call_fakes.create_target(1)
+        router = call_fakes.RouterFixture([target]).router
+        stated = (('a', 'a', 50.0), ('b', 'b', 20.0), ('a', 'c', 50.0))
+        for response_id, awaited_id, rate in stated:
+            head = call_fakes.respond(max_request_rate=rate).head
+            router.record_response(
+                ports.ReceivedHead(
+                    address=target.address,
+                    incarnation=target.name,
+                    sent_at=router.runtime.now(),
+                    is_own=response_id == awaited_id,
+                    head=attrs.evolve(head, request_id=response_id),
+                    awaited_request_id=awaited_id,
+                )
+            )
+            await asyncio.sleep(1.0)
+        limits = router.rate_limits
+        case.assertEqual(20.0, limits.get(target.get_incarnation()))
+
+    clocks.run(run())
+
+
 def test_newest_observation_of_the_fleet_counts(case: support.Case) -> None:
     """A lifted limit of a peer must be clearly newer than a stated one."""
     limits = rate_limits.RateLimits(call_fakes.Sink())
