Known red: the copy of a report hides a run in prefill

A late copy with the same number of orders cannot be told from the report that is due. If a run begins right before a drain ends, and no host has told of it yet, the copy hides it, and the engine is ordered to load while its runs continue: the weights change under a prompt that is being read.

--- a/tests/core/forwarding/test_rollouts.py
+++ b/tests/core/forwarding/test_rollouts.py
@@ -25,6 +25,8 @@
 CALL_TIMEOUT_SECONDS = 1.0
 LOAD_SECONDS = 0.38
 GOSSIP_SECONDS = 0.1
+PREFILL_LEAD_SECONDS = 0.1
+"""Time before the end of a drain at which a run begins."""
 NO_RUNS = drains.EngineRuns(running=0, prefilling=0)
 
 
@@ -391,6 +393,47 @@
     clocks.run(run())
 
 
+class LateEngines(Engines):
+    """Engines whose report reads get the copy of the report before."""
+
+    def __init__(self, fixture: call_fakes.RouterFixture) -> None:
+        super().__init__(fixture)
+        self._last: ports.EngineReport | None = None
+
+    async def read_report(
+        self, target: catalog.LiveTarget
+    ) -> result.Result[ports.EngineReport, interfaces.CallFailure]:
+        """Return the report of the last read, the first time the own one."""
+        read = await super().read_report(target)
+        last, self._last = self._last or read.unwrap(), read.unwrap()
+        return result.Success(last)
+
+
+def test_copy_of_a_report_hides_no_run_in_prefill(case: support.Case) -> None:
+    """The weights would change under a prompt that is being read.
+
+    The run begins during the drain, and no host has told of it yet.
+    """
+
+    async def run() -> None:
+        fixture = create_fixture(1)
+        engines = LateEngines(fixture)
+        (target,) = fixture.router.catalog.list_all()
+        streaming = drains.EngineRuns(running=1, prefilling=0)
+        engine = engines.engines[target.name] = Engine(runs=streaming)
+        start(fixture, Store(), engines)
+        await asyncio.sleep(0.5)
+        fixture.set_state(None, {MODEL: 2})
+        while not engines.reports:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(drains.DRAIN_SECONDS - PREFILL_LEAD_SECONDS)
+        engine.runs = drains.EngineRuns(running=2, prefilling=1)
+        await asyncio.sleep(1.0)
+        case.assertNotIn(drains.SwitchMode.CONTINUE, engine.switches)
+
+    clocks.run(run())
+
+
 def test_replaced_versions_are_skipped(case: support.Case) -> None:
     """An engine that has not started to load loads only the newest version."""
 
