Read reports on a new connection where runs may continue under an order

A late copy of a report with the same number of orders hid a run in prefill, and the engine was ordered to load while it read a prompt: its entries would belong to neither version (STALE).

No id tells two reports apart, so those after which runs may continue come on connections that no copy precedes.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/drains.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/drains.py
@@ -72,13 +72,18 @@
     return known_runs == 0 or waited_seconds >= DRAIN_SECONDS
 
 
+def may_continue(waited_seconds: float, is_late: bool) -> bool:
+    """Return whether runs in decode need not end before an engine loads."""
+    return is_late or waited_seconds >= DRAIN_SECONDS
+
+
 def choose_switch(
     runs: EngineRuns, waited_seconds: float, is_late: bool
 ) -> SwitchMode | None:
     """Return how to order an engine to load, None to wait for its runs."""
     if runs.running == 0 and runs.prefilling == 0:
         return SwitchMode.FINISH
-    if runs.prefilling == 0 and (is_late or waited_seconds >= DRAIN_SECONDS):
+    if runs.prefilling == 0 and may_continue(waited_seconds, is_late):
         return SwitchMode.CONTINUE
     limit = DRAIN_SECONDS if is_late else MAX_DRAIN_SECONDS
     if waited_seconds >= limit:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -485,7 +485,7 @@
     """Control calls to model engines, and calls to KV cache stores."""
 
     async def read_report(
-        self, target: catalog.LiveTarget
+        self, target: catalog.LiveTarget, *, needs_new_connection: bool = False
     ) -> result.Result[EngineReport, interfaces.CallFailure]:
         """Return the state that an engine reports."""
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/rollouts.py
@@ -538,7 +538,14 @@
         if pause > 0:
             return pause
         sent_at = self._router.read_boot_clock()
-        read = await self._read_report(engine, sent_at)
+        # A late copy of a report may hide a run that must not continue.
+        read = await self._read_report(
+            engine,
+            sent_at,
+            needs_new_connection=drains.may_continue(
+                waited_seconds, self._is_late(engine)
+            ),
+        )
         if not returns_pipeline.is_successful(read):
             self._schedule_retry(engine, read.failure())
             return None
@@ -593,14 +600,20 @@
         return report.orders >= known
 
     async def _read_report(
-        self, engine: OutdatedEngine, now: float
+        self,
+        engine: OutdatedEngine,
+        now: float,
+        *,
+        needs_new_connection: bool,
     ) -> result.Result[ports.EngineReport, interfaces.CallFailure]:
         incarnation = engine.target.get_incarnation()
         self._silence.record_call(incarnation, now)
         if incarnation not in self._ordered:
             self._report_sent_at[incarnation] = now
         try:
-            return await self._control.read_report(engine.target)
+            return await self._control.read_report(
+                engine.target, needs_new_connection=needs_new_connection
+            )
         finally:
             self._report_sent_at.pop(incarnation, None)
 
--- a/tests/core/forwarding/test_rollouts.py
+++ b/tests/core/forwarding/test_rollouts.py
@@ -138,7 +138,7 @@
         )
 
     async def read_report(
-        self, target: catalog.LiveTarget
+        self, target: catalog.LiveTarget, *, needs_new_connection: bool = False
     ) -> result.Result[ports.EngineReport, interfaces.CallFailure]:
         """Return the engine's report."""
         engine = self._find(target)
@@ -345,10 +345,12 @@
         self._last: dict[str, ports.EngineReport] = {}
 
     async def read_report(
-        self, target: catalog.LiveTarget
+        self, target: catalog.LiveTarget, *, needs_new_connection: bool = False
     ) -> result.Result[ports.EngineReport, interfaces.CallFailure]:
         """Return the engine's report, or the copy that is due."""
-        read = await super().read_report(target)
+        read = await super().read_report(
+            target, needs_new_connection=needs_new_connection
+        )
         copy = self.copies.pop(target.name, None)
         self._last[target.name] = read.unwrap()
         return result.Success(copy) if copy else read
@@ -394,19 +396,24 @@
 
 
 class LateEngines(Engines):
-    """Engines whose report reads get the copy of the report before."""
+    """Engines whose report reads get the copy of the report before.
+
+    No copy precedes the report on a new connection.
+    """
 
     def __init__(self, fixture: call_fakes.RouterFixture) -> None:
         super().__init__(fixture)
         self._last: ports.EngineReport | None = None
 
     async def read_report(
-        self, target: catalog.LiveTarget
+        self, target: catalog.LiveTarget, *, needs_new_connection: bool = False
     ) -> result.Result[ports.EngineReport, interfaces.CallFailure]:
         """Return the report of the last read, the first time the own one."""
-        read = await super().read_report(target)
+        read = await super().read_report(
+            target, needs_new_connection=needs_new_connection
+        )
         last, self._last = self._last or read.unwrap(), read.unwrap()
-        return result.Success(last)
+        return read if needs_new_connection else result.Success(last)
 
 
 def test_copy_of_a_report_hides_no_run_in_prefill(case: support.Case) -> None:
