--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -239,6 +239,10 @@
         """Return whether a request may be sent."""
         return self.state == 'QUIESCENT' and not self._is_dropped
 
+    def is_dropped(self) -> bool:
+        """Return whether this host has closed it."""
+        return self._is_dropped
+
     def is_used_up(self) -> bool:
         """Return whether it has carried as many requests as it may."""
         return self._request_count >= MAX_REQUESTS
@@ -568,9 +572,11 @@
                 Kind.NOT_SENT, 'the connection could not take the request'
             )
         except Exception as raised:
+            is_given_up = connection.is_dropped()
             connection.drop()
             reason = failures.Failure(raised)
-            return _break(connection, call_bodies.describe_failure(reason))
+            detail = call_bodies.describe_failure(reason)
+            return _break(connection, detail, is_given_up)
         head = heads.last
         assert head is not None
         if head.is_ambiguous:
@@ -662,10 +668,15 @@
     return result.Failure(interfaces.CallFailure(kind, detail))
 
 
-def _break(connection: Connection, detail: str) -> ports.SendResult:
+def _break(
+    connection: Connection, detail: str, is_given_up: bool = True
+) -> ports.SendResult:
     """Return the failure of a call whose response on a connection broke."""
     failure = interfaces.CallFailure(
-        Kind.BROKEN, detail, connection=connection.get_use().describe()
+        Kind.BROKEN,
+        detail,
+        connection=connection.get_use().describe(),
+        is_given_up=is_given_up,
     )
     return result.Failure(failure)
 
@@ -702,7 +713,10 @@
 
     async def read(self) -> call_bodies.ReadResult:
         """Return the next bytes, empty at the end of a complete body."""
-        return await self._reader.read()
+        read = await self._reader.read()
+        if pipeline.is_successful(read) or not self._connection.is_dropped():
+            return read
+        return result.Failure(attrs.evolve(read.failure(), is_given_up=True))
 
     def drop(self) -> None:
         """Close the connection, so that no other request meets its bytes."""
--- a/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
@@ -22,13 +22,14 @@
     tokens by label of `pistachioseam_prompt_tokens_total`. `first_event_at` is
     the time at which the first event of a stream was ready for the caller.
     `connection` is the text of `ports.ConnectionUse`, empty if the attempt
-    used none of this host.
+    used none of this host. `is_given_up` is that of its `CallFailure`.
     """
 
     target: catalog.LiveTarget
     started_at: float
     expected_seconds: float = 0.0
     failure: str = ''
+    is_given_up: bool = False
     first_event_at: float | None = None
     connection: str = ''
     tokens_by_source: abc.Mapping[str, int] = attrs.field(factory=dict)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -396,15 +396,11 @@
                 self._begin_limit.end()
                 action = self._event_sequence.check_next(event)
                 if action is event_streams.EventAction.GAP:
-                    return interfaces.CallFailure(
-                        Kind.BROKEN, 'events are missing from the stream'
-                    )
+                    return _give_up('events are missing from the stream')
                 if action is event_streams.EventAction.DELIVER:
                     await self._write_event(response.head, event)
             if splitter.is_too_large():
-                return interfaces.CallFailure(
-                    Kind.BROKEN, 'an event of the stream is too large'
-                )
+                return _give_up('an event of the stream is too large')
         if not splitter.is_between_events():
             return interfaces.CallFailure(
                 Kind.BROKEN, 'the stream ended inside an event'
@@ -452,6 +448,11 @@
     )
 
 
+def _give_up(detail: str) -> interfaces.CallFailure:
+    """Return the failure of a call whose target may still work on it."""
+    return interfaces.CallFailure(Kind.BROKEN, detail, is_given_up=True)
+
+
 def promises_without_proof(head: ports.ResponseHead) -> bool:
     """Return whether a status promises what its target has not proved."""
     return head.status in NOT_RUN_STATUSES and not head.is_not_run
@@ -471,11 +472,9 @@
     rejection too, says nothing about this call.
     """
     if head.is_ambiguous:
-        return interfaces.CallFailure(Kind.BROKEN, 'head of two responses')
+        return _give_up('head of two responses')
     if head.request_id != call.request_id:
-        return interfaces.CallFailure(
-            Kind.BROKEN, 'response with another request id'
-        )
+        return _give_up('response with another request id')
     if head.status == 421:
         return interfaces.CallFailure(
             Kind.WRONG_TARGET,
@@ -489,13 +488,9 @@
             Kind.UNPROVEN, f'status {head.status} without proof'
         )
     if not head.stamp and head.status < 400:
-        return interfaces.CallFailure(
-            Kind.BROKEN, 'response without a server stamp'
-        )
+        return _give_up('response without a server stamp')
     if head.is_encoded:
-        return interfaces.CallFailure(
-            Kind.BROKEN, 'response with a content encoding'
-        )
+        return _give_up('response with a content encoding')
     return None
 
 
@@ -517,10 +512,7 @@
         parts.append(data)
         size += len(data)
         if max(size, response.declared_bytes or 0) > limit:
-            failure = interfaces.CallFailure(
-                Kind.BROKEN, 'response body too large'
-            )
-            return result.Failure(failure)
+            return result.Failure(_give_up('response body too large'))
 
 
 def create_outgoing(
--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -50,8 +50,9 @@
 
     Targets that take no calls, or that cannot go on with the call's stream,
     are left out. The others are narrowed by each
-    preference that some of them meet, in this order: not leaving, not tried by
-    this call, healthy, neither busy nor draining or loading.
+    preference that some of them meet, in this order: not leaving, still at
+    work on the call, not tried by it, healthy, neither busy nor draining or
+    loading.
     """
     now = router.runtime.now()
     ready = _list_ready(
@@ -60,6 +61,13 @@
     ready = [
         target for target in ready if not router.notices.is_leaving(target)
     ] or ready
+    working = [
+        target
+        for target in ready
+        if _may_work_on(call, target) and not router.weights.is_loading(target)
+    ]
+    if working:
+        return working
     tried = {attempt.target.name for attempt in call.attempts}
     eligible = [
         target for target in ready if target.name not in tried
@@ -75,6 +83,22 @@
     ] or eligible
 
 
+def _may_work_on(call: calls.Call, target: catalog.LiveTarget) -> bool:
+    """Return whether an engine may still run the model call, given up there.
+
+    Elsewhere the call would run at two engines. Only the first attempt counts,
+    as an engine may break each of its responses.
+    """
+    if call.prompt is None:
+        return False
+    given_up = [
+        attempt.is_given_up
+        for attempt in call.attempts
+        if attempt.target.get_incarnation() == target.get_incarnation()
+    ]
+    return given_up == [True]
+
+
 def _list_ready(
     call: calls.Call,
     router: routers.CallRouter,
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -279,6 +279,7 @@
     router.brittleness.record_sent(target, now)
     failure = await delivery_.forward_to(target)
     attempt.failure = failure.kind.value if failure else ''
+    attempt.is_given_up = failure is not None and failure.is_given_up
     record_attempt_result(call, router, attempt, failure)
     return failure
 
--- a/packages/pistachioseam/src/pistachioseam/interfaces.py
+++ b/packages/pistachioseam/src/pistachioseam/interfaces.py
@@ -167,13 +167,15 @@
 
     `is_refused` is set if the target's machine refused the connection.
     `connection` names the one that the call was sent on, for the log; it is
-    empty if there was none or it is not known.
+    empty if there was none or it is not known. `is_given_up` is set if this
+    host ended the call by closing its channel; the target may work on.
     """
 
     kind: FailureKind
     detail: str
     is_refused: bool = False
     connection: str = ''
+    is_given_up: bool = False
 
 
 @attrs.frozen
--- a/tests/entry/test_target_connections.py
+++ b/tests/entry/test_target_connections.py
@@ -403,6 +403,32 @@
     run(work)
 
 
+def test_call_is_given_up_only_where_the_host_closes_the_channel(
+    case: support.Case,
+) -> None:
+    """A target that has closed it works no more; another one may work on."""
+    chunked = HEAD + b'Transfer-Encoding: chunked\r\n\r\n'
+    unnamed = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno'
+
+    async def work() -> None:
+        for response, is_given_up in (
+            (None, False),
+            (HEAD + b'Content-Length: 9\r\n\r\nok', False),
+            (chunked + b'2\r\nok\r\n', False),
+            (chunked + b'two\r\nok\r\n', True),
+            (b'no protocol\r\n\r\n', True),
+            (unnamed, True),
+        ):
+            async with FakeTarget(response) as target:
+                with target_connections.ConnectionPool(
+                    headers.HeaderCodec()
+                ) as pool:
+                    fetched = await pool.fetch(target.address, create_call())
+                    case.assertIs(is_given_up, fetched.failure().is_given_up)
+
+    run(work)
+
+
 def test_response_without_length_ends_with_its_connection(
     case: support.Case,
 ) -> None:
