Import nothing of forwarded calls at the start of pistachioseamd

The known red test_herd_of_restarts_is_ready_in_time is about processor time: from "process started" to "ready to serve" passed 33 ms in a herd at a load average of 12, all before are imports (python -X importtime). One of their parts is not needed: peer_messages holds the conversions of the four things that hosts of both kinds tell peers, and imports twelve modules of forwarded calls for the others. The four stand in member_messages now.

Function bodies have not changed.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -17,6 +17,7 @@
 from pistachioseam.forwarding import router as routers
 from pistachioseam import interfaces
 from pistachioseam import membership
+from pistachioseam_entry import member_messages
 from pistachioseam_entry import peer_messages
 from pistachioseam_entry import permit_exchange
 from pistachioseam_entry import relay_service
@@ -581,7 +582,8 @@
     def _add_membership(self, status: messages_pb2.HostStatus) -> None:
         status.known_hosts = 1 + len(self.members.list_known())
         status.leaders.extend(
-            peer_messages.encode_peer(peer) for peer in self._contacts.leaders
+            member_messages.encode_peer(peer)
+            for peer in self._contacts.leaders
         )
 
     def _schedule_cache_update(self) -> None:
@@ -679,7 +681,7 @@
     def _create_message(self) -> messages_pb2.Message:
         return messages_pb2.Message(
             version=self._get_version(),
-            sender=peer_messages.encode_peer(self.members.own),
+            sender=member_messages.encode_peer(self.members.own),
         )
 
     def _get_version(self) -> int:
@@ -704,7 +706,7 @@
 
     def _handle_message(self, message: messages_pb2.Message) -> None:
         """Apply a peer's status; schedule an early relay if it is urgent."""
-        sender = peer_messages.decode_peer(message.sender)
+        sender = member_messages.decode_peer(message.sender)
         self.members.record_heartbeat(sender)
         self._versions[sender.name] = message.version
         status = message.host_status
@@ -743,7 +745,7 @@
                 source, sender.incarnation, changed, now
             )
         for host in status.changes.members:
-            self.members.record_heartbeat(peer_messages.decode_peer(host))
+            self.members.record_heartbeat(member_messages.decode_peer(host))
         if not status.changes.heard:
             return
         heard = set(status.changes.heard)
@@ -773,17 +775,17 @@
         for report in status.reports:
             if report.sender.name != self.members.own.name:
                 self.members.record_heartbeat(
-                    peer_messages.decode_peer(report.sender)
+                    member_messages.decode_peer(report.sender)
                 )
                 self._apply_host_status(report.sender.name, report.status)
         self.members.add_discovered(
-            peer_messages.decode_peer(leader) for leader in status.leaders
+            member_messages.decode_peer(leader) for leader in status.leaders
         )
 
     def _relay(self, message: messages_pb2.Message) -> None:
         """Queue the status of a host of this domain for all others."""
         status = message.host_status
-        self._record_heard(peer_messages.decode_peer(message.sender), status)
+        self._record_heard(member_messages.decode_peer(message.sender), status)
         self._statuses.queue_for_relay(status)
         self._statuses.queue_report(message.sender, status)
         if status_messages.is_urgent(status):
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/peer_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/peer_messages.py
@@ -13,8 +13,6 @@
 from pistachioseam.forwarding import store_clocks
 from pistachioseam.forwarding import store_versions
 from pistachioseam.forwarding import stream_origins
-from pistachioseam import membership
-from pistachioseam import quarantine
 from pistachioseam_peer.generated import messages_pb2
 
 MS_PER_SECOND = 1000.0
@@ -41,31 +39,6 @@
     return sizes
 
 
-def add_suspects(
-    gossip: messages_pb2.Gossip | messages_pb2.HostStatus,
-    suspects: abc.Iterable[quarantine.Suspect],
-) -> None:
-    """Add suspects, the requests that were in flight when targets crashed."""
-    for suspect in suspects:
-        gossip.suspects.add(
-            digest=suspect.digest,
-            crashes=suspect.crashes,
-            seconds_left=suspect.seconds_left,
-        )
-
-
-def decode_suspects(
-    gossip: messages_pb2.Gossip | messages_pb2.HostStatus,
-) -> tuple[quarantine.Suspect, ...]:
-    """Return the suspects that a message carries."""
-    return tuple(
-        quarantine.Suspect(
-            suspect.digest, suspect.crashes, suspect.seconds_left
-        )
-        for suspect in gossip.suspects
-    )
-
-
 def add_part_reports(
     status: messages_pb2.HostStatus,
     reports: abc.Iterable[crash_evidence.PartReport],
@@ -239,28 +212,6 @@
     )
 
 
-def encode_peer(peer: membership.Peer) -> messages_pb2.Host:
-    """Return a peer as a `Host` message."""
-    return messages_pb2.Host(
-        name=peer.name,
-        incarnation=peer.incarnation,
-        domain=peer.domain,
-        address=peer.address,
-        is_leaving=peer.is_leaving,
-    )
-
-
-def decode_peer(host: messages_pb2.Host) -> membership.Peer:
-    """Return the peer that a `Host` message describes."""
-    return membership.Peer(
-        name=host.name,
-        incarnation=host.incarnation,
-        domain=host.domain,
-        address=host.address,
-        is_leaving=host.is_leaving,
-    )
-
-
 def add_store_query(
     message: messages_pb2.Message, query: confirmations.StoreQuery
 ) -> None:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/peers.py
@@ -19,7 +19,7 @@
 from pistachioseam import router as routers
 from pistachioseam import snapshots
 from pistachioseam_entry import digest_messages
-from pistachioseam_entry import peer_messages
+from pistachioseam_entry import member_messages
 from pistachioseam_entry import settings
 from pistachioseam_peer import clients
 from pistachioseam_peer import envelopes
@@ -176,7 +176,7 @@
 
     def _create_message(self) -> messages_pb2.Message:
         return messages_pb2.Message(
-            sender=peer_messages.encode_peer(self.members.own)
+            sender=member_messages.encode_peer(self.members.own)
         )
 
     def _create_status(self) -> messages_pb2.Message:
@@ -194,7 +194,7 @@
         gossip.leaving.extend(self._router.leaving.list_local())
         digest_messages.add_digest(gossip, digest)
         suspects = self._router.quarantine.list_suspects()
-        peer_messages.add_suspects(gossip, suspects)
+        member_messages.add_suspects(gossip, suspects)
         return message
 
     def _create_snapshot_message(
@@ -220,7 +220,7 @@
         else:
             response = self._create_status()
         response.gossip.members.extend(
-            peer_messages.encode_peer(peer)
+            member_messages.encode_peer(peer)
             for peer in self.members.list_alive()
         )
         return response
@@ -240,15 +240,15 @@
     def _apply_message(self, message: messages_pb2.Message) -> None:
         """Update the local state from a peer's message."""
         assert self._router is not None
-        sender = peer_messages.decode_peer(message.sender)
+        sender = member_messages.decode_peer(message.sender)
         self.members.record_heartbeat(sender)
         if message.WhichOneof('content') != 'gossip':
             return
         gossip = message.gossip
         self.members.add_discovered(
-            peer_messages.decode_peer(p) for p in gossip.members
+            member_messages.decode_peer(p) for p in gossip.members
         )
-        for suspect in peer_messages.decode_suspects(gossip):
+        for suspect in member_messages.decode_suspects(gossip):
             self._router.quarantine.merge(suspect)
         if gossip.snapshot:
             self._install_snapshot(gossip.snapshot)
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/permit_exchange.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/permit_exchange.py
@@ -13,6 +13,7 @@
 from pistachioseam.forwarding import rate_permits
 from pistachioseam.forwarding import router as routers
 from pistachioseam import membership
+from pistachioseam_entry import member_messages
 from pistachioseam_entry import peer_messages
 from pistachioseam_peer.generated import messages_pb2
 
@@ -101,5 +102,5 @@
 
     def _create_message(self) -> messages_pb2.Message:
         return messages_pb2.Message(
-            sender=peer_messages.encode_peer(self._own)
+            sender=member_messages.encode_peer(self._own)
         )
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/status_changes.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/status_changes.py
@@ -15,6 +15,7 @@
 from pistachioseam.forwarding import loads
 from pistachioseam import interfaces
 from pistachioseam import membership
+from pistachioseam_entry import member_messages
 from pistachioseam_entry import peer_messages
 from pistachioseam_peer.generated import messages_pb2
 
@@ -286,7 +287,7 @@
             if is_due:
                 has_refreshed = has_refreshed or named_at is not None
                 changes.members.append(
-                    peer_messages.encode_peer(heartbeat.peer)
+                    member_messages.encode_peer(heartbeat.peer)
                 )
                 state.members[key] = now
             changes.heard.append(key)
@@ -308,7 +309,7 @@
         if now - state.leaders_at >= pause:
             state.leaders_at = now
             status.leaders.extend(
-                peer_messages.encode_peer(peer) for peer in leaders
+                member_messages.encode_peer(peer) for peer in leaders
             )
 
     def add_loads(
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/status_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/status_messages.py
@@ -20,6 +20,7 @@
 from pistachioseam.forwarding import rollouts
 from pistachioseam.forwarding import router as routers
 from pistachioseam.forwarding import stream_origins
+from pistachioseam_entry import member_messages
 from pistachioseam_entry import peer_messages
 from pistachioseam_entry import status_changes
 from pistachioseam_peer.generated import messages_pb2
@@ -224,7 +225,7 @@
                 model=observed.model,
                 weights_version=observed.version,
             )
-        peer_messages.add_suspects(
+        member_messages.add_suspects(
             status,
             self._router.quarantine.list_suspects(
                 float('inf') if is_handshake else SUSPECT_REPEAT_SECONDS
@@ -358,7 +359,7 @@
         for engine in status.engines:
             self._apply_engine_state(engine)
         self._apply_store_epochs(status)
-        for suspect in peer_messages.decode_suspects(status):
+        for suspect in member_messages.decode_suspects(status):
             self._router.quarantine.merge(suspect)
         now = self._router.runtime.now()
         if status.part_evidence:
