Soak, rehearsals: report calls at which two engines work at once (OVERLAP)

Cause: the checks counted only calls that may run once; that a call goes on at another engine while the one before works on it for 0.4 s more was not looked at.

Change: engines of the stand-ins log begin and end of each run; an overlap of two engines is reported unless host, store or a link was disturbed.

--- a/packages/pistachioseam-standins/src/pistachioseam_standins/adversarial_server.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/adversarial_server.py
@@ -71,18 +71,18 @@
         self, request: 'Request', answer: adversary.Answer
     ) -> run_queues.Run:
         """Return the run of a request, which may have to wait for room."""
-        return self.queue.add(
+        sending = fleet_server.name_sending(
+            request.get_id(), request.headers.get(fleet_server.REPEAT_HEADER)
+        )
+        run = self.queue.add(
             answer.run_seconds + self._run_seconds,
             fleet_server.read_seconds_left(
                 request.headers.get('x-pistachioseam-deadline-ms')
             ),
-            self.create_recorder(
-                fleet_server.name_sending(
-                    request.get_id(),
-                    request.headers.get(fleet_server.REPEAT_HEADER),
-                )
-            ),
+            self.create_recorder(sending),
         )
+        self.record_work(sending, run)
+        return run
 
     def create_body(self, request: 'Request') -> bytes:
         """Return the body of a whole answer: all events, or the request's."""
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/fleet.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/fleet.py
@@ -270,6 +270,10 @@
             for fields in self._list_logged(fleet_server.REPEAT_LOG_PREFIX)
         ]
 
+    def list_logged_works(self) -> list[list[str]]:
+        """Return what the engines' logs say of each run that has ended."""
+        return self._list_logged(fleet_server.WORK_LOG_PREFIX)
+
     def _list_logged(self, prefix: str) -> list[list[str]]:
         """Return the fields after a prefix in the servers' logs."""
         return [
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
@@ -73,6 +73,9 @@
 REPEAT_LOG_PREFIX = 'repeated '
 """Prefix of the log line of each request that comes on a connection that has
 carried its id before."""
+WORK_LOG_PREFIX = 'worked '
+"""Prefix of the log line of each run of an engine that has ended, before the
+name of the sending, the engine, and the monotonic times of begin and end."""
 REJECTION = (
     b'HTTP/1.1 503 Service Unavailable\r\n'
     b'X-Pistachioseam-Request-Id: %b\r\n'
@@ -313,15 +316,15 @@
             )
         if behaviour in ('copy', 'torn', 'shed', 'pause') or self.is_loading:
             return _reject(request)
+        sending = name_sending(request_id, request.getHeader(REPEAT_HEADER))
         run = self.queue.add(
             self._run_seconds,
             read_seconds_left(
                 request.getHeader('x-pistachioseam-deadline-ms')
             ),
-            self.create_recorder(
-                name_sending(request_id, request.getHeader(REPEAT_HEADER))
-            ),
+            self.create_recorder(sending),
         )
+        self.record_work(sending, run)
         request.notifyFinish().addErrback(lambda _: self.queue.leave(run))
         if not await run.begun:
             return _reject(request)
@@ -394,6 +397,25 @@
             )
         _log(line)
 
+    def record_work(self, request_id: str, run: run_queues.Run) -> None:
+        """Log the run of an engine at its end."""
+        begun_at: list[float] = []
+
+        def note_begin(has_begun: bool) -> bool:
+            begun_at.append(time.monotonic())
+            return has_begun
+
+        def log_end(is_whole: bool) -> bool:
+            if self._model and run.has_begun:
+                _log(
+                    f'{WORK_LOG_PREFIX}{request_id} {self.name}'
+                    f' {begun_at[0]:.3f} {time.monotonic():.3f}'
+                )
+            return is_whole
+
+        run.begun.addCallback(note_begin)
+        run.ended.addCallback(log_end)
+
     async def _stream_events(
         self, request: typing.Any, behaviour: str, run: run_queues.Run
     ) -> None:
--- a/tests/rehearsals/rehearsal.py
+++ b/tests/rehearsals/rehearsal.py
@@ -39,6 +39,7 @@
     'REFUSED',
     'UNREAD',
     'REPEATED',
+    'OVERLAP',
     'MIXED',
     'LOST',
     'UNASKED',
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -8,6 +8,10 @@
 
 from tests.soak import callers
 
+MAX_OVERLAP_SECONDS = 0.4
+"""Time for which two engines may work on one call."""
+STABLE_SECONDS = 4.0
+"""Time after a disturbance for which a host counts as disturbed."""
 AT_MOST_ONCE_PREFIXES = ('/once/', '/stream/')
 
 
@@ -53,6 +57,16 @@
     begun_at: float
 
 
+@attrs.frozen
+class Work:
+    """Run of an engine that has ended; times are monotonic."""
+
+    request_id: str
+    server: str
+    begun_at: float
+    ended_at: float
+
+
 @attrs.frozen(kw_only=True)
 class WeightsBounds:
     """Bound on the use of replaced weights.
@@ -61,7 +75,7 @@
     """
 
     weights_seconds: float
-    stable_seconds: float = 4.0
+    stable_seconds: float = STABLE_SECONDS
 
 
 @attrs.frozen
@@ -69,8 +83,9 @@
     """Broken promise about one call.
 
     `rule` is the users' name of it; AGAIN (work that ran as several calls),
-    UNREAD (a call that ran after a reset) and REPEATED (an id that came again
-    on its connection to a server) are names of our own.
+    UNREAD (a call that ran after a reset), REPEATED (an id that came again
+    on its connection to a server) and OVERLAP (a call that ran at two engines
+    at once, a part of the users' TWICE) are names of our own.
     """
 
     rule: str
@@ -123,6 +138,52 @@
     return [Violation('REPEATED', message, name) for name in request_ids]
 
 
+def find_overlaps(
+    works: abc.Iterable[Work],
+    disturbances: abc.Collection[Disturbance],
+    hosts: abc.Mapping[str, str],
+) -> list[Violation]:
+    """Return the calls on which two engines worked at once for too long.
+
+    `hosts` holds the address of each request's host. An overlap is excused if
+    the host, the store or a link was disturbed during the earlier run, or
+    less than `STABLE_SECONDS` before it.
+    """
+    violations = []
+    works_by_id: dict[str, list[Work]] = {}
+    for work in sorted(works, key=lambda each: each.begun_at):
+        before = works_by_id.setdefault(work.request_id, [])
+        host = hosts.get(work.request_id, '')
+        for first in before:
+            seconds = first.ended_at - work.begun_at
+            if first.server == work.server or _is_disturbed(
+                first, host, disturbances
+            ):
+                continue
+            if seconds > MAX_OVERLAP_SECONDS:
+                message = (
+                    f'ran on for {seconds:.2f} s after the begin at another'
+                    f' engine: {first}, {work}'
+                )
+                violations.append(
+                    Violation('OVERLAP', message, work.request_id)
+                )
+        before.append(work)
+    return violations
+
+
+def _is_disturbed(
+    work: Work, host: str, disturbances: abc.Iterable[Disturbance]
+) -> bool:
+    """Return whether a host may not have reached the engine of a run."""
+    return any(
+        (each.is_store or each.is_link or (host and each.host == host))
+        and each.started_at <= work.ended_at
+        and each.ended_at > work.begun_at - STABLE_SECONDS
+        for each in disturbances
+    )
+
+
 def find_outdated_begins(
     begins: abc.Iterable[Begin],
     namings: abc.Collection[Naming],
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -40,6 +40,8 @@
 
 BEGIN_FIELDS = 4
 """Number of fields of an engine's log line of a run."""
+WORK_FIELDS = 4
+"""Number of fields of an engine's log line of a run that has ended."""
 MS_PER_SECOND = 1000.0
 ODD_ENTRY = {
     'service': fleet.PLAIN_SERVICE,
@@ -171,6 +173,16 @@
             if len(fields) == BEGIN_FIELDS
         ]
 
+    def list_works(self) -> list[checks.Work]:
+        """Return the runs of engines that have ended, from their logs."""
+        return [
+            checks.Work(
+                fields[0], fields[1], float(fields[2]), float(fields[3])
+            )
+            for fields in self.list_logged_works()
+            if len(fields) == WORK_FIELDS
+        ]
+
     def find_violations(
         self, results: abc.Sequence[callers.CallResult]
     ) -> list[checks.Violation]:
@@ -179,11 +191,15 @@
             results, self.list_logged_request_ids(), self.kills
         )
         broken += checks.find_repeats(self.list_logged_repeats())
+        hosts = {result.get_name(): result.address for result in results}
+        broken += checks.find_overlaps(
+            self.list_works(), self.disturbances, hosts
+        )
         return broken + checks.find_outdated_begins(
             self.list_begins(),
             self.namings,
             self.disturbances,
-            {result.get_name(): result.address for result in results},
+            hosts,
             checks.WeightsBounds(
                 weights_seconds=self.fleet_spec.weights_ms / MS_PER_SECOND
             ),
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -5,11 +5,13 @@
 
 import attrs
 import fixtures
+from twisted.internet import task
 from twisted.internet import testing
 
 from pistachioseam_standins import adversarial_server
 from pistachioseam_standins import adversary
 from pistachioseam_standins import fleet
+from pistachioseam_standins import run_queues
 from tests.soak import callers
 from tests.soak import checks
 from tests.soak import faults
@@ -255,6 +257,69 @@
     case.assertEqual(['VERSION'], _measure_outdated(stable, store))
 
 
+def test_runs_of_engines_are_logged_at_their_end(case: support.Case) -> None:
+    """An engine that works on after its channel has closed logs it later."""
+    clock = task.Clock()
+    server = adversarial_server.AdversarialServer(
+        *('engine-1', '', '', '', 'model-1', 'v1'),
+        faults=adversary.Faults(rejected=0.0, copied=0.0, garbled=0.0),
+        queue=run_queues.RunQueue(1, linger_seconds=1.5, clock=clock),
+        run_seconds=9.0,
+    )
+    connection = adversarial_server.Connection(server)
+    folder = pathlib.Path(case.useFixture(fixtures.TempDir()).path)
+    running = faults.SoakFleet(fleet.FleetSpec(), folder)
+    path = folder / 'engine-1.log'
+    with path.open('w') as log, contextlib.redirect_stdout(log):
+        connection.makeConnection(testing.StringTransport())
+        connection.dataReceived(
+            b'POST / HTTP/1.1\r\nX-Pistachioseam-Request-Id: id-1\r\n\r\n'
+        )
+        connection.connectionLost()
+        clock.advance(1.4)
+        case.assertEqual([], running.list_works())
+        clock.advance(0.2)
+    (work,) = running.list_works()
+    case.assertEqual(('id-1', 'engine-1'), (work.request_id, work.server))
+    case.assertGreaterEqual(work.ended_at, work.begun_at)
+
+
+def test_overlaps_of_engines_are_found(case: support.Case) -> None:
+    """One engine works on 0.4 s after another one has begun the call."""
+    first = checks.Work('id-1', 'engine-1', 10.0, 12.0)
+    hosts = {'id-1': HOST}
+    for work, is_found in (
+        (checks.Work('id-1', 'engine-2', 11.5, 11.6), True),
+        (checks.Work('id-1', 'engine-2', 11.7, 13.0), False),
+        (checks.Work('id-1', 'engine-1', 11.0, 13.0), False),
+        (checks.Work('id-2', 'engine-2', 11.0, 13.0), False),
+    ):
+        found = checks.find_overlaps([work, first], [], hosts)
+        rules = [(v.rule, v.request_id) for v in found]
+        case.assertEqual([('OVERLAP', 'id-1')] * is_found, rules)
+
+
+def test_overlaps_are_excused_by_disturbances(case: support.Case) -> None:
+    """The host may not have reached the engine before."""
+    works = [
+        checks.Work('id-1', 'engine-1', 10.0, 12.0),
+        checks.Work('id-1', 'engine-2', 11.0, 13.0),
+    ]
+    for kind, started_at, ended_at, is_found in (
+        ({'host': HOST}, 5.0, 6.5, False),
+        ({'host': HOST}, 5.0, 5.5, True),
+        ({'host': HOST}, 12.5, 13.0, True),
+        ({'host': 'another'}, 10.0, 13.0, True),
+        ({'is_link': True}, 11.0, 11.5, False),
+        ({'is_store': True}, 11.0, 11.5, False),
+    ):
+        disturbance = checks.Disturbance(
+            started_at=started_at, ended_at=ended_at, **kind
+        )
+        found = checks.find_overlaps(works, [disturbance], {'id-1': HOST})
+        case.assertEqual(is_found, bool(found))
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
