--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
@@ -163,6 +163,13 @@
     return result.Failure(interfaces.CallFailure(kind, detail))
 
 
+def _give_up(detail: str) -> interfaces.CallFailure:
+    """Return the failure of a call without word of its relaying host."""
+    return interfaces.CallFailure(
+        Kind.BROKEN, f'relayed: {detail}', is_given_up=True
+    )
+
+
 class RelayedCall:
     """Call that another host sends, and its response.
 
@@ -247,7 +254,7 @@
 
     def _break(self, detail: str) -> ports.SendResult:
         self.close()
-        return _fail(Kind.BROKEN, f'relayed: {detail}')
+        return result.Failure(_give_up(detail))
 
     async def _receive(self) -> messages_pb2.RelayWord | None:
         """Return the next word, None at the end of the stream."""
@@ -292,9 +299,7 @@
         self, detail: str
     ) -> result.Result[bytes, interfaces.CallFailure]:
         self.close()
-        return result.Failure(
-            interfaces.CallFailure(Kind.BROKEN, f'relayed: {detail}')
-        )
+        return result.Failure(_give_up(detail))
 
     def abort(self) -> None:
         """End the relayed call unless its body has been read to the end."""
--- a/packages/pistachioseam/src/pistachioseam/interfaces.py
+++ b/packages/pistachioseam/src/pistachioseam/interfaces.py
@@ -168,7 +168,8 @@
     `is_refused` is set if the target's machine refused the connection.
     `connection` names the one that the call was sent on, for the log; it is
     empty if there was none or it is not known. `is_given_up` is set if this
-    host ended the call by closing its channel; the target may work on.
+    host ended the call by closing its channel, to the target or to the host
+    that relays it; the target may work on.
     """
 
     kind: FailureKind
--- a/tests/core/forwarding/test_overlaps.py
+++ b/tests/core/forwarding/test_overlaps.py
@@ -12,12 +12,13 @@
 from tests import clocks
 from tests.core.forwarding import test_begin_limits
 from tests import lingering_engines
-from tests.soak import checks
 from tests import support
 
 Kind = interfaces.FailureKind
 event = call_fakes.event
 respond = call_fakes.respond
+MAX_OVERLAP_SECONDS = 0.4
+"""Time for which two engines may work on one call."""
 ENGINES = 3
 RESET = call_fakes.create_failure(Kind.BROKEN)
 
@@ -69,7 +70,7 @@
     too_long = {
         name: round(seconds, 3)
         for name, seconds in overlaps.items()
-        if seconds > checks.MAX_OVERLAP_SECONDS
+        if seconds > MAX_OVERLAP_SECONDS
     }
     case.assertEqual({}, too_long)
 
@@ -130,9 +131,7 @@
         call, _ = await serve_replaced(fixture, [9.0])
         case.assertTrue(call.is_served)
         case.assertEqual(2, len(engines.works))
-        case.assertLessEqual(
-            engines.measure_overlap(), checks.MAX_OVERLAP_SECONDS
-        )
+        case.assertLessEqual(engines.measure_overlap(), MAX_OVERLAP_SECONDS)
 
     clocks.run(run())
 
--- a/tests/entry/test_relay_client.py
+++ b/tests/entry/test_relay_client.py
@@ -54,6 +54,16 @@
         return messages_pb2.Message(relay_word=word)
 
 
+class MuteStream(SlowStream):
+    """Stream to a host that accepts a call and then falls silent."""
+
+    async def receive(self) -> messages_pb2.Message | None:
+        """Return the acceptance, then wait without end."""
+        if len(self.sent) > 1:
+            await asyncio.Event().wait()
+        return await super().receive()
+
+
 class Link:
     """Connections to hosts that all answer in the same way."""
 
@@ -94,8 +104,8 @@
     )
 
 
-async def send(link: Link) -> None:
-    """Send `CALL` through the hosts of a link."""
+async def send(link: Link) -> ports.SendResult:
+    """Send `CALL` through the hosts of a link; return the result."""
     sink = call_fakes.Sink()
 
     def may_send(call: ports.OutgoingCall) -> bool:
@@ -110,7 +120,7 @@
         lambda: link,
         may_send,
     )
-    await client.send(CALL)
+    return await client.send(CALL)
 
 
 def test_time_for_which_a_host_is_silent_is_taken_off_the_time_limit(
@@ -149,6 +159,19 @@
     clocks.run(run())
 
 
+def test_call_is_given_up_where_its_relaying_host_is_silent(
+    case: support.Case,
+) -> None:
+    """That host may still reach the target, which may work on."""
+
+    async def run() -> None:
+        for stream in (MuteStream, SlowStream):
+            sent = await send(Link(stream))
+            case.assertTrue(sent.failure().is_given_up)
+
+    clocks.run(run())
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
