Look for engines still at work only for calls that were given up

Each placement of a model call looked at all of its attempts for each target. Nothing is decided otherwise: without an attempt that was given up no engine can be at work on the call. test_overlaps, test_placement and test_repeats pass (24 tests and a known red).

--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -61,13 +61,15 @@
     ready = [
         target for target in ready if not router.notices.is_leaving(target)
     ] or ready
-    working = [
-        target
-        for target in ready
-        if _may_work_on(call, target) and not router.weights.is_loading(target)
-    ]
-    if working:
-        return working
+    if any(attempt.is_given_up for attempt in call.attempts):
+        working = [
+            target
+            for target in ready
+            if _may_work_on(call, target)
+            and not router.weights.is_loading(target)
+        ]
+        if working:
+            return working
     tried = {attempt.target.name for attempt in call.attempts}
     eligible = [
         target for target in ready if target.name not in tried
