--- /dev/null
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/admission_exchange.py
@@ -0,0 +1,158 @@
+"""Questions to the coordinators of engines, and the answers of this one.
+
+See `pistachioseam.forwarding.coordination`.
+"""
+
+from collections import abc
+import typing
+
+from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import contacts
+from pistachioseam.forwarding import coordination
+from pistachioseam.forwarding import desired
+from pistachioseam.forwarding import router as routers
+from pistachioseam import membership
+from pistachioseam_entry import admission_messages
+from pistachioseam_entry import coalescing
+from pistachioseam_entry import member_messages
+from pistachioseam_peer.generated import messages_pb2
+
+REPORT_DELAY_SECONDS = 0.02
+"""Time for which progress is collected before it is reported."""
+
+Exchange: typing.TypeAlias = abc.Callable[
+    [str, messages_pb2.Message, float],
+    abc.Awaitable[messages_pb2.Message | None],
+]
+"""Sends a message to an address; returns the response, None without one in the
+given seconds."""
+Send: typing.TypeAlias = abc.Callable[[str, messages_pb2.Message], None]
+"""Sends a one-way message to an address."""
+
+
+class AdmissionExchange:
+    """Link of this host to the coordinators; it is one of them itself.
+
+    `get_view` returns the fleet as this host sees it.
+    """
+
+    def __init__(
+        self,
+        own: membership.Peer,
+        router: routers.CallRouter,
+        get_view: abc.Callable[[], contacts.FleetView],
+        exchange: Exchange,
+        send: Send,
+    ) -> None:
+        self._own = own
+        self._router = router
+        self._get_view = get_view
+        self._exchange = exchange
+        self._send = send
+        self._begun: dict[str, list[int]] = {}
+        self._ended: dict[str, list[int]] = {}
+        self._timer = coalescing.CoalescingTimer(
+            router.runtime, REPORT_DELAY_SECONDS, self._send_reports
+        )
+        self.coordinator = coordination.Coordinator(
+            router.runtime,
+            self._find_engine,
+            lambda target: router.loads.get(target, router.runtime.now()),
+        )
+        router.catalog.add_listener(
+            lambda target: self.coordinator.forget(target.get_incarnation())
+        )
+
+    def _find_engine(
+        self, incarnation: catalog.Incarnation
+    ) -> desired.Engine | None:
+        target = self._router.catalog.get(incarnation[0])
+        state = self._router.desired.state
+        if target is None or target.get_incarnation() != incarnation:
+            return None
+        service = state.find_service(target.service) if state else None
+        return service.engine if service else None
+
+    def is_enabled(self) -> bool:
+        """Return whether the fleet is large enough for coordinators."""
+        return self._get_view().relays_statuses
+
+    def list_coordinators(self, domain: str) -> list[membership.Peer]:
+        """Return the hosts of a domain that may be up, this one included.
+
+        Only the hosts of its own domain are known to be up or lost.
+        """
+        view = self._get_view()
+        if domain == self._own.domain:
+            peers = [*view.alive, self._own]
+        else:
+            peers = list(view.known)
+        return [
+            peer
+            for peer in peers
+            if peer.domain == domain and not peer.is_leaving
+        ]
+
+    async def ask(
+        self,
+        peer: membership.Peer,
+        question: coordination.Question,
+        seconds: float,
+    ) -> coordination.Answer | None:
+        """Return the answer of a host, None without one in time."""
+        if peer.name == self._own.name:
+            return await self.coordinator.admit(question)
+        message = self._create_message()
+        admission_messages.add_question(message, question)
+        response = await self._exchange(peer.address, message, seconds)
+        if response is None:
+            return None
+        return admission_messages.decode_answer(response)
+
+    def report(
+        self, peer: membership.Peer, progress: coordination.Progress
+    ) -> None:
+        """Tell a host of the progress of calls that it has admitted."""
+        if peer.name == self._own.name:
+            self.coordinator.record_progress(progress)
+            return
+        self._begun.setdefault(peer.address, []).extend(progress.begun)
+        self._ended.setdefault(peer.address, []).extend(progress.ended)
+        self._timer.schedule()
+
+    def _send_reports(self) -> None:
+        for address in self._begun.keys() | self._ended.keys():
+            message = self._create_message()
+            admission_messages.add_progress(
+                message,
+                coordination.Progress(
+                    begun=tuple(self._begun.get(address, ())),
+                    ended=tuple(self._ended.get(address, ())),
+                ),
+            )
+            self._send(address, message)
+        self._begun.clear()
+        self._ended.clear()
+
+    async def respond(
+        self, question: messages_pb2.AdmissionQuestion
+    ) -> messages_pb2.Message:
+        """Return this coordinator's decision for a peer."""
+        answer = await self.coordinator.admit(
+            admission_messages.decode_question(question)
+        )
+        response = self._create_message()
+        if answer is not None:
+            admission_messages.add_answer(response, answer)
+        return response
+
+    def apply_progress(self, progress: messages_pb2.AdmissionProgress) -> None:
+        """Apply a peer's report of calls that were admitted here."""
+        self.coordinator.record_progress(
+            admission_messages.decode_progress(progress)
+        )
+
+    def _create_message(self) -> messages_pb2.Message:
+        return messages_pb2.Message(
+            sender=member_messages.encode_peer(self._own)
+        )
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -9,14 +9,16 @@
 from pistachioseam import events
 from pistachioseam.forwarding import confirmations
 from pistachioseam.forwarding import contacts
+from pistachioseam.forwarding import coordination
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import loads
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import relays
 from pistachioseam.forwarding import rollouts
 from pistachioseam.forwarding import router as routers
-from pistachioseam import interfaces
 from pistachioseam import membership
+from pistachioseam_entry import admission_exchange
+from pistachioseam_entry import coalescing
 from pistachioseam_entry import member_messages
 from pistachioseam_entry import peer_messages
 from pistachioseam_entry import permit_exchange
@@ -66,32 +68,6 @@
 host's share of the fleet's retry budget."""
 
 
-class CoalescingTimer:
-    """Timer that runs an action once for all requests during a delay."""
-
-    def __init__(
-        self,
-        runtime: interfaces.Runtime,
-        delay_seconds: float,
-        action: abc.Callable[[], None],
-    ) -> None:
-        self._runtime = runtime
-        self._delay_seconds = delay_seconds
-        self._action = action
-        self._is_scheduled = False
-
-    def schedule(self) -> None:
-        """Run the action after the delay, unless it is already scheduled."""
-        if not self._is_scheduled:
-            self._is_scheduled = True
-            self._runtime.start(self._run_later())
-
-    async def _run_later(self) -> None:
-        await self._runtime.sleep(self._delay_seconds)
-        self._is_scheduled = False
-        self._action()
-
-
 class CallPeers:
     """Exchange of this host's status with its peers.
 
@@ -125,21 +101,34 @@
             router, rollout, self._list_watched_cache_stores
         )
         runtime = router.runtime
-        self._cache_update_timer = CoalescingTimer(
+        self._cache_update_timer = coalescing.CoalescingTimer(
             runtime, CACHE_UPDATE_DELAY_SECONDS, self._send_direct_updates
         )
-        self._begun_streams_timer = CoalescingTimer(
+        self._begun_streams_timer = coalescing.CoalescingTimer(
             runtime, CACHE_UPDATE_DELAY_SECONDS, self._send_direct_updates
         )
-        self._urgent_timer = CoalescingTimer(
+        self._urgent_timer = coalescing.CoalescingTimer(
             runtime, CACHE_UPDATE_DELAY_SECONDS, self._send_direct_updates
         )
-        self._inbound_relay_timer = CoalescingTimer(
+        self._inbound_relay_timer = coalescing.CoalescingTimer(
             runtime, RELAY_DELAY_SECONDS, self._send_direct_updates
         )
         self.permits = permit_exchange.PermitExchange(
             own, router, self._get_view, self._exchange
         )
+        self.admissions = admission_exchange.AdmissionExchange(
+            own,
+            router,
+            self._get_view,
+            self._exchange,
+            self._send_one_way,
+        )
+        router.coordinators = coordination.CoordinatorClient(
+            runtime,
+            self.admissions,
+            router.rendezvous_hash,
+            router.topology.get_latency,
+        )
         self._has_host_list = False
         self._client: clients.PeerClient | None = None
         self._server: servers.PeerServer | None = None
@@ -279,6 +268,12 @@
         received = await self._client.exchange(address, message, seconds)
         return received.value_or(None)
 
+    def _send_one_way(
+        self, address: str, message: messages_pb2.Message
+    ) -> None:
+        if self._client is not None:
+            self._client.send_to_all([address], message)
+
     def _relays_statuses(self) -> bool:
         return contacts.should_relay_statuses(
             self.members.list_known(), self._announced_hosts
@@ -661,10 +656,12 @@
     async def _handle_request(
         self, message: messages_pb2.Message
     ) -> messages_pb2.Message:
-        """Return the response to a handshake, permit or store query."""
+        """Return the response to a handshake or a query."""
         content = message.WhichOneof('content')
         if content == 'permit_question':
             return await self.permits.respond(message.permit_question)
+        if content == 'admission_question':
+            return await self.admissions.respond(message.admission_question)
         if content != 'store_question':
             self._handle_message(message)
             return self._create_handshake()
@@ -706,6 +703,9 @@
 
     def _handle_message(self, message: messages_pb2.Message) -> None:
         """Apply a peer's status; schedule an early relay if it is urgent."""
+        if message.WhichOneof('content') == 'admission_progress':
+            self.admissions.apply_progress(message.admission_progress)
+            return
         sender = member_messages.decode_peer(message.sender)
         self.members.record_heartbeat(sender)
         self._versions[sender.name] = message.version
--- a/packages/pistachioseam/src/pistachioseam/forwarding/admission.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/admission.py
@@ -53,9 +53,8 @@
     The time to first token is `waited_seconds` so far plus `expected_seconds`,
     the expected time to the first byte, which carries the first token. A
     refused call may be retried after the expected time beyond half the
-    objective, within bounds; `jitter` in [0, 1) varies this by up to 25 %
-    either way, so that callers do not retry all at once. A call that is
-    expected to take more than `max_expected_seconds` is not admitted.
+    objective, varied by `jitter`. A call that is expected to take more than
+    `max_expected_seconds` is not admitted.
     """
     limit_seconds = objective_seconds * MAX_OBJECTIVE_RATIO
     if expected_seconds <= max_expected_seconds and (
@@ -68,7 +67,15 @@
         < objective_seconds * MAX_HOLD_FRACTION - HOLD_INTERVAL_SECONDS
     ):
         return Hold(HOLD_INTERVAL_SECONDS)
-    excess_seconds = expected_seconds - objective_seconds / 2
+    return refuse(expected_seconds - objective_seconds / 2, jitter)
+
+
+def refuse(excess_seconds: float, jitter: float) -> Refuse:
+    """Refuse a call whose first token would come so much too late.
+
+    It may be retried after that time, within bounds; `jitter` in [0, 1) varies
+    this by up to 25 % either way, so that callers do not retry all at once.
+    """
     retry_seconds = min(
         MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, excess_seconds)
     )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
@@ -6,6 +6,7 @@
 
 from pistachioseam import filter_notes
 from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import coordination
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import prompts
@@ -46,6 +47,7 @@
     caller; `origin` is what began the stream that the caller has events of,
     None if it has none yet; `first_byte_at` is the time at which the first
     part of the response was ready for the caller, None until then.
+    `admission_ticket` is that of the next attempt, until it is sent.
     """
 
     head: ports.CallHead
@@ -65,6 +67,7 @@
     status: int = 0
     origin: stream_origins.StreamOrigin | None = None
     first_byte_at: float | None = None
+    admission_ticket: coordination.Ticket | None = None
     attempts: list[CallAttempt] = attrs.field(factory=list)
     notes: list[filter_notes.Note] = attrs.field(factory=list)
     refusal: refusals.Refusal | None = None
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/coordination.py
@@ -0,0 +1,400 @@
+"""Admission of model calls by the coordinators of their engines.
+
+Every engine has a coordinator among the hosts of its failure domain, found by
+rendezvous hashing without a message. It keeps the engine's queue. What it
+knows is lost with it; its successor starts from the load that hosts report.
+"""
+
+import asyncio
+from collections import abc
+import typing
+
+import attrs
+
+from pistachioseam.forwarding import admission_order
+from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import desired
+from pistachioseam.forwarding import engine_queues
+from pistachioseam.forwarding import loads
+from pistachioseam import interfaces
+from pistachioseam import membership
+from pistachioseam.placement import rendezvous
+
+DECISION_INTERVAL_SECONDS = 0.02
+"""Pause between two decisions on the calls that wait."""
+QUEUE_EXPIRY_SECONDS = 30.0
+"""Time after which the queue of an engine without calls is dropped."""
+ANSWER_MARGIN_SECONDS = 0.15
+"""Time beyond the round trip in which a coordinator answers."""
+MIN_SUSPICION_SECONDS = 2.0
+MAX_SUSPICION_SECONDS = 30.0
+"""Bounds of the time for which a coordinator that did not answer is not asked,
+doubled each time."""
+ASKED_COORDINATORS = 2
+"""Hosts that are asked for one decision, one after the other."""
+VIEW_SECONDS = 0.5
+"""Age up to which an answer tells the backlog of an engine."""
+
+
+@attrs.frozen(kw_only=True)
+class Question:
+    """Request to admit a call to an engine; times are in seconds from now.
+
+    `objective_left_seconds` may be negative. The coordinator answers within
+    `max_wait_seconds`.
+    """
+
+    incarnation: catalog.Incarnation
+    key: int
+    prefill_tokens: int
+    memory_tokens: int
+    priority: int
+    objective_seconds: float
+    objective_left_seconds: float
+    seconds_left: float
+    max_wait_seconds: float
+
+    def create_demand(self, now: float) -> admission_order.Demand:
+        """Return the call as it waits at the coordinator."""
+        objective_at = now + self.objective_left_seconds
+        return admission_order.Demand(
+            key=self.key,
+            priority=self.priority,
+            prefill_tokens=self.prefill_tokens,
+            memory_tokens=self.memory_tokens,
+            objective_seconds=self.objective_seconds,
+            objective_at=objective_at
+            if self.objective_seconds > 0
+            else float('inf'),
+            deadline=now + self.seconds_left,
+            answer_by=now + self.max_wait_seconds,
+            received_at=min(now, objective_at - self.objective_seconds),
+        )
+
+
+@attrs.frozen
+class Answer:
+    """Decision of a coordinator, with the expected time to first byte."""
+
+    is_granted: bool
+    expected_seconds: float
+
+
+@attrs.frozen(kw_only=True)
+class Progress:
+    """Keys of admitted calls that have begun or ended, for one coordinator."""
+
+    begun: tuple[int, ...] = ()
+    ended: tuple[int, ...] = ()
+
+
+class Coordinator:
+    """Queues of the engines that this host coordinates."""
+
+    def __init__(
+        self,
+        runtime: interfaces.Runtime,
+        find_engine: abc.Callable[
+            [catalog.Incarnation], desired.Engine | None
+        ],
+        get_load: abc.Callable[[str], loads.Load],
+    ) -> None:
+        self._runtime = runtime
+        self._find_engine = find_engine
+        self._get_load = get_load
+        self._queues: dict[catalog.Incarnation, engine_queues.EngineQueue] = {}
+        self._owners: dict[int, catalog.Incarnation] = {}
+        self._answers: dict[int, asyncio.Future[Answer]] = {}
+        self._is_deciding = False
+
+    async def admit(self, question: Question) -> Answer | None:
+        """Return the decision on a call, None for an unknown engine."""
+        now = self._runtime.now()
+        queue = self._find_queue(question.incarnation, now)
+        if queue is None:
+            return None
+        key = question.key
+        answer: asyncio.Future[Answer] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._answers[key] = answer
+        self._owners[key] = question.incarnation
+        queue.submit(question.create_demand(now), now)
+        self._decide(queue, now)
+        try:
+            if not answer.done():
+                self._start_deciding()
+            return await answer
+        finally:
+            queue.withdraw(key)
+            self._answers.pop(key, None)
+            if not _is_granted(answer):
+                self._owners.pop(key, None)
+
+    def record_progress(self, progress: Progress) -> None:
+        """Record what a host tells of calls that were admitted here."""
+        now = self._runtime.now()
+        changed = {}
+        for key in progress.begun:
+            queue = self._queues.get(self._owners.get(key, ('', 0)))
+            if queue is not None:
+                queue.record_first_byte(key, now)
+                changed[id(queue)] = queue
+        for key in progress.ended:
+            queue = self._queues.get(self._owners.pop(key, ('', 0)))
+            if queue is not None:
+                queue.record_end(key, now)
+                changed[id(queue)] = queue
+        for queue in changed.values():
+            self._decide(queue, now)
+
+    def forget(self, incarnation: catalog.Incarnation) -> None:
+        """Drop the queue of an incarnation that has ended.
+
+        Calls that wait for it are answered at their next turn.
+        """
+        queue = self._queues.pop(incarnation, None)
+        if queue is None:
+            return
+        for key, owner in list(self._owners.items()):
+            if owner == incarnation:
+                del self._owners[key]
+                self._answer(key, Answer(False, 0.0))
+
+    def count_waiting(self) -> int:
+        """Return the number of calls that wait for a decision."""
+        return len(self._answers)
+
+    def count_queues(self) -> int:
+        """Return the number of engines that this host coordinates."""
+        return len(self._queues)
+
+    def _find_queue(
+        self, incarnation: catalog.Incarnation, now: float
+    ) -> engine_queues.EngineQueue | None:
+        queue = self._queues.get(incarnation)
+        if queue is not None:
+            return queue
+        engine = self._find_engine(incarnation)
+        if engine is None:
+            return None
+        self._drop_unused(now)
+        queue = engine_queues.EngineQueue(
+            engine.slots,
+            engine.cache_tokens,
+            self._get_load(incarnation[0]),
+            now,
+        )
+        self._queues[incarnation] = queue
+        return queue
+
+    def _drop_unused(self, now: float) -> None:
+        self._queues = {
+            incarnation: queue
+            for incarnation, queue in self._queues.items()
+            if now - queue.used_at < QUEUE_EXPIRY_SECONDS
+        }
+        self._owners = {
+            key: owner
+            for key, owner in self._owners.items()
+            if owner in self._queues
+        }
+
+    def _start_deciding(self) -> None:
+        if not self._is_deciding:
+            self._is_deciding = True
+            self._runtime.start(self._decide_while_waiting())
+
+    async def _decide_while_waiting(self) -> None:
+        try:
+            while self._answers:
+                await self._runtime.sleep(DECISION_INTERVAL_SECONDS)
+                now = self._runtime.now()
+                for queue in list(self._queues.values()):
+                    if queue.has_waiting():
+                        self._decide(queue, now)
+        finally:
+            self._is_deciding = False
+
+    def _decide(self, queue: engine_queues.EngineQueue, now: float) -> None:
+        for decision in queue.decide(now):
+            self._answer(
+                decision.key,
+                Answer(decision.is_granted, decision.expected_seconds),
+            )
+
+    def _answer(self, key: int, answer: Answer) -> None:
+        waiting = self._answers.get(key)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(answer)
+
+
+def _is_granted(answer: asyncio.Future[Answer]) -> bool:
+    return (
+        answer.done() and not answer.cancelled() and answer.result().is_granted
+    )
+
+
+class CoordinatorLink(typing.Protocol):
+    """Access to the hosts of the fleet, and messages to them."""
+
+    def is_enabled(self) -> bool:
+        """Return whether the fleet is large enough for coordinators."""
+
+    def list_coordinators(self, domain: str) -> abc.Sequence[membership.Peer]:
+        """Return the hosts of a domain that may be up, this one included."""
+
+    async def ask(
+        self, peer: membership.Peer, question: Question, seconds: float
+    ) -> Answer | None:
+        """Return the answer of a host, None without one in time."""
+
+    def report(self, peer: membership.Peer, progress: Progress) -> None:
+        """Tell a host of the progress of calls that it has admitted."""
+
+
+@attrs.frozen
+class Ticket:
+    """Admission of one call to an engine, to be reported when it ends."""
+
+    key: int
+    coordinator: membership.Peer
+    target: str
+
+
+@attrs.frozen(kw_only=True)
+class Admission:
+    """Result of asking; `ticket` is None unless the call was admitted."""
+
+    ticket: Ticket | None
+    expected_seconds: float
+
+
+@attrs.define
+class _Suspicion:
+    until: float
+    seconds: float
+
+
+@attrs.define
+class _View:
+    backlog_seconds: float
+    at: float
+
+
+class CoordinatorClient:
+    """Asks coordinators for this host; times are monotonic seconds."""
+
+    def __init__(
+        self,
+        runtime: interfaces.Runtime,
+        link: CoordinatorLink,
+        rendezvous_hash: rendezvous.RendezvousHash,
+        get_latency: abc.Callable[[str], float],
+    ) -> None:
+        self._runtime = runtime
+        self._link = link
+        self._rendezvous_hash = rendezvous_hash
+        self._get_latency = get_latency
+        self._suspicions: dict[str, _Suspicion] = {}
+        self._views: dict[str, _View] = {}
+        self.unanswered = 0
+
+    def is_enabled(self) -> bool:
+        """Return whether coordinators admit calls in this fleet."""
+        return self._link.is_enabled()
+
+    async def ask(
+        self, target: catalog.LiveTarget, question: Question
+    ) -> Admission | None:
+        """Return the decision of the engine's coordinator, None without one.
+
+        The next host of the order is asked if the first does not answer.
+        """
+        seconds = (
+            question.max_wait_seconds
+            + 2 * self._get_latency(target.domain)
+            + ANSWER_MARGIN_SECONDS
+        )
+        for peer in self._choose_coordinators(target):
+            asked_at = self._runtime.now()
+            answer = None
+            try:
+                answer = await self._link.ask(peer, question, seconds)
+            finally:
+                if answer is None:
+                    # The answer may be under way.
+                    self._link.report(peer, Progress(ended=(question.key,)))
+            if answer is None:
+                self._suspect(peer, self._runtime.now())
+                continue
+            self._suspicions.pop(peer.name, None)
+            self._record_view(target.name, question, answer, asked_at)
+            ticket = None
+            if answer.is_granted:
+                ticket = Ticket(question.key, peer, target.name)
+            return Admission(
+                ticket=ticket, expected_seconds=answer.expected_seconds
+            )
+        return None
+
+    def report_begun(self, ticket: Ticket) -> None:
+        """Report that the first byte of an admitted call has arrived."""
+        self._link.report(ticket.coordinator, Progress(begun=(ticket.key,)))
+
+    def report_ended(self, ticket: Ticket) -> None:
+        """Report that an admitted call has ended, or will not be sent."""
+        self._link.report(ticket.coordinator, Progress(ended=(ticket.key,)))
+
+    def get_backlog_seconds(self, target: str, now: float) -> float | None:
+        """Return an engine's prefill work by a recent answer, else None."""
+        view = self._views.get(target)
+        if view is None or now - view.at > VIEW_SECONDS:
+            return None
+        return max(0.0, view.backlog_seconds - (now - view.at))
+
+    def forget(self, target: str) -> None:
+        """Drop what is known of an engine whose incarnation has ended."""
+        self._views.pop(target, None)
+
+    def _record_view(
+        self,
+        target: str,
+        question: Question,
+        answer: Answer,
+        asked_at: float,
+    ) -> None:
+        backlog = answer.expected_seconds
+        if not answer.is_granted:
+            backlog -= (
+                question.prefill_tokens
+                / admission_order.PREFILL_TOKENS_PER_SECOND
+            )
+        now = self._runtime.now()
+        self._views[target] = _View(max(0.0, backlog), now)
+
+    def _choose_coordinators(
+        self, target: catalog.LiveTarget
+    ) -> list[membership.Peer]:
+        now = self._runtime.now()
+        peers = {
+            peer.name: peer
+            for peer in self._link.list_coordinators(target.domain)
+        }
+        trusted = sorted(
+            name
+            for name in peers
+            if name not in self._suspicions
+            or self._suspicions[name].until <= now
+        )
+        key = loads.hash_target(target.name)
+        ranked = self._rendezvous_hash.rank(key, trusted, ASKED_COORDINATORS)
+        return [peers[name] for name in ranked]
+
+    def _suspect(self, peer: membership.Peer, now: float) -> None:
+        self.unanswered += 1
+        former = self._suspicions.get(peer.name)
+        seconds = MIN_SUSPICION_SECONDS
+        if former is not None:
+            seconds = min(MAX_SUSPICION_SECONDS, former.seconds * 2)
+        self._suspicions[peer.name] = _Suspicion(now + seconds, seconds)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -10,6 +10,7 @@
 from pistachioseam.forwarding import begin_limits
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import coordination
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import event_streams
 from pistachioseam.forwarding import loads
@@ -71,6 +72,8 @@
         )
         self._target_work: loads.InFlightWork | None = None
         self._source_work: loads.InFlightWork | None = None
+        self._ticket: coordination.Ticket | None = None
+        self._has_reported_begin = False
         self._plan: plans.RunPlan | None = None
         self._begin_limit = begin_limits.BeginLimit(lambda: float('inf'))
         self._run_ends_at = float('inf')
@@ -83,6 +86,9 @@
         Return the failure, or None once the caller has the whole response.
         """
         self._target_work = self._start_work(target)
+        self._ticket = self._call.admission_ticket
+        self._has_reported_begin = False
+        self._call.admission_ticket = None
         may_have_run_before = self._call.may_have_run
         self._call.may_have_run = True
         self._run_ends_at = (
@@ -161,6 +167,9 @@
             if work is not None:
                 self._router.loads.finish(work)
         self._target_work = self._source_work = None
+        if self._ticket is not None and self._router.coordinators is not None:
+            self._router.coordinators.report_ended(self._ticket)
+        self._ticket = None
 
     def _start_work(self, target: catalog.LiveTarget) -> loads.InFlightWork:
         prompt = self._call.prompt
@@ -350,6 +359,7 @@
             self._call.first_byte_at = self._router.runtime.now()
         if self._target_work is not None:
             self._router.loads.finish_prefill(self._target_work)
+        self._report_begun()
         if self._plan is not None and self._call.attempts:
             attempt = self._call.attempts[-1]
             now = self._router.runtime.now()
@@ -364,6 +374,16 @@
             self._router.loads.finish(self._source_work)
             self._source_work = None
 
+    def _report_begun(self) -> None:
+        """Tell the engine's coordinator once that the call has begun."""
+        if (
+            self._ticket is not None
+            and not self._has_reported_begin
+            and self._router.coordinators is not None
+        ):
+            self._has_reported_begin = True
+            self._router.coordinators.report_begun(self._ticket)
+
     def _report_outdated_begin(self, attempt: calls.CallAttempt) -> None:
         """Log a call that began after its weights were too old to send it."""
         assert self._plan is not None
--- a/packages/pistachioseam/src/pistachioseam/forwarding/desired.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/desired.py
@@ -177,6 +177,20 @@
             if service.cache_store is not None
         )
 
+    @functools.cached_property
+    def prioritized_services(self) -> frozenset[str]:
+        """Return the services that get prompts of different priorities."""
+        priorities: dict[str, set[int]] = {}
+        for route in self.routes:
+            if route.has_prompt:
+                for service in route.services:
+                    priorities.setdefault(service.name, set()).add(
+                        route.priority
+                    )
+        return frozenset(
+            name for name, found in priorities.items() if len(found) > 1
+        )
+
     @functools.cached_property
     def _routes_by_host(self) -> abc.Mapping[str, list[Route]]:
         by_host: dict[str, list[Route]] = {}
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/engine_queues.py
@@ -0,0 +1,239 @@
+"""Queue of one engine, as its coordinator keeps it.
+
+Load pattern: dozens of hosts send to one engine, each a few calls a second.
+Their reports of each other's calls are late by as much as the whole queue, so
+some engines get five seconds of work while others idle. The coordinator of an
+engine admits every call to it, and so knows exactly what it has.
+"""
+
+import attrs
+
+from pistachioseam.forwarding import admission_order
+from pistachioseam.forwarding import loads
+
+MAX_BACKLOG_SECONDS = 0.15
+"""Prefill work up to which an engine gets more: about the time until the
+coordinator hears of a first byte from another region. What waits beyond it
+waits here, where the order can still be changed."""
+IDLE_BACKLOG_SECONDS = 0.01
+"""Prefill work below which an engine counts as idle."""
+RESERVED_OBJECTIVE_FRACTION = 0.5
+"""Part of the objective of calls of a higher priority that calls of a lower
+one may fill with their prefill work."""
+PRIORITY_MEMORY_SECONDS = 2.0
+"""Time for which an engine that got calls of a higher priority is kept free
+for more of them."""
+REPORT_DELAY_SECONDS = 0.15
+"""Longest usual time from a first byte to the report of it. A call is taken
+to be prefilled in time until then; after that it counts as waiting."""
+MAX_OVERDUE_SECONDS = 3.0
+"""Time after which a call without a report of its first byte is forgotten: its
+host is lost, or the engine is left to outlier detection."""
+MAX_MEMORY_FRACTION = 0.95
+"""Fraction of an engine's KV cache that admitted calls may take. An engine
+crashes if what it holds exceeds its memory."""
+TAKEOVER_SECONDS = 2.0
+"""Time for which the load that other hosts report counts at a coordinator that
+has admitted no call to the engine before."""
+
+
+@attrs.frozen(kw_only=True)
+class Decision:
+    """Answer to the call with the given key.
+
+    `expected_seconds` is the expected time to the first byte, from now on.
+    """
+
+    key: int
+    is_granted: bool
+    expected_seconds: float
+
+
+@attrs.define
+class _Admitted:
+    demand: admission_order.Demand
+    first_byte_at: float
+    has_first_byte: bool = False
+
+
+@attrs.define
+class _SeenPriority:
+    objective_seconds: float
+    seen_at: float
+
+
+class EngineQueue:
+    """Calls of one engine incarnation; times are monotonic seconds.
+
+    `reported` is the load that other hosts have told of when this coordinator
+    took over.
+    """
+
+    def __init__(
+        self,
+        slots: int,
+        memory_tokens: int,
+        reported: loads.Load,
+        now: float,
+    ) -> None:
+        self.slots = slots
+        self.memory_tokens = memory_tokens
+        self.used_at = now
+        self._reported = reported
+        self._created_at = now
+        self._admitted: dict[int, _Admitted] = {}
+        self._waiting: dict[int, admission_order.Demand] = {}
+        self._priorities: dict[int, _SeenPriority] = {}
+        self._prefilled_at = now
+
+    def submit(self, demand: admission_order.Demand, now: float) -> None:
+        """Add a call that waits for admission."""
+        self.used_at = now
+        self._waiting[demand.key] = demand
+        if demand.objective_seconds > 0:
+            self._priorities[demand.priority] = _SeenPriority(
+                demand.objective_seconds, now
+            )
+
+    def withdraw(self, key: int) -> None:
+        """Remove a call that no longer waits."""
+        self._waiting.pop(key, None)
+
+    def record_first_byte(self, key: int, now: float) -> None:
+        """Record that the engine has prefilled a call."""
+        admitted = self._admitted.get(key)
+        if admitted is None:
+            return
+        admitted.has_first_byte = True
+        left = sum(
+            other.demand.get_prefill_seconds()
+            for other in self._admitted.values()
+            if not other.has_first_byte
+        )
+        self._prefilled_at = min(self._prefilled_at, now + left)
+
+    def record_end(self, key: int, now: float) -> None:
+        """Record that a call has ended, or will not be sent."""
+        self.record_first_byte(key, now)
+        self._admitted.pop(key, None)
+
+    def has_waiting(self) -> bool:
+        """Return whether any call waits for admission."""
+        return bool(self._waiting)
+
+    def count_admitted(self) -> int:
+        """Return the number of calls that were admitted and have not ended."""
+        return len(self._admitted)
+
+    def get_backlog_seconds(self, now: float) -> float:
+        """Return the time in which the engine prefills what it has.
+
+        A call whose first byte is overdue is still waiting there.
+        """
+        overdue = sum(
+            admitted.demand.get_prefill_seconds()
+            for admitted in self._admitted.values()
+            if not admitted.has_first_byte
+            and now > admitted.first_byte_at + REPORT_DELAY_SECONDS
+        )
+        backlog = max(0.0, self._prefilled_at - now) + overdue
+        if self._counts_reported(now):
+            backlog += (
+                self._reported.prefill_tokens
+                / admission_order.PREFILL_TOKENS_PER_SECOND
+            )
+        return backlog
+
+    def _counts_reported(self, now: float) -> bool:
+        return now - self._created_at < TAKEOVER_SECONDS
+
+    def decide(self, now: float) -> list[Decision]:
+        """Return decisions on waiting calls; the others go on waiting."""
+        self._forget_expired(now)
+        decisions = []
+        backlog = self.get_backlog_seconds(now)
+        expected = backlog
+        is_blocked = False
+        ordered = admission_order.sort_demands(self._waiting.values(), now)
+        for demand in ordered:
+            own_seconds = demand.get_prefill_seconds()
+            expected += own_seconds
+            is_blocked = is_blocked or not self._has_room(demand, backlog, now)
+            if not is_blocked:
+                self._admit(demand, expected, now)
+                backlog = expected
+            elif now + expected <= demand.deadline and now < demand.answer_by:
+                continue
+            else:
+                # A call that is turned away delays no other.
+                expected -= own_seconds
+            del self._waiting[demand.key]
+            decisions.append(
+                Decision(
+                    key=demand.key,
+                    is_granted=not is_blocked,
+                    expected_seconds=backlog
+                    if not is_blocked
+                    else expected + own_seconds,
+                )
+            )
+        return decisions
+
+    def _has_room(
+        self, demand: admission_order.Demand, backlog: float, now: float
+    ) -> bool:
+        runs = len(self._admitted)
+        tokens = sum(a.demand.memory_tokens for a in self._admitted.values())
+        if self._counts_reported(now):
+            runs += self._reported.runs
+            tokens += self._reported.tokens
+        if runs >= self.slots:
+            return False
+        most = self.memory_tokens * MAX_MEMORY_FRACTION
+        if runs and tokens + demand.memory_tokens > most:
+            return False
+        if backlog <= IDLE_BACKLOG_SECONDS:
+            return True
+        reserved = self._get_reserved_seconds(demand.priority, now)
+        return (
+            backlog <= MAX_BACKLOG_SECONDS
+            and backlog + demand.get_prefill_seconds() <= reserved
+        )
+
+    def _get_reserved_seconds(self, priority: int, now: float) -> float:
+        """Return the prefill work that calls of a priority may leave behind.
+
+        Infinite unless calls of a higher priority come to the engine.
+        """
+        objectives = [
+            seen.objective_seconds
+            for other, seen in self._priorities.items()
+            if other < priority
+            and now - seen.seen_at < PRIORITY_MEMORY_SECONDS
+        ]
+        return RESERVED_OBJECTIVE_FRACTION * min(
+            objectives, default=float('inf')
+        )
+
+    def _admit(
+        self,
+        demand: admission_order.Demand,
+        expected_seconds: float,
+        now: float,
+    ) -> None:
+        self._admitted[demand.key] = _Admitted(demand, now + expected_seconds)
+        self._prefilled_at = (
+            max(now, self._prefilled_at) + demand.get_prefill_seconds()
+        )
+
+    def _forget_expired(self, now: float) -> None:
+        """Drop calls whose progress was not reported, as of a lost host."""
+        self._admitted = {
+            key: admitted
+            for key, admitted in self._admitted.items()
+            if now <= admitted.demand.deadline
+            and (
+                admitted.has_first_byte
+                or now <= admitted.first_byte_at + MAX_OVERDUE_SECONDS
+            )
+        }
--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -264,7 +264,9 @@
         router.loads.get(target.name, now),
         plan,
         call.prompt.output_tokens,
-        call.is_urgent(),
+        router.coordinators.get_backlog_seconds(target.name, now)
+        if router.coordinators is not None
+        else None,
         router.slowdown_tracker.get_slowdown(target.name, now),
         call.route.objective_seconds if call.route else 0.0,
         router.topology,
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -11,6 +11,7 @@
 from pistachioseam.forwarding import budgets
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import coordination
 from pistachioseam.forwarding import crash_evidence
 from pistachioseam.forwarding import doubts
 from pistachioseam.forwarding import faults
@@ -50,7 +51,8 @@
     name, the monotonic time until which other targets are preferred because
     this one rejected a call as busy. `restore_listeners` are called once when
     the platform's store has been restored from an older copy, in `store_era`.
-    `is_cut_off` returns whether this host reaches no target.
+    `is_cut_off` returns whether this host reaches no target. `coordinators`
+    admit model calls to engines, None if this host has no peers.
     `prefill_listeners` are called when a call makes
     an engine prefill tokens that other calls share.
     """
@@ -93,6 +95,7 @@
         factory=paces.SlowdownTracker
     )
     is_cut_off: abc.Callable[[], bool] = lambda: False
+    coordinators: coordination.CoordinatorClient | None = None
     prefill_listeners: list[abc.Callable[[], None]] = attrs.field(factory=list)
     rendezvous_hash: rendezvous.RendezvousHash = attrs.field(
         factory=rendezvous.RendezvousHash
--- a/packages/pistachioseam/src/pistachioseam/forwarding/selection.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/selection.py
@@ -41,7 +41,8 @@
     beyond it, `recompute_cost` the cost of prefilling shared parts that are
     neither cached nor fetched, and `other_cost` that of warm-up, failures,
     rank and outdated weights. `max_first_byte_seconds` is the time within
-    which calls must begin there.
+    which calls must begin there, and `prefill_tokens` the tokens that would be
+    prefilled.
     """
 
     target: str
@@ -50,6 +51,7 @@
     recompute_cost: float = 0.0
     other_cost: float = 0.0
     max_first_byte_seconds: float = float('inf')
+    prefill_tokens: int = 0
 
     def is_too_slow(self) -> bool:
         """Return whether a call is expected to begin too late there."""
@@ -97,6 +99,11 @@
         """Return the time within which the call must begin there."""
         return self.candidates[0].max_first_byte_seconds
 
+    @property
+    def prefill_tokens(self) -> int:
+        """Return the tokens that the chosen engine would prefill."""
+        return self.candidates[0].prefill_tokens
+
 
 def choose_target(
     targets: abc.Sequence[catalog.LiveTarget],
@@ -153,7 +160,7 @@
     load: loads.Load,
     plan: plans.RunPlan,
     output_tokens: int,
-    is_urgent: bool,
+    backlog_seconds: float | None,
     slowdown: float,
     objective_seconds: float,
     topology: links.Topology,
@@ -162,13 +169,16 @@
 ) -> Candidate:
     """Return an engine as a candidate with the cost of a planned run.
 
-    Engines prefill urgent prompts first; `slowdown` is the engine's recent
-    time to first byte relative to the expected one. `other_cost` is added to
-    the cost of its warm-up.
+    Engines prefill in the order of arrival, whatever the priority.
+    `backlog_seconds` is the prefill work that the engine's coordinator has
+    told of, None if it is not known. `slowdown` is the engine's recent time to
+    first byte relative to the expected one. `other_cost` is added to the cost
+    of its warm-up.
     """
-    queued_tokens = load.urgent_tokens if is_urgent else load.prefill_tokens
     tokens_per_second = transfers.PREFILL_TOKENS_PER_SECOND / slowdown
-    queue_seconds = queued_tokens / tokens_per_second
+    queue_seconds = load.prefill_tokens / tokens_per_second
+    if backlog_seconds is not None:
+        queue_seconds = backlog_seconds
     if plan.source.tokens:
         queue_seconds += load.transfer_ms / 1000 + plan.source.wait_seconds
     tokens = plan.own_tokens + plan.recomputed_tokens + plan.source.tokens
@@ -203,4 +213,5 @@
         * transfers.RECOMPUTE_SECONDS_PER_TOKEN,
         other_cost=other_cost + target.cold_seconds * WARM_UP_COST_FACTOR,
         max_first_byte_seconds=max_first_byte_seconds,
+        prefill_tokens=plan.own_tokens + plan.recomputed_tokens,
     )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -13,6 +13,7 @@
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import crashes
 from pistachioseam.forwarding import delivery
+from pistachioseam.forwarding import engine_admission
 from pistachioseam.forwarding import placement
 from pistachioseam.forwarding import router as routers
 from pistachioseam.forwarding import selection
@@ -65,6 +66,15 @@
     except TimeoutError:
         record_deadline_exceeded(call, router)
         return result.Failure(call_refusals.refuse_deadline_exceeded(call))
+    finally:
+        _release_admission(call, router)
+
+
+def _release_admission(call: calls.Call, router: routers.CallRouter) -> None:
+    """Give up the admission to an engine that the call is not sent to."""
+    if call.admission_ticket is not None and router.coordinators is not None:
+        router.coordinators.report_ended(call.admission_ticket)
+    call.admission_ticket = None
 
 
 async def _send_until_served(
@@ -108,6 +118,7 @@
     max_listing_at = (
         router.runtime.now() + software_versions.STORE_WAIT_SECONDS
     )
+    search = engine_admission.AdmissionSearch(call, router)
     while True:
         key_check = authenticate.check_key_freshness(call, router)
         if router.quarantine.is_quarantined(crashes.digest_call(call)):
@@ -141,10 +152,15 @@
                     call, pause, router.random.random()
                 )
             )
-        decision = decide_admission(call, router, choice)
+        decision = None
+        if search.is_needed():
+            decision = await search.decide(choice)
+        if decision is None:
+            decision = decide_admission(call, router, choice)
         if isinstance(decision, admission.Admit):
             if await _acquire_permit(call, router, choice.target):
                 return result.Success(choice)
+            _release_admission(call, router)
             continue
         if isinstance(decision, admission.Refuse):
             _log_overload(call, router, choice, decision)
