--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -128,6 +128,7 @@
             self.admissions,
             router.rendezvous_hash,
             router.topology.get_latency,
+            router.sink,
         )
         self._has_host_list = False
         self._client: clients.PeerClient | None = None
--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -223,6 +223,11 @@
         Level.WARNING,
         'no answer to a request for a permit; the limited target is left out',
     )
+    COORDINATOR_UNANSWERED = EventKind(
+        519,
+        Level.WARNING,
+        "an engine's coordinator did not answer; it is not asked for a while",
+    )
     TARGET_PATHS_LOST = EventKind(
         515,
         Level.WARNING,
--- a/packages/pistachioseam/src/pistachioseam/forwarding/coordination.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/coordination.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from pistachioseam import events
 from pistachioseam.forwarding import admission_order
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import desired
@@ -255,11 +256,15 @@
 
 @attrs.frozen
 class Ticket:
-    """Admission of one call to an engine, to be reported when it ends."""
+    """Admission of one call to an engine, to be reported when it ends.
+
+    `expected_seconds` is the expected time to the first byte.
+    """
 
     key: int
     coordinator: membership.Peer
     target: str
+    expected_seconds: float
 
 
 @attrs.frozen(kw_only=True)
@@ -291,8 +296,10 @@
         link: CoordinatorLink,
         rendezvous_hash: rendezvous.RendezvousHash,
         get_latency: abc.Callable[[str], float],
+        sink: interfaces.EventSink,
     ) -> None:
         self._runtime = runtime
+        self._sink = sink
         self._link = link
         self._rendezvous_hash = rendezvous_hash
         self._get_latency = get_latency
@@ -327,12 +334,20 @@
                     self._link.report(peer, Progress(ended=(question.key,)))
             if answer is None:
                 self._suspect(peer, self._runtime.now())
+                self._sink.emit(
+                    events.Event.COORDINATOR_UNANSWERED,
+                    coordinator=peer.name,
+                    target=target.name,
+                    seconds=round(self._runtime.now() - asked_at, 3),
+                )
                 continue
             self._suspicions.pop(peer.name, None)
-            self._record_view(target.name, question, answer, asked_at)
+            self._record_view(target.name, question, answer)
             ticket = None
             if answer.is_granted:
-                ticket = Ticket(question.key, peer, target.name)
+                ticket = Ticket(
+                    question.key, peer, target.name, answer.expected_seconds
+                )
             return Admission(
                 ticket=ticket, expected_seconds=answer.expected_seconds
             )
@@ -362,7 +377,6 @@
         target: str,
         question: Question,
         answer: Answer,
-        asked_at: float,
     ) -> None:
         backlog = answer.expected_seconds
         if not answer.is_granted:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -269,16 +269,21 @@
 ) -> interfaces.CallFailure | None:
     target = choice.target
     now = router.runtime.now()
+    ticket = call.admission_ticket
     attempt = calls.CallAttempt(
         target=target,
         started_at=now,
-        expected_seconds=choice.first_byte_seconds,
+        expected_seconds=ticket.expected_seconds
+        if ticket
+        else choice.first_byte_seconds,
     )
     call.attempts.append(attempt)
     router.sink.emit(
         events.Event.CALL_PLACED,
         request_id=call.request_id,
         target=target.name,
+        expected=round(attempt.expected_seconds, 3),
+        coordinator=ticket.coordinator.name if ticket else '',
         costs=_describe_costs(choice),
         plan=delivery_.plan(target),
         weights_lag=round(delivery_.get_weights_lag(), 3),
