Keep prompts with a shared part at its home engines in large fleets

Leaders' budgets let few hosts hear which engine holds a part, so overflow went anywhere and 22 of 100 prompt tokens were shared ones prefilled again. The first engines of the rendezvous order are taken to hold the part, and all engines of the region use the cache store near the first.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
@@ -47,7 +47,9 @@
     caller; `origin` is what began the stream that the caller has events of,
     None if it has none yet; `first_byte_at` is the time at which the first
     part of the response was ready for the caller, None until then.
-    `admission_ticket` is that of the next attempt, until it is sent.
+    `home_domain` is the failure domain near which the call's shared parts are
+    taken to be saved, empty if unknown. `admission_ticket` is that of the next
+    attempt, until it is sent.
     """
 
     head: ports.CallHead
@@ -62,6 +64,7 @@
     desired_version: int = 0
     deadline: float = 0.0
     digest: str = ''
+    home_domain: str = ''
     may_have_run: bool = False
     is_served: bool = False
     status: int = 0
--- a/packages/pistachioseam/src/pistachioseam/forwarding/engine_admission.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/engine_admission.py
@@ -52,8 +52,7 @@
             and call.service.engine is not None
             and state is not None
             and call.service.name in state.prioritized_services
-            and self._router.coordinators is not None
-            and self._router.coordinators.is_enabled()
+            and self._router.has_many_hosts()
             and self._asks.total() < MAX_ASKS
         )
 
--- /dev/null
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/home_engines.py
@@ -0,0 +1,71 @@
+"""Home engines of shared prompt parts.
+
+Load pattern: prompts share parts that each engine evicts within seconds, and
+dozens of hosts learn late, or not at all, which engine holds a part. All hosts
+find the same few engines of a part by rendezvous hashing, without a message,
+and keep its prompts there under load. Overflow goes to the next engines of the
+order, not to all.
+"""
+
+from collections import abc
+import hashlib
+
+import attrs
+
+from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import prompts
+from pistachioseam.placement import rendezvous
+
+HOME_ENGINES = 3
+"""Engines of a part that are ranked; all others come after them."""
+RANK_COST_SECONDS = 0.01
+"""Cost per rank, so that all hosts send a new part to the same target."""
+HOME_HIT_PROBABILITY = 0.5
+"""Assumed probability that a part which no host has told of is cached at its
+first engine or in the cache store near it."""
+
+
+@attrs.frozen
+class HomeEngines:
+    """Ranks of the home engines of one prompt's shared parts, by name.
+
+    `domain` is the failure domain of the first, empty if there is none.
+    `is_assumed` says whether the first engine is taken to hold parts that no
+    host has told of, as in a large fleet.
+    """
+
+    ranks: abc.Mapping[str, int]
+    domain: str = ''
+    is_assumed: bool = False
+
+    def compute_cost(self, target: str, recompute_cost: float) -> float:
+        """Return the cost in seconds of a placement at a target.
+
+        `recompute_cost` is that of the shared tokens that would be prefilled
+        there, as far as known.
+        """
+        rank = self.ranks.get(target, HOME_ENGINES)
+        cost = RANK_COST_SECONDS * rank
+        if self.is_assumed:
+            cost += HOME_HIT_PROBABILITY * recompute_cost * rank / HOME_ENGINES
+        return cost
+
+
+def find_home_engines(
+    prompt: prompts.Prompt,
+    targets: abc.Collection[catalog.LiveTarget],
+    rendezvous_hash: rendezvous.RendezvousHash,
+    is_assumed: bool = False,
+) -> HomeEngines:
+    """Return the home engines of a prompt among the given targets."""
+    digest = hashlib.blake2b(
+        prompt.get_affinity_part_name().encode(), digest_size=8
+    )
+    key = int.from_bytes(digest.digest(), 'big')
+    domains = {target.name: target.domain for target in targets}
+    ranked = rendezvous_hash.rank(key, sorted(domains), HOME_ENGINES)
+    return HomeEngines(
+        ranks={name: rank for rank, name in enumerate(ranked)},
+        domain=domains[ranked[0]] if ranked else '',
+        is_assumed=is_assumed,
+    )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -1,22 +1,18 @@
 """Placement of a call on one of the live targets of its service."""
 
 from collections import abc
-import hashlib
 
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import faults
+from pistachioseam.forwarding import home_engines
 from pistachioseam.forwarding import plans
-from pistachioseam.forwarding import prompts
 from pistachioseam.forwarding import router as routers
 from pistachioseam.forwarding import selection
 from pistachioseam.forwarding import stream_origins
+from pistachioseam.forwarding import transfers
 
-RANKED_TARGETS = 3
-"""Number of targets that are ranked by rendezvous hashing."""
-RANK_COST_SECONDS = 0.01
-"""Cost per rank, so that all hosts send a new part to the same target."""
 OUTDATED_WEIGHTS_COST_SECONDS = 0.4
 """Cost of an engine whose weights are older than the newest version."""
 
@@ -32,12 +28,15 @@
             lambda target: _score_service(router, target),
             router.random.random(),
         )
-    ranks = _rank_targets(call.prompt, eligible, router)
+    homes = home_engines.find_home_engines(
+        call.prompt, eligible, router.rendezvous_hash, router.has_many_hosts()
+    )
+    call.home_domain = homes.domain if homes.is_assumed else ''
     holder_lookup = plans.HolderLookup(call, router)
     return selection.choose_target(
         eligible,
         lambda target: _score_engine(
-            call, router, target, ranks, holder_lookup
+            call, router, target, homes, holder_lookup
         ),
         router.random.random(),
     )
@@ -198,21 +197,6 @@
     return fresh or unknown_lag
 
 
-def _rank_targets(
-    prompt: prompts.Prompt,
-    eligible: list[catalog.LiveTarget],
-    router: routers.CallRouter,
-) -> dict[str, int]:
-    """Return the rendezvous hashing ranks of the first few targets."""
-    digest = hashlib.blake2b(
-        prompt.get_affinity_part_name().encode(), digest_size=8
-    )
-    key = int.from_bytes(digest.digest(), 'big')
-    names = sorted(target.name for target in eligible)
-    ranked_names = router.rendezvous_hash.rank(key, names, RANKED_TARGETS)
-    return {name: rank for rank, name in enumerate(ranked_names)}
-
-
 def _score_service(
     router: routers.CallRouter, target: catalog.LiveTarget
 ) -> selection.Candidate:
@@ -240,7 +224,7 @@
     call: calls.Call,
     router: routers.CallRouter,
     target: catalog.LiveTarget,
-    ranks: dict[str, int],
+    homes: home_engines.HomeEngines,
     holder_lookup: plans.HolderLookup,
 ) -> selection.Candidate:
     assert call.service is not None and call.prompt is not None
@@ -250,7 +234,10 @@
     now = holder_lookup.now
     plan = plans.plan_run(call, router, target, holder_lookup)
     other_cost = _compute_failure_cost(router, target, now)
-    other_cost += RANK_COST_SECONDS * ranks.get(target.name, RANKED_TARGETS)
+    other_cost += homes.compute_cost(
+        target.name,
+        plan.recomputed_tokens * transfers.RECOMPUTE_SECONDS_PER_TOKEN,
+    )
     max_first_byte_seconds = float('inf')
     if plan.version < router.desired.get_newest_version(call.prompt.model):
         other_cost += OUTDATED_WEIGHTS_COST_SECONDS
--- a/packages/pistachioseam/src/pistachioseam/forwarding/plans.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/plans.py
@@ -249,7 +249,9 @@
     cached_tokens = router.cache_models.count_prefix_tokens(
         target.name, salt, shared_parts
     )
-    cache_store = holder_lookup.find_nearest_cache_store(target.domain)
+    cache_store = holder_lookup.find_nearest_cache_store(
+        _choose_store_domain(call, router, target)
+    )
     source = transfers.NO_SOURCE
     if cached_tokens < shared_tokens and service.engine is not None:
         source = holder_lookup.find_source(
@@ -275,6 +277,20 @@
     )
 
 
+def _choose_store_domain(
+    call: calls.Call, router: routers.CallRouter, target: catalog.LiveTarget
+) -> str:
+    """Return the failure domain whose cache store a run uses.
+
+    Within a region this is the domain of the parts' first home engine, so that
+    all engines of the region save to, and fetch from, the same store.
+    """
+    home = call.home_domain
+    if home and router.topology.share_region(target.domain, home):
+        return home
+    return target.domain
+
+
 def _choose_fetch_from(
     source: transfers.Source,
     cache_store: desired.CacheStore | None,
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -177,6 +177,10 @@
             target.address, self.targets_freshness.confirmed_at
         )
 
+    def has_many_hosts(self) -> bool:
+        """Return whether leaders relay statuses, as in a large fleet."""
+        return self.coordinators is not None and self.coordinators.is_enabled()
+
     def get_pause_seconds(self, target: Target, now: float) -> float:
         """Return for how long a target takes no calls of this host, 0 if any.
 
--- a/packages/pistachioseam/src/pistachioseam/links.py
+++ b/packages/pistachioseam/src/pistachioseam/links.py
@@ -33,6 +33,10 @@
         """Return whether a domain is in another region than this host."""
         return self.find_region(domain) != self.find_region(self.domain)
 
+    def share_region(self, domain: str, other_domain: str) -> bool:
+        """Return whether two domains are in the same region."""
+        return self.find_region(domain) == self.find_region(other_domain)
+
     def get_latency(self, domain: str) -> float:
         """Return the one-way latency to a domain in seconds."""
         if domain == self.domain:
