Engine queues: count begun calls to their end; refuse what never fits

Cause: the coordinator dropped a call that had begun at the deadline for its first byte, though the run goes on, and gave its slot and memory away; it admitted a call larger than the engine's whole memory to an idle engine; a call that was turned away blocked the calls behind it until the next decision.

Change: a begun call counts until its end, at most 30 s past that deadline; a call that never fits is refused at once; only calls that go on waiting block.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/engine_queues.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/engine_queues.py
@@ -29,6 +29,10 @@
 MAX_OVERDUE_SECONDS = 3.0
 """Time after which a call without a report of its first byte is forgotten: its
 host is lost, or the engine is left to outlier detection."""
+MAX_RUN_SECONDS = 30.0
+"""Time after its deadline for the first byte at which a call that has begun is
+forgotten, twice the longest time limit of a prompt. A call that still runs
+takes its slot and memory; if it were forgotten, others would exceed them."""
 MAX_MEMORY_FRACTION = 0.95
 """Fraction of an engine's KV cache that admitted calls may take. An engine
 crashes if what it holds exceeds its memory."""
@@ -156,25 +160,31 @@
         is_blocked = False
         ordered = admission_order.sort_demands(self._waiting.values(), now)
         for demand in ordered:
-            own_seconds = demand.get_prefill_seconds()
-            expected += own_seconds
-            is_blocked = is_blocked or not self._has_room(demand, backlog, now)
-            if not is_blocked:
-                self._admit(demand, expected, now)
-                backlog = expected
-            elif now + expected <= demand.deadline and now < demand.answer_by:
+            seconds = expected + demand.get_prefill_seconds()
+            fits = demand.memory_tokens <= self.memory_tokens
+            is_granted = (
+                fits
+                and not is_blocked
+                and self._has_room(demand, backlog, now)
+            )
+            if is_granted:
+                self._admit(demand, seconds, now)
+                backlog = expected = seconds
+            elif (
+                fits
+                and now + seconds <= demand.deadline
+                and now < demand.answer_by
+            ):
+                # Only calls that go on waiting delay those behind them.
+                is_blocked = True
+                expected = seconds
                 continue
-            else:
-                # A call that is turned away delays no other.
-                expected -= own_seconds
             del self._waiting[demand.key]
             decisions.append(
                 Decision(
                     key=demand.key,
-                    is_granted=not is_blocked,
-                    expected_seconds=backlog
-                    if not is_blocked
-                    else expected + own_seconds,
+                    is_granted=is_granted,
+                    expected_seconds=seconds,
                 )
             )
         return decisions
@@ -231,9 +241,15 @@
         self._admitted = {
             key: admitted
             for key, admitted in self._admitted.items()
-            if now <= admitted.demand.deadline
-            and (
-                admitted.has_first_byte
-                or now <= admitted.first_byte_at + MAX_OVERDUE_SECONDS
-            )
+            if now <= _get_forgotten_at(admitted)
         }
+
+
+def _get_forgotten_at(admitted: _Admitted) -> float:
+    """Return the time after which the end of a call is not waited for."""
+    if admitted.has_first_byte:
+        return admitted.demand.deadline + MAX_RUN_SECONDS
+    return min(
+        admitted.demand.deadline,
+        admitted.first_byte_at + MAX_OVERDUE_SECONDS,
+    )
