Coordination: suspect no coordinator for a new engine; age the second question

Cause: a coordinator that had not read of a new engine gave no answer, so hosts skipped it for 2 to 30 s, for all its engines; the second coordinator was told the time left as it was before the first one was waited for; a queue without new calls for 30 s was dropped while calls ran.

Change: an answer says that the engine is not known (no content in the message; older builds answer with a handshake); the second question is aged; queues with calls are kept.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/admission_exchange.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/admission_exchange.py
@@ -142,8 +142,7 @@
             admission_messages.decode_question(question)
         )
         response = self._create_message()
-        if answer is not None:
-            admission_messages.add_answer(response, answer)
+        admission_messages.add_answer(response, answer)
         return response
 
     def apply_progress(self, progress: messages_pb2.AdmissionProgress) -> None:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/admission_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/admission_messages.py
@@ -50,7 +50,12 @@
 def add_answer(
     message: messages_pb2.Message, answer: coordination.Answer
 ) -> None:
-    """Set the content of a message to an answer."""
+    """Set the content of a message to an answer.
+
+    There is no content if the engine is not known.
+    """
+    if not answer.is_engine_known:
+        return
     message.admission_word.is_granted = answer.is_granted
     message.admission_word.expected_ms = _encode_seconds(
         answer.expected_seconds
@@ -60,8 +65,14 @@
 def decode_answer(
     message: messages_pb2.Message,
 ) -> coordination.Answer | None:
-    """Return an answer, None if the message holds none."""
-    if message.WhichOneof('content') != 'admission_word':
+    """Return an answer, None if the message is none.
+
+    Hosts of older builds answer questions with a handshake.
+    """
+    content = message.WhichOneof('content')
+    if content is None:
+        return coordination.UNKNOWN_ENGINE
+    if content != 'admission_word':
         return None
     word = message.admission_word
     return coordination.Answer(
--- a/packages/pistachioseam/src/pistachioseam/forwarding/coordination.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/coordination.py
@@ -55,6 +55,14 @@
     seconds_left: float
     max_wait_seconds: float
 
+    def spend(self, seconds: float) -> 'Question':
+        """Return the question some seconds later."""
+        return attrs.evolve(
+            self,
+            objective_left_seconds=self.objective_left_seconds - seconds,
+            seconds_left=self.seconds_left - seconds,
+        )
+
     def create_demand(self, now: float) -> admission_order.Demand:
         """Return the call as it waits at the coordinator."""
         objective_at = now + self.objective_left_seconds
@@ -75,10 +83,18 @@
 
 @attrs.frozen
 class Answer:
-    """Decision of a coordinator, with the expected time to first byte."""
+    """Decision of a coordinator, with the expected time to first byte.
+
+    `is_engine_known` is False if the coordinator has not read of the engine.
+    """
 
     is_granted: bool
     expected_seconds: float
+    is_engine_known: bool = True
+
+
+UNKNOWN_ENGINE = Answer(False, 0.0, is_engine_known=False)
+"""Answer of a coordinator that has not read of the engine."""
 
 
 @attrs.frozen(kw_only=True)
@@ -108,12 +124,12 @@
         self._answers: dict[int, asyncio.Future[Answer]] = {}
         self._is_deciding = False
 
-    async def admit(self, question: Question) -> Answer | None:
-        """Return the decision on a call, None for an unknown engine."""
+    async def admit(self, question: Question) -> Answer:
+        """Return the decision on a call."""
         now = self._runtime.now()
         queue = self._find_queue(question.incarnation, now)
         if queue is None:
-            return None
+            return UNKNOWN_ENGINE
         key = question.key
         answer: asyncio.Future[Answer] = (
             asyncio.get_running_loop().create_future()
@@ -194,6 +210,7 @@
             incarnation: queue
             for incarnation, queue in self._queues.items()
             if now - queue.used_at < QUEUE_EXPIRY_SECONDS
+            or queue.has_calls(now)
         }
         self._owners = {
             key: owner
@@ -323,11 +340,14 @@
             + 2 * self._get_latency(target.domain)
             + ANSWER_MARGIN_SECONDS
         )
+        started_at = self._runtime.now()
         for peer in self._choose_coordinators(target):
             asked_at = self._runtime.now()
             answer = None
             try:
-                answer = await self._link.ask(peer, question, seconds)
+                answer = await self._link.ask(
+                    peer, question.spend(asked_at - started_at), seconds
+                )
             finally:
                 if answer is None:
                     # The answer may be under way.
@@ -342,6 +362,8 @@
                 )
                 continue
             self._suspicions.pop(peer.name, None)
+            if not answer.is_engine_known:
+                continue
             self._record_view(target.name, question, answer)
             ticket = None
             if answer.is_granted:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/engine_queues.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/engine_queues.py
@@ -125,6 +125,11 @@
         """Return whether any call waits for admission."""
         return bool(self._waiting)
 
+    def has_calls(self, now: float) -> bool:
+        """Return whether any call waits, or runs as far as is known."""
+        self._forget_expired(now)
+        return bool(self._waiting or self._admitted)
+
     def count_admitted(self) -> int:
         """Return the number of calls that were admitted and have not ended."""
         return len(self._admitted)
