Coordinators: pass questions on, learn engines' speed, reserve by objective

Accounts may set the priority of all their calls, so the reserve for short prompts goes by the objective too.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/admission_exchange.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/admission_exchange.py
@@ -6,6 +6,8 @@
 from collections import abc
 import typing
 
+import attrs
+
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import contacts
 from pistachioseam.forwarding import coordination
@@ -20,6 +22,10 @@
 REPORT_DELAY_SECONDS = 0.02
 """Time for which progress is collected before it is reported."""
 
+PASS_ON_SECONDS = 0.1
+"""Time beyond the wait of a question in which the coordinator answers another
+host of its domain."""
+
 Exchange: typing.TypeAlias = abc.Callable[
     [str, messages_pb2.Message, float],
     abc.Awaitable[messages_pb2.Message | None],
@@ -98,12 +104,14 @@
         peer: membership.Peer,
         question: coordination.Question,
         seconds: float,
+        hops: int = 0,
     ) -> coordination.Answer | None:
         """Return the answer of a host, None without one in time."""
         if peer.name == self._own.name:
             return await self.coordinator.admit(question)
         message = self._create_message()
         admission_messages.add_question(message, question)
+        message.admission_question.hops = hops
         response = await self._exchange(peer.address, message, seconds)
         if response is None:
             return None
@@ -137,14 +145,42 @@
     async def respond(
         self, question: messages_pb2.AdmissionQuestion
     ) -> messages_pb2.Message:
-        """Return this coordinator's decision for a peer."""
-        answer = await self.coordinator.admit(
-            admission_messages.decode_question(question)
-        )
+        """Return the decision for a peer.
+
+        A question to the wrong host of this domain is passed on once: hosts of
+        other domains do not know which hosts are up.
+        """
+        decoded = admission_messages.decode_question(question)
+        answer = None
+        if not question.hops:
+            answer = await self._pass_on(decoded)
+        if answer is None:
+            answer = await self.coordinator.admit(decoded)
         response = self._create_message()
         admission_messages.add_answer(response, answer)
         return response
 
+    async def _pass_on(
+        self, question: coordination.Question
+    ) -> coordination.Answer | None:
+        """Return the answer of the engine's coordinator, if it is another."""
+        first = coordination.rank_coordinators(
+            question.incarnation[0],
+            self.list_coordinators(self._own.domain),
+            self._router.rendezvous_hash,
+        )[0]
+        if first.name == self._own.name:
+            return None
+        answer = await self.ask(
+            first,
+            question,
+            question.max_wait_seconds + PASS_ON_SECONDS,
+            hops=1,
+        )
+        if answer is None:
+            return None
+        return attrs.evolve(answer, coordinator=first)
+
     def apply_progress(self, progress: messages_pb2.AdmissionProgress) -> None:
         """Apply a peer's report of calls that were admitted here."""
         self.coordinator.record_progress(
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/admission_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/admission_messages.py
@@ -1,6 +1,7 @@
 """Conversion of questions to coordinators, and of their answers."""
 
 from pistachioseam.forwarding import coordination
+from pistachioseam_entry import member_messages
 from pistachioseam_peer.generated import messages_pb2
 
 MS_PER_SECOND = 1000.0
@@ -60,6 +61,10 @@
     message.admission_word.expected_ms = _encode_seconds(
         answer.expected_seconds
     )
+    if answer.coordinator is not None:
+        message.admission_word.coordinator.CopyFrom(
+            member_messages.encode_peer(answer.coordinator)
+        )
 
 
 def decode_answer(
@@ -75,8 +80,13 @@
     if content != 'admission_word':
         return None
     word = message.admission_word
+    coordinator = None
+    if word.HasField('coordinator'):
+        coordinator = member_messages.decode_peer(word.coordinator)
     return coordination.Answer(
-        word.is_granted, word.expected_ms / MS_PER_SECOND
+        word.is_granted,
+        word.expected_ms / MS_PER_SECOND,
+        coordinator=coordinator,
     )
 
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/coordination.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/coordination.py
@@ -86,11 +86,13 @@
     """Decision of a coordinator, with the expected time to first byte.
 
     `is_engine_known` is False if the coordinator has not read of the engine.
+    `coordinator` is the host that has decided, None if it is the one asked.
     """
 
     is_granted: bool
     expected_seconds: float
     is_engine_known: bool = True
+    coordinator: membership.Peer | None = None
 
 
 UNKNOWN_ENGINE = Answer(False, 0.0, is_engine_known=False)
@@ -253,6 +255,19 @@
     )
 
 
+def rank_coordinators(
+    target: str,
+    peers: abc.Iterable[membership.Peer],
+    rendezvous_hash: rendezvous.RendezvousHash,
+) -> list[membership.Peer]:
+    """Return the hosts that coordinate a target, the first and the next."""
+    by_name = {peer.name: peer for peer in peers}
+    ranked = rendezvous_hash.rank(
+        loads.hash_target(target), sorted(by_name), ASKED_COORDINATORS
+    )
+    return [by_name[name] for name in ranked]
+
+
 class CoordinatorLink(typing.Protocol):
     """Access to the hosts of the fleet, and messages to them."""
 
@@ -368,7 +383,10 @@
             ticket = None
             if answer.is_granted:
                 ticket = Ticket(
-                    question.key, peer, target.name, answer.expected_seconds
+                    question.key,
+                    answer.coordinator or peer,
+                    target.name,
+                    answer.expected_seconds,
                 )
             return Admission(
                 ticket=ticket, expected_seconds=answer.expected_seconds
@@ -413,19 +431,13 @@
         self, target: catalog.LiveTarget
     ) -> list[membership.Peer]:
         now = self._runtime.now()
-        peers = {
-            peer.name: peer
+        trusted = [
+            peer
             for peer in self._link.list_coordinators(target.domain)
-        }
-        trusted = sorted(
-            name
-            for name in peers
-            if name not in self._suspicions
-            or self._suspicions[name].until <= now
-        )
-        key = loads.hash_target(target.name)
-        ranked = self._rendezvous_hash.rank(key, trusted, ASKED_COORDINATORS)
-        return [peers[name] for name in ranked]
+            if peer.name not in self._suspicions
+            or self._suspicions[peer.name].until <= now
+        ]
+        return rank_coordinators(target.name, trusted, self._rendezvous_hash)
 
     def _suspect(self, peer: membership.Peer, now: float) -> None:
         self.unanswered += 1
--- a/packages/pistachioseam/src/pistachioseam/forwarding/engine_queues.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/engine_queues.py
@@ -33,6 +33,15 @@
 """Time after its deadline for the first byte at which a call that has begun is
 forgotten, twice the longest time limit of a prompt. A call that still runs
 takes its slot and memory; if it were forgotten, others would exceed them."""
+SLOWDOWN_WEIGHT = 0.1
+"""Weight of the newest call in the moving average of an engine's slowdown."""
+MIN_SLOWDOWN = 0.7
+MAX_SLOWDOWN = 2.5
+"""Bounds of the ratio of actual to expected time to first byte."""
+MIN_MEASURED_SECONDS = 0.05
+"""Shorter expected times are too inexact to measure an engine's speed."""
+FULL_ENGINE_SECONDS = 0.2
+"""Expected wait for a slot or memory of an engine that has none left."""
 MAX_MEMORY_FRACTION = 0.95
 """Fraction of an engine's KV cache that admitted calls may take. An engine
 crashes if what it holds exceeds its memory."""
@@ -56,14 +65,23 @@
 @attrs.define
 class _Admitted:
     demand: admission_order.Demand
+    admitted_at: float
     first_byte_at: float
     has_first_byte: bool = False
 
 
-@attrs.define
-class _SeenPriority:
+@attrs.frozen
+class _Class:
+    """Calls of one priority and objective, which share a reserve."""
+
+    priority: int
     objective_seconds: float
-    seen_at: float
+
+    def precedes(self, demand: admission_order.Demand) -> bool:
+        """Return whether room is reserved for such calls against a call."""
+        if self.priority != demand.priority:
+            return self.priority < demand.priority
+        return self.objective_seconds < demand.objective_seconds
 
 
 class EngineQueue:
@@ -87,17 +105,17 @@
         self._created_at = now
         self._admitted: dict[int, _Admitted] = {}
         self._waiting: dict[int, admission_order.Demand] = {}
-        self._priorities: dict[int, _SeenPriority] = {}
+        self._seen_at: dict[_Class, float] = {}
         self._prefilled_at = now
+        self._slowdown = 1.0
 
     def submit(self, demand: admission_order.Demand, now: float) -> None:
         """Add a call that waits for admission."""
         self.used_at = now
         self._waiting[demand.key] = demand
         if demand.objective_seconds > 0:
-            self._priorities[demand.priority] = _SeenPriority(
-                demand.objective_seconds, now
-            )
+            seen = _Class(demand.priority, demand.objective_seconds)
+            self._seen_at[seen] = now
 
     def withdraw(self, key: int) -> None:
         """Remove a call that no longer waits."""
@@ -106,18 +124,36 @@
     def record_first_byte(self, key: int, now: float) -> None:
         """Record that the engine has prefilled a call."""
         admitted = self._admitted.get(key)
-        if admitted is None:
+        if admitted is None or admitted.has_first_byte:
             return
         admitted.has_first_byte = True
+        self._measure_slowdown(admitted, now)
         left = sum(
-            other.demand.get_prefill_seconds()
+            self._get_prefill_seconds(other.demand)
             for other in self._admitted.values()
             if not other.has_first_byte
         )
         self._prefilled_at = min(self._prefilled_at, now + left)
 
+    def _measure_slowdown(self, admitted: _Admitted, now: float) -> None:
+        expected = admitted.first_byte_at - admitted.admitted_at
+        if expected < MIN_MEASURED_SECONDS:
+            return
+        newest = self._slowdown * (now - admitted.admitted_at) / expected
+        self._slowdown += SLOWDOWN_WEIGHT * (
+            min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, newest)) - self._slowdown
+        )
+
+    def _get_prefill_seconds(self, demand: admission_order.Demand) -> float:
+        """Return the time in which this engine prefills a call."""
+        return demand.get_prefill_seconds() * self._slowdown
+
     def record_end(self, key: int, now: float) -> None:
         """Record that a call has ended, or will not be sent."""
+        admitted = self._admitted.get(key)
+        if admitted is not None and not admitted.has_first_byte:
+            # It tells nothing of the engine's speed.
+            admitted.first_byte_at = admitted.admitted_at
         self.record_first_byte(key, now)
         self._admitted.pop(key, None)
 
@@ -140,21 +176,22 @@
         A call whose first byte is overdue is still waiting there.
         """
         overdue = sum(
-            admitted.demand.get_prefill_seconds()
+            self._get_prefill_seconds(admitted.demand)
             for admitted in self._admitted.values()
             if not admitted.has_first_byte
             and now > admitted.first_byte_at + REPORT_DELAY_SECONDS
         )
         backlog = max(0.0, self._prefilled_at - now) + overdue
-        if self._counts_reported(now):
-            backlog += (
-                self._reported.prefill_tokens
-                / admission_order.PREFILL_TOKENS_PER_SECOND
-            )
-        return backlog
+        reported = (
+            self._reported.prefill_tokens
+            / admission_order.PREFILL_TOKENS_PER_SECOND
+        )
+        return backlog + max(0.0, reported - (now - self._created_at))
 
-    def _counts_reported(self, now: float) -> bool:
-        return now - self._created_at < TAKEOVER_SECONDS
+    def _get_reported_fraction(self, now: float) -> float:
+        """Return the part of the reported calls that still counts."""
+        age_seconds = now - self._created_at
+        return max(0.0, 1 - age_seconds / TAKEOVER_SECONDS)
 
     def decide(self, now: float) -> list[Decision]:
         """Return decisions on waiting calls; the others go on waiting."""
@@ -165,7 +202,7 @@
         is_blocked = False
         ordered = admission_order.sort_demands(self._waiting.values(), now)
         for demand in ordered:
-            seconds = expected + demand.get_prefill_seconds()
+            seconds = expected + self._get_prefill_seconds(demand)
             fits = demand.memory_tokens <= self.memory_tokens
             is_granted = (
                 fits
@@ -184,6 +221,8 @@
                 is_blocked = True
                 expected = seconds
                 continue
+            if not is_granted and not self._has_free_slot(demand, now):
+                seconds += FULL_ENGINE_SECONDS
             del self._waiting[demand.key]
             decisions.append(
                 Decision(
@@ -197,34 +236,42 @@
     def _has_room(
         self, demand: admission_order.Demand, backlog: float, now: float
     ) -> bool:
-        runs = len(self._admitted)
-        tokens = sum(a.demand.memory_tokens for a in self._admitted.values())
-        if self._counts_reported(now):
-            runs += self._reported.runs
-            tokens += self._reported.tokens
-        if runs >= self.slots:
-            return False
-        most = self.memory_tokens * MAX_MEMORY_FRACTION
-        if runs and tokens + demand.memory_tokens > most:
+        if not self._has_free_slot(demand, now):
             return False
         if backlog <= IDLE_BACKLOG_SECONDS:
             return True
-        reserved = self._get_reserved_seconds(demand.priority, now)
+        reserved = self._get_reserved_seconds(demand, now)
         return (
             backlog <= MAX_BACKLOG_SECONDS
-            and backlog + demand.get_prefill_seconds() <= reserved
+            and backlog + self._get_prefill_seconds(demand) <= reserved
+        )
+
+    def _has_free_slot(
+        self, demand: admission_order.Demand, now: float
+    ) -> bool:
+        """Return whether the engine has a slot and memory for a call."""
+        fraction = self._get_reported_fraction(now)
+        runs = len(self._admitted) + self._reported.runs * fraction
+        tokens = sum(a.demand.memory_tokens for a in self._admitted.values())
+        tokens += int(self._reported.tokens * fraction)
+        most = self.memory_tokens * MAX_MEMORY_FRACTION
+        return runs < self.slots and (
+            runs < 1 or tokens + demand.memory_tokens <= most
         )
 
-    def _get_reserved_seconds(self, priority: int, now: float) -> float:
-        """Return the prefill work that calls of a priority may leave behind.
+    def _get_reserved_seconds(
+        self, demand: admission_order.Demand, now: float
+    ) -> float:
+        """Return the prefill work that a call may leave behind.
 
-        Infinite unless calls of a higher priority come to the engine.
+        Infinite unless calls that precede it come to the engine: those of a
+        higher priority, and those of its own with a shorter objective.
         """
         objectives = [
             seen.objective_seconds
-            for other, seen in self._priorities.items()
-            if other < priority
-            and now - seen.seen_at < PRIORITY_MEMORY_SECONDS
+            for seen, seen_at in self._seen_at.items()
+            if now - seen_at < PRIORITY_MEMORY_SECONDS
+            and seen.precedes(demand)
         ]
         return RESERVED_OBJECTIVE_FRACTION * min(
             objectives, default=float('inf')
@@ -236,10 +283,12 @@
         expected_seconds: float,
         now: float,
     ) -> None:
-        self._admitted[demand.key] = _Admitted(demand, now + expected_seconds)
-        self._prefilled_at = (
-            max(now, self._prefilled_at) + demand.get_prefill_seconds()
+        self._admitted[demand.key] = _Admitted(
+            demand, now, now + expected_seconds
         )
+        self._prefilled_at = max(
+            now, self._prefilled_at
+        ) + self._get_prefill_seconds(demand)
 
     def _forget_expired(self, now: float) -> None:
         """Drop calls whose progress was not reported, as of a lost host."""
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -36,6 +36,9 @@
 they are read about once a second, and callers give up after two."""
 DOUBT_CHECK_SECONDS = 0.1
 """Pause between two checks during that wait."""
+FIRST_STEP_SECONDS = 0.02
+"""Time of an engine's step that generates the first token, and of its set-up,
+as documented by the platform."""
 MAX_LOGGED_CANDIDATES = 3
 """Best candidates whose costs and loads are logged with a decision."""
 
@@ -273,9 +276,11 @@
     attempt = calls.CallAttempt(
         target=target,
         started_at=now,
-        expected_seconds=ticket.expected_seconds
-        if ticket
-        else choice.first_byte_seconds,
+        expected_seconds=choice.first_byte_seconds
+        if ticket is None
+        else ticket.expected_seconds
+        + 2 * router.topology.get_latency(target.domain)
+        + FIRST_STEP_SECONDS,
     )
     call.attempts.append(attempt)
     router.sink.emit(
@@ -284,6 +289,7 @@
         target=target.name,
         expected=round(attempt.expected_seconds, 3),
         coordinator=ticket.coordinator.name if ticket else '',
+        priority=call.get_priority(),
         costs=_describe_costs(choice),
         plan=delivery_.plan(target),
         weights_lag=round(delivery_.get_weights_lag(), 3),
