--- a/packages/pistachioseam/src/pistachioseam/forwarding/desired.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/desired.py
@@ -178,8 +178,11 @@
         )
 
     @functools.cached_property
-    def prioritized_services(self) -> frozenset[str]:
-        """Return the services that get prompts of different priorities."""
+    def prioritized_services(self) -> abc.Mapping[str, int]:
+        """Return the services that get prompts of different priorities.
+
+        The value is the highest priority of their prompt routes.
+        """
         priorities: dict[str, set[int]] = {}
         for route in self.routes:
             if route.has_prompt:
@@ -187,9 +190,11 @@
                     priorities.setdefault(service.name, set()).add(
                         route.priority
                     )
-        return frozenset(
-            name for name, found in priorities.items() if len(found) > 1
-        )
+        return {
+            name: min(found)
+            for name, found in priorities.items()
+            if len(found) > 1
+        }
 
     @functools.cached_property
     def _routes_by_host(self) -> abc.Mapping[str, list[Route]]:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -5,6 +5,7 @@
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import desired
+from pistachioseam.forwarding import engine_partitions
 from pistachioseam.forwarding import faults
 from pistachioseam.forwarding import home_engines
 from pistachioseam.forwarding import plans
@@ -28,6 +29,7 @@
             lambda target: _score_service(router, target),
             router.random.random(),
         )
+    eligible = _filter_by_partition(call, router, eligible)
     homes = home_engines.find_home_engines(
         call.prompt, eligible, router.rendezvous_hash, router.has_many_hosts()
     )
@@ -42,6 +44,33 @@
     )
 
 
+def _filter_by_partition(
+    call: calls.Call,
+    router: routers.CallRouter,
+    eligible: list[catalog.LiveTarget],
+) -> list[catalog.LiveTarget]:
+    """Return the eligible engines of the call's part of its service.
+
+    The route's priority decides, which tells short prompts from long ones; the
+    account's priority is the same for both.
+    """
+    state = router.desired.state
+    assert call.service is not None and call.route is not None
+    if state is None or not router.has_many_hosts():
+        return eligible
+    highest = state.prioritized_services.get(call.service.name)
+    if highest is None or call.may_have_run:
+        return eligible
+    interactive = engine_partitions.list_interactive_engines(
+        router.catalog.list_service(call.service.name),
+        router.topology,
+        router.rendezvous_hash,
+    )
+    return engine_partitions.filter_engines(
+        eligible, interactive, call.route.priority == highest
+    )
+
+
 def list_eligible(
     call: calls.Call, router: routers.CallRouter
 ) -> list[catalog.LiveTarget]:
