--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -55,9 +55,9 @@
     account's priority is the same for both.
     """
     state = router.desired.state
-    assert call.service is not None and call.route is not None
     if state is None or not router.has_many_hosts():
         return eligible
+    assert call.service is not None and call.route is not None
     highest = state.prioritized_services.get(call.service.name)
     if highest is None or call.may_have_run:
         return eligible
