Admission messages: the host's version, no limit of tokens, the fleet's view

Cause: questions and reports had version 0, so a host of an older build took the sender for a still older one; a call that states 2^32 tokens or more raised an error; a leaving host went on to ask itself; the backlog of an engine that had ended was told for its successor.

Change: messages are created by the host's exchange of statuses, and its own entry is that of the current view; tokens are bounded by the field; the view of an engine is dropped with its incarnation.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/admission_exchange.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/admission_exchange.py
@@ -14,7 +14,6 @@
 from pistachioseam import membership
 from pistachioseam_entry import admission_messages
 from pistachioseam_entry import coalescing
-from pistachioseam_entry import member_messages
 from pistachioseam_peer.generated import messages_pb2
 
 REPORT_DELAY_SECONDS = 0.02
@@ -33,20 +32,22 @@
 class AdmissionExchange:
     """Link of this host to the coordinators; it is one of them itself.
 
-    `get_view` returns the fleet as this host sees it.
+    `get_view` returns the fleet as this host sees it, `create_message` an
+    empty message of this host. Hosts of older builds take questions for an
+    empty status, so messages have this host's version.
     """
 
     def __init__(
         self,
-        own: membership.Peer,
         router: routers.CallRouter,
         get_view: abc.Callable[[], contacts.FleetView],
+        create_message: abc.Callable[[], messages_pb2.Message],
         exchange: Exchange,
         send: Send,
     ) -> None:
-        self._own = own
         self._router = router
         self._get_view = get_view
+        self._create_message = create_message
         self._exchange = exchange
         self._send = send
         self._begun: dict[str, list[int]] = {}
@@ -59,9 +60,13 @@
             self._find_engine,
             lambda target: router.loads.get(target, router.runtime.now()),
         )
-        router.catalog.add_listener(
-            lambda target: self.coordinator.forget(target.get_incarnation())
-        )
+        router.catalog.add_listener(self._forget)
+
+    def _forget(self, target: catalog.LiveTarget) -> None:
+        """Drop what is known of an engine whose incarnation has ended."""
+        self.coordinator.forget(target.get_incarnation())
+        if self._router.coordinators is not None:
+            self._router.coordinators.forget(target.name)
 
     def _find_engine(
         self, incarnation: catalog.Incarnation
@@ -83,8 +88,8 @@
         Only the hosts of its own domain are known to be up or lost.
         """
         view = self._get_view()
-        if domain == self._own.domain:
-            peers = [*view.alive, self._own]
+        if domain == view.own.domain:
+            peers = [*view.alive, view.own]
         else:
             peers = list(view.known)
         return [
@@ -100,7 +105,7 @@
         seconds: float,
     ) -> coordination.Answer | None:
         """Return the answer of a host, None without one in time."""
-        if peer.name == self._own.name:
+        if self._is_own(peer):
             return await self.coordinator.admit(question)
         message = self._create_message()
         admission_messages.add_question(message, question)
@@ -113,13 +118,16 @@
         self, peer: membership.Peer, progress: coordination.Progress
     ) -> None:
         """Tell a host of the progress of calls that it has admitted."""
-        if peer.name == self._own.name:
+        if self._is_own(peer):
             self.coordinator.record_progress(progress)
             return
         self._begun.setdefault(peer.address, []).extend(progress.begun)
         self._ended.setdefault(peer.address, []).extend(progress.ended)
         self._timer.schedule()
 
+    def _is_own(self, peer: membership.Peer) -> bool:
+        return peer.name == self._get_view().own.name
+
     def _send_reports(self) -> None:
         for address in self._begun.keys() | self._ended.keys():
             message = self._create_message()
@@ -150,8 +158,3 @@
         self.coordinator.record_progress(
             admission_messages.decode_progress(progress)
         )
-
-    def _create_message(self) -> messages_pb2.Message:
-        return messages_pb2.Message(
-            sender=member_messages.encode_peer(self._own)
-        )
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/admission_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/admission_messages.py
@@ -5,6 +5,8 @@
 
 MS_PER_SECOND = 1000.0
 MAX_MS = 2**31 - 1
+MAX_TOKENS = 2**32 - 1
+"""Largest number of a field; callers may state more tokens."""
 
 
 def _encode_seconds(seconds: float) -> int:
@@ -19,8 +21,8 @@
     encoded = message.admission_question
     encoded.target, encoded.born_ms = question.incarnation
     encoded.key = question.key
-    encoded.prefill_tokens = question.prefill_tokens
-    encoded.memory_tokens = question.memory_tokens
+    encoded.prefill_tokens = min(MAX_TOKENS, question.prefill_tokens)
+    encoded.memory_tokens = min(MAX_TOKENS, question.memory_tokens)
     encoded.priority = max(0, question.priority)
     encoded.objective_ms = _encode_seconds(question.objective_seconds)
     encoded.objective_left_ms = _encode_seconds(
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -117,9 +117,9 @@
             own, router, self._get_view, self._exchange
         )
         self.admissions = admission_exchange.AdmissionExchange(
-            own,
             router,
             self._get_view,
+            self._create_message,
             self._exchange,
             self._send_one_way,
         )
