Engine admission: own key per question, no call without admission or check

Cause: questions of two attempts had one key, so the late report of the first attempt's end released the slot of the second, and a request that a caller sent to two hosts had one key at both; after 40 rejections a call was sent unasked; after up to 0.9 s at coordinators neither the engine nor the caller's key was checked again; a call larger than an engine's memory was sent where no coordinator answered.

Change: random keys; the call is refused after 40 rejections, and if it exceeds an engine's memory; what may have changed is checked as after a permit. Rejections of engines that are no candidates any more do not count.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/engine_admission.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/engine_admission.py
@@ -19,7 +19,8 @@
 WAIT_SECONDS = 0.3
 """Time for which a call waits at one engine before it is placed again."""
 MAX_ASKS = 40
-"""Questions for one call; a bound against endless searches."""
+"""Questions for one call, which is refused after them; a bound against endless
+searches. Sent without an admission, it might exceed an engine's memory."""
 PATIENCE_SECONDS = 2.0
 PATIENCE_OBJECTIVES = 4.0
 PATIENCE_GAPS = 8.0
@@ -53,7 +54,6 @@
             and state is not None
             and call.service.name in state.prioritized_services
             and self._router.has_many_hosts()
-            and self._asks.total() < MAX_ASKS
         )
 
     async def decide(
@@ -65,6 +65,8 @@
         """
         assert self._router.coordinators is not None
         target = choice.target
+        if self._exceeds_memory():
+            return admission.refuse(0.0, self._router.random.random())
         asked = await self._router.coordinators.ask(
             target, self._create_question(choice)
         )
@@ -77,11 +79,20 @@
         return self._decide_rejected(choice)
 
     def _decide_rejected(self, choice: selection.Choice) -> admission.Decision:
-        """Refuse the call if no engine asked could answer it in time."""
-        least = min(self._expected.values())
+        """Refuse the call if no engine asked could answer it in time.
+
+        Engines that calls are not placed at any more do not count.
+        """
+        least = min(
+            self._expected[candidate.target]
+            for candidate in choice.candidates
+            if candidate.target in self._expected
+        )
         probed = min(MAX_PROBED_ENGINES, len(choice.candidates))
         seconds_left = self._get_seconds_left()
-        if len(self._expected) < probed or least <= seconds_left:
+        if self._asks.total() < MAX_ASKS and (
+            len(self._expected) < probed or least <= seconds_left
+        ):
             return admission.Hold(0.0)
         return admission.refuse(
             least - max(0.0, seconds_left), self._router.random.random()
@@ -129,7 +140,22 @@
         )
         return min(left, call.received_at + patience - now)
 
+    def _exceeds_memory(self) -> bool:
+        """Return whether the call is larger than an engine's whole memory."""
+        call = self._call
+        assert call.prompt is not None and call.service is not None
+        engine = call.service.engine
+        return (
+            engine is not None
+            and call.prompt.count_tokens() > engine.cache_tokens
+        )
+
     def _create_key(self) -> int:
-        text = f'{self._call.request_id} {self._asks.total()}'
+        """Return a key that no other question has.
+
+        The end of an attempt may be reported after the next one is admitted,
+        and callers may send one request to several hosts.
+        """
+        text = self._router.random.token()
         digest = hashlib.blake2b(text.encode(), digest_size=KEY_BYTES)
         return int.from_bytes(digest.digest(), 'big')
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -153,12 +153,15 @@
                 )
             )
         decision = None
-        if search.is_needed():
+        is_asked = search.is_needed()
+        if is_asked:
             decision = await search.decide(choice)
         if decision is None:
             decision = decide_admission(call, router, choice)
         if isinstance(decision, admission.Admit):
-            if await _acquire_permit(call, router, choice.target):
+            if (
+                not is_asked or _may_still_be_sent(call, router, choice.target)
+            ) and await _acquire_permit(call, router, choice.target):
                 return result.Success(choice)
             _release_admission(call, router)
             continue
@@ -203,6 +206,14 @@
         return True
     if not await router.permits.acquire(limit):
         return False
+    return _may_still_be_sent(call, router, target)
+
+
+def _may_still_be_sent(
+    call: calls.Call, router: routers.CallRouter, target: catalog.LiveTarget
+) -> bool:
+    """Return whether a call may be sent after other hosts were asked."""
+    incarnation = target.get_incarnation()
     known = router.catalog.get(target.name)
     is_current = (
         known is not None
