Home engines: keep the cache store of a part while its first engine is busy

Cause: the domain whose store holds a part was that of the first engine that takes calls, so a rejection or a loading engine moved the part to another store, which does not have it.

Change: the domain is that of the first of all engines of the service; ranks are still among those that take calls.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/home_engines.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/home_engines.py
@@ -29,7 +29,8 @@
 class HomeEngines:
     """Ranks of the home engines of one prompt's shared parts, by name.
 
-    `domain` is the failure domain of the first, empty if there is none.
+    `domain` is the failure domain of the first of the service's engines, empty
+    if there is none.
     `is_assumed` says whether the first engine is taken to hold parts that no
     host has told of, as in a large fleet.
     """
@@ -56,16 +57,24 @@
     targets: abc.Collection[catalog.LiveTarget],
     rendezvous_hash: rendezvous.RendezvousHash,
     is_assumed: bool = False,
+    known: abc.Collection[catalog.LiveTarget] = (),
 ) -> HomeEngines:
-    """Return the home engines of a prompt among the given targets."""
+    """Return the home engines of a prompt among the given targets.
+
+    `known` are all targets of the service, also those that take no calls at
+    the moment; the domain is that of the first of them, so that it does not
+    change when the first engine is busy for a while.
+    """
     digest = hashlib.blake2b(
         prompt.get_affinity_part_name().encode(), digest_size=8
     )
     key = int.from_bytes(digest.digest(), 'big')
     domains = {target.name: target.domain for target in targets}
     ranked = rendezvous_hash.rank(key, sorted(domains), HOME_ENGINES)
+    known_domains = {target.name: target.domain for target in known} or domains
+    first = rendezvous_hash.rank(key, sorted(known_domains), 1)
     return HomeEngines(
         ranks={name: rank for rank, name in enumerate(ranked)},
-        domain=domains[ranked[0]] if ranked else '',
+        domain=known_domains[first[0]] if first else '',
         is_assumed=is_assumed,
     )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -29,7 +29,11 @@
             router.random.random(),
         )
     homes = home_engines.find_home_engines(
-        call.prompt, eligible, router.rendezvous_hash, router.has_many_hosts()
+        call.prompt,
+        eligible,
+        router.rendezvous_hash,
+        router.has_many_hosts(),
+        router.catalog.list_service(call.service.name),
     )
     call.home_domain = homes.domain if homes.is_assumed else ''
     holder_lookup = plans.HolderLookup(call, router)
