--- a/packages/pistachioseam-entry/src/pistachioseam_entry/admission_exchange.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/admission_exchange.py
@@ -172,12 +172,13 @@
         self, question: coordination.Question
     ) -> coordination.Answer | None:
         """Return the answer of the engine's coordinator, if it is another."""
+        own = self._get_view().own
         first = coordination.rank_coordinators(
             question.incarnation[0],
-            self.list_coordinators(self._own.domain),
+            self.list_coordinators(own.domain),
             self._router.rendezvous_hash,
         )[0]
-        if first.name == self._own.name:
+        if first.name == own.name:
             return None
         answer = await self.ask(
             first,
--- a/packages/pistachioseam/src/pistachioseam/forwarding/engine_partitions.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/engine_partitions.py
@@ -11,6 +11,8 @@
 from collections import abc
 import math
 
+import attrs
+
 from pistachioseam.forwarding import catalog
 from pistachioseam import links
 from pistachioseam.placement import rendezvous
@@ -21,6 +23,9 @@
 their streams need engines that prefill for less than half of the time."""
 MIN_ENGINES = 4
 """Engines of a region below which none is kept for interactive prompts."""
+OVERFLOW_COST_SECONDS = 0.2
+"""Cost of an engine with long prompts for an interactive call: the time by
+which its stream is slowed down there."""
 PARTITION_KEY = 3
 """Arbitrary hash key, equal on all hosts, by which engines are ranked."""
 
@@ -48,15 +53,37 @@
     return frozenset(interactive)
 
 
-def filter_engines(
-    eligible: list[catalog.LiveTarget],
-    interactive: abc.Container[str],
-    is_interactive: bool,
-) -> list[catalog.LiveTarget]:
-    """Return the eligible engines of a call's part, or all if none is."""
-    matching = [
-        target
-        for target in eligible
-        if (target.name in interactive) == is_interactive
-    ]
-    return matching or eligible
+@attrs.frozen
+class Partition:
+    """Engines that one call may use.
+
+    `interactive` are the engines that are kept for interactive prompts, none
+    if the service has no such partition.
+    """
+
+    interactive: abc.Container[str] = ()
+    is_interactive_call: bool = True
+
+    def filter_engines(
+        self, eligible: list[catalog.LiveTarget]
+    ) -> list[catalog.LiveTarget]:
+        """Return the engines without those that are kept for other calls.
+
+        All are returned if there are no others.
+        """
+        if self.is_interactive_call:
+            return eligible
+        return [
+            target
+            for target in eligible
+            if target.name not in self.interactive
+        ] or eligible
+
+    def compute_cost(self, target: str) -> float:
+        """Return the cost in seconds of an engine outside the call's part."""
+        if not self.is_interactive_call or target in self.interactive:
+            return 0.0
+        return OVERFLOW_COST_SECONDS
+
+
+NO_PARTITION = Partition(is_interactive_call=False)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -29,7 +29,8 @@
             lambda target: _score_service(router, target),
             router.random.random(),
         )
-    eligible = _filter_by_partition(call, router, eligible)
+    partition = _find_partition(call, router)
+    eligible = partition.filter_engines(eligible)
     homes = home_engines.find_home_engines(
         call.prompt,
         eligible,
@@ -42,36 +43,35 @@
     return selection.choose_target(
         eligible,
         lambda target: _score_engine(
-            call, router, target, homes, holder_lookup
+            call, router, target, homes, partition, holder_lookup
         ),
         router.random.random(),
     )
 
 
-def _filter_by_partition(
-    call: calls.Call,
-    router: routers.CallRouter,
-    eligible: list[catalog.LiveTarget],
-) -> list[catalog.LiveTarget]:
-    """Return the eligible engines of the call's part of its service.
+def _find_partition(
+    call: calls.Call, router: routers.CallRouter
+) -> engine_partitions.Partition:
+    """Return the engines of the service that the call may use.
 
     The route's priority decides, which tells short prompts from long ones; the
     account's priority is the same for both.
     """
     state = router.desired.state
     if state is None or not router.has_many_hosts():
-        return eligible
-    assert call.service is not None and call.route is not None
+        return engine_partitions.NO_PARTITION
+    assert call.service is not None
     highest = state.prioritized_services.get(call.service.name)
     if highest is None or call.may_have_run:
-        return eligible
-    interactive = engine_partitions.list_interactive_engines(
-        router.catalog.list_service(call.service.name),
-        router.topology,
-        router.rendezvous_hash,
-    )
-    return engine_partitions.filter_engines(
-        eligible, interactive, call.route.priority == highest
+        return engine_partitions.NO_PARTITION
+    assert call.route is not None
+    return engine_partitions.Partition(
+        engine_partitions.list_interactive_engines(
+            router.catalog.list_service(call.service.name),
+            router.topology,
+            router.rendezvous_hash,
+        ),
+        call.route.priority == highest,
     )
 
 
@@ -258,6 +258,7 @@
     router: routers.CallRouter,
     target: catalog.LiveTarget,
     homes: home_engines.HomeEngines,
+    partition: engine_partitions.Partition,
     holder_lookup: plans.HolderLookup,
 ) -> selection.Candidate:
     assert call.service is not None and call.prompt is not None
@@ -267,6 +268,7 @@
     now = holder_lookup.now
     plan = plans.plan_run(call, router, target, holder_lookup)
     other_cost = _compute_failure_cost(router, target, now)
+    other_cost += partition.compute_cost(target.name)
     other_cost += homes.compute_cost(
         target.name,
         plan.recomputed_tokens * transfers.RECOMPUTE_SECONDS_PER_TOKEN,
