--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -4,6 +4,7 @@
 from collections import abc
 import secrets
 
+import attrs
 from returns import pipeline
 
 from pistachioseam import events
@@ -12,6 +13,7 @@
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import loads
 from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import quotas
 from pistachioseam.forwarding import relays
 from pistachioseam.forwarding import rollouts
 from pistachioseam.forwarding import router as routers
@@ -20,6 +22,7 @@
 from pistachioseam_entry import member_messages
 from pistachioseam_entry import peer_messages
 from pistachioseam_entry import permit_exchange
+from pistachioseam_entry import quota_exchange
 from pistachioseam_entry import relay_service
 from pistachioseam_entry import status_changes
 from pistachioseam_entry import status_messages
@@ -61,6 +64,11 @@
 RESERVED_BYTES = 8
 """Bytes for the tags and lengths around the parts of a message."""
 SECRET_BYTES = 16
+RECENT_SECONDS = 1.3
+"""Time without a heartbeat after which a host no longer counts for the share
+of the quotas that this host may grant. Every host sends one each 0.6 s. It is
+shorter than `membership.PEER_TIMEOUT_SECONDS`, as an issuer that is cut off
+grants alongside its successor until it notices."""
 ASSUMED_HOSTS = 16
 """Number of hosts assumed until the host list has been read, to compute this
 host's share of the fleet's retry budget."""
@@ -140,6 +148,9 @@
         self.permits = permit_exchange.PermitExchange(
             own, router, self._get_view, self._exchange
         )
+        self.quotas = quota_exchange.QuotaExchange(
+            own, router, self._get_view, self._get_quota_share, self._exchange
+        )
         self._has_host_list = False
         self._client: clients.PeerClient | None = None
         self._server: servers.PeerServer | None = None
@@ -206,6 +217,10 @@
             return ASSUMED_HOSTS
         return max(1 + len(self.members.list_known()), self._announced_hosts)
 
+    def count_known_hosts(self) -> int | None:
+        """Return the size of the fleet, None before the list was read."""
+        return self.count_hosts() if self._has_host_list else None
+
     def get_standby_rank(self) -> int:
         """Return this host's rank among the standbys for a lease, 0 first."""
         return contacts.get_standby_rank(
@@ -270,6 +285,15 @@
             relays_statuses=self._relays_statuses(),
         )
 
+    def _get_quota_share(self) -> float:
+        """Return the part of the accounts' rates that this host may grant."""
+        if not self._has_host_list:
+            return 0.0
+        view = attrs.evolve(
+            self._get_view(), alive=self.members.list_recent(RECENT_SECONDS)
+        )
+        return quotas.compute_share(contacts.compute_seen_fraction(view))
+
     async def _exchange(
         self, address: str, message: messages_pb2.Message, seconds: float
     ) -> messages_pb2.Message | None:
@@ -318,6 +342,7 @@
         self._contacts = self._choose_contacts()
         if self._contacts.is_leader:
             self._router.loads.forget_table(loads.FLEET_SOURCE)
+        self.quotas.follow_fleet()
         self.send_status()
         self._probe_silent_peers()
         self.members.expire_peers()
@@ -661,10 +686,12 @@
     async def _handle_request(
         self, message: messages_pb2.Message
     ) -> messages_pb2.Message:
-        """Return the response to a handshake, permit or store query."""
+        """Return the response to a handshake, a question or a store query."""
         content = message.WhichOneof('content')
         if content == 'permit_question':
             return await self.permits.respond(message.permit_question)
+        if content == 'quota_question':
+            return await self.quotas.respond(message.quota_question)
         if content != 'store_question':
             self._handle_message(message)
             return self._create_handshake()
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -25,6 +25,7 @@
 from pistachioseam.forwarding import notices
 from pistachioseam.forwarding import paths
 from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import quotas
 from pistachioseam.forwarding import rate_limits
 from pistachioseam.forwarding import rate_permits
 from pistachioseam.forwarding import rollouts
@@ -295,6 +296,17 @@
                 self.runtime,
                 lambda request: self.peers.permits.request(request),
             ),
+            quotas=quotas.QuotaClient(
+                options.host.name,
+                self.runtime,
+                read_boot_clock,
+                random,
+                self.sink,
+                lambda request: self.peers.quotas.request(request),
+                lambda: self.peers.count_known_hosts(),
+                options.quotas,
+                self.metrics.count_quota_question,
+            ),
         )
 
     def _create_relay_client(
@@ -308,8 +320,11 @@
             codec,
             lambda: self.peers.get_relay_link(),
             lambda call: (
-                not call.account
-                or self.router.freshness.can_verify_keys(read_boot_clock())
+                call.may_send()
+                and (
+                    not call.account
+                    or self.router.freshness.can_verify_keys(read_boot_clock())
+                )
             ),
         )
 
@@ -443,7 +458,7 @@
         return is_fresh and self.lifecycle.get_state() == 'ready'
 
     def reload(self) -> None:
-        """Read the settings file again; apply its bounds and retry budget.
+        """Read the settings file again; apply bounds, retry budget and quotas.
 
         All other settings take effect only after a restart. A file with errors
         is rejected as a whole.
@@ -463,6 +478,7 @@
         set_weights_limits(self.router, bounds)
         self.router.notices.drain_seconds = bounds.drain_ms / MS_PER_SECOND
         self.router.budget.terms = self.settings.retries
+        self.router.quotas.terms = self.settings.quotas
         self.rollout.lease.min_handover_seconds = (
             bounds.lease_ms / MS_PER_SECOND
         )
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_settings.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_settings.py
@@ -7,6 +7,7 @@
 
 from pistachioseam import findings
 from pistachioseam.forwarding import budgets
+from pistachioseam.forwarding import quotas as account_quotas
 from pistachioseam import links
 from pistachioseam import validators
 from pistachioseam_entry import setting_files
@@ -58,6 +59,9 @@
     regions: tuple[links.Region, ...]
     bounds: Bounds
     retries: budgets.BudgetTerms = attrs.field(factory=budgets.BudgetTerms)
+    quotas: account_quotas.QuotaTerms = attrs.field(
+        factory=account_quotas.QuotaTerms
+    )
     logs: setting_files.Logs = attrs.field(factory=setting_files.Logs)
 
 
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/metrics.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/metrics.py
@@ -84,6 +84,12 @@
             registry=self.registry,
         )
 
+        self._quota_questions = aioprometheus.Counter(
+            'pistachioseam_quota_questions_total',
+            'Requests for the cost of a call out of its quota, by outcome.',
+            registry=self.registry,
+        )
+
     def _add_histogram(
         self,
         name: str,
@@ -143,6 +149,10 @@
         """Count log lines that were omitted or dropped."""
         self._log_lines_lost.add({'cause': cause}, count)
 
+    def count_quota_question(self, outcome: str) -> None:
+        """Count a request for the cost of a call out of a quota."""
+        self._quota_questions.inc({'outcome': outcome})
+
     def set_retry_budget(
         self, service: str, spent: int, allowed: float
     ) -> None:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/peer_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/peer_messages.py
@@ -8,6 +8,7 @@
 from pistachioseam.forwarding import crash_evidence
 from pistachioseam.forwarding import known_versions
 from pistachioseam.forwarding import notices
+from pistachioseam.forwarding import quotas
 from pistachioseam.forwarding import rate_limits
 from pistachioseam.forwarding import rate_permits
 from pistachioseam.forwarding import store_clocks
@@ -212,6 +213,50 @@
     )
 
 
+def add_quota_request(
+    message: messages_pb2.Message, request: quotas.QuotaRequest, hops: int
+) -> None:
+    """Add a `QuotaQuestion` that has been passed on `hops` times."""
+    question = message.quota_question
+    question.asker = request.asker
+    question.account = request.account
+    question.cost = request.cost
+    question.returned = request.returned
+    question.hops = hops
+
+
+def decode_quota_request(
+    question: messages_pb2.QuotaQuestion,
+) -> quotas.QuotaRequest:
+    """Return the request of a `QuotaQuestion` message."""
+    return quotas.QuotaRequest(
+        asker=question.asker,
+        account=question.account,
+        cost=question.cost,
+        returned=question.returned,
+    )
+
+
+def add_quota_decision(
+    message: messages_pb2.Message, decision: quotas.QuotaDecision
+) -> None:
+    """Add a `QuotaWord`; a wait is rounded up, as 0 stands for an unknown."""
+    message.quota_word.is_granted = decision.is_granted
+    message.quota_word.wait_ms = math.ceil(
+        decision.wait_seconds * MS_PER_SECOND
+    )
+
+
+def decode_quota_decision(
+    message: messages_pb2.Message,
+) -> quotas.QuotaDecision | None:
+    """Return the decision that a response holds, None if it holds none."""
+    if message.WhichOneof('content') != 'quota_word':
+        return None
+    word = message.quota_word
+    return quotas.QuotaDecision(word.is_granted, word.wait_ms / MS_PER_SECOND)
+
+
 def add_store_query(
     message: messages_pb2.Message, query: confirmations.StoreQuery
 ) -> None:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/routed_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/routed_connections.py
@@ -101,6 +101,13 @@
         connection: target_connections.Connection,
         call: ports.OutgoingCall,
     ) -> ports.SendResult:
+        if not call.may_send():
+            connection.drop()
+            return result.Failure(
+                interfaces.CallFailure(
+                    Kind.NOT_SENT, 'it may no longer be sent'
+                )
+            )
         waiting = _WaitingCall(connection, call.is_retryable)
         self._waiting.add(waiting)
         self._paths.record_sent(waiting)
--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -163,6 +163,17 @@
         Level.WARNING,
         'call of another host failed, or its target answered with an error',
     )
+    CALL_OVER_QUOTA = EventKind(
+        323,
+        Level.INFO,
+        "call refused: over its account's quota, or that cannot be checked",
+    )
+    QUOTA_UNANSWERED = EventKind(
+        324,
+        Level.WARNING,
+        "no answer to a request for the cost of a call out of its account's"
+        ' quota',
+    )
     CLAIM_DROPPED = EventKind(
         401,
         Level.WARNING,
--- a/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
@@ -9,6 +9,7 @@
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import prompts
+from pistachioseam.forwarding import quotas
 from pistachioseam.forwarding import stream_origins
 from pistachioseam import refusals
 
@@ -45,7 +46,8 @@
     is the HTTP status of the target's response, 0 until it is sent to the
     caller; `origin` is what began the stream that the caller has events of,
     None if it has none yet; `first_byte_at` is the time at which the first
-    part of the response was ready for the caller, None until then.
+    part of the response was ready for the caller, None until then. `grant` is
+    the cost granted out of the account's quota, once for all attempts.
     """
 
     head: ports.CallHead
@@ -68,6 +70,14 @@
     attempts: list[CallAttempt] = attrs.field(factory=list)
     notes: list[filter_notes.Note] = attrs.field(factory=list)
     refusal: refusals.Refusal | None = None
+    grant: quotas.Grant | None = None
+
+    def may_send(self) -> bool:
+        """Return whether the quota of the account lets the call be sent now.
+
+        A grant of cost expires soon, so this is checked right before sending.
+        """
+        return self.grant is None or self.grant.may_send()
 
     @property
     def request_id(self) -> str:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/contacts.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/contacts.py
@@ -15,6 +15,7 @@
 """
 
 from collections import abc
+import hashlib
 
 import attrs
 
@@ -98,7 +99,28 @@
 def find_permit_issuer(
     view: FleetView, rendezvous_hash: rendezvous.RendezvousHash
 ) -> membership.Peer:
-    """Return the host that grants permits, or the next one towards it.
+    """Return the host that grants permits, or the next one towards it."""
+    return _find_issuer(view, rendezvous_hash, STANDBY_ORDER_KEY)
+
+
+def find_quota_issuer(
+    view: FleetView,
+    rendezvous_hash: rendezvous.RendezvousHash,
+    account: str,
+) -> membership.Peer:
+    """Return the host that grants an account's quota, or one towards it.
+
+    The accounts are spread over the hosts that may be issuers.
+    """
+    digest = hashlib.blake2b(account.encode(), digest_size=8).digest()
+    key = int.from_bytes(digest, 'big')
+    return _find_issuer(view, rendezvous_hash, key)
+
+
+def _find_issuer(
+    view: FleetView, rendezvous_hash: rendezvous.RendezvousHash, key: int
+) -> membership.Peer:
+    """Return the first host in the order of a key, or the next one towards it.
 
     In a large fleet only the leaders of domains know the other leaders.
     """
@@ -109,7 +131,7 @@
             return leader
         remote = {peer.name for peer in view.remote_leaders}
         candidates = [peer for peer in view.alive if peer.name in remote]
-    return rank_peers([*candidates, view.own], rendezvous_hash)[0]
+    return rank_peers([*candidates, view.own], rendezvous_hash, key)[0]
 
 
 def compute_limit_share(view: FleetView) -> float:
@@ -117,6 +139,12 @@
 
     All of them if it sees the majority of the fleet, else its part.
     """
+    fraction = compute_seen_fraction(view)
+    return 1.0 if fraction > 0.5 else fraction
+
+
+def compute_seen_fraction(view: FleetView) -> float:
+    """Return the part of the fleet that a host sees, in (0, 1]."""
     reachable = 1 + len(view.alive)
     if view.relays_statuses:
         # Of the other domains, only the leaders are seen.
@@ -126,18 +154,18 @@
             peer.domain == view.own.domain for peer in view.alive
         )
         reachable += sum(peer.domain in remote_domains for peer in view.known)
-    fraction = reachable / max(reachable, view.host_count)
-    return 1.0 if fraction > 0.5 else fraction
+    return reachable / max(reachable, view.host_count)
 
 
 def rank_peers(
     peers: abc.Iterable[membership.Peer],
     rendezvous_hash: rendezvous.RendezvousHash,
+    key: int = STANDBY_ORDER_KEY,
 ) -> tuple[membership.Peer, ...]:
     """Return peers in the order in which they become leader or standby."""
     by_name = {peer.name: peer for peer in peers}
     names = sorted(by_name)
-    ranked = rendezvous_hash.rank(STANDBY_ORDER_KEY, names, len(names))
+    ranked = rendezvous_hash.rank(key, names, len(names))
     return tuple(by_name[name] for name in ranked)
 
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -540,6 +540,7 @@
         else NON_RETRYABLE_MAX_IDLE_SECONDS,
         needs_new_connection=_was_tried(call, target.address),
         is_retryable=call.is_retryable(),
+        may_send=call.may_send,
         after_event=call.head.after_event
         if last_event_id is None
         else (str(last_event_id)),
--- a/packages/pistachioseam/src/pistachioseam/forwarding/desired.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/desired.py
@@ -118,6 +118,21 @@
     cache_store: CacheStore | None = None
 
 
+@attrs.frozen(kw_only=True)
+class Quota:
+    """Limit on the calls of an account at all hosts together.
+
+    With `counts_tokens`, a call costs its prompt and output tokens, or
+    `uncounted_cost` if it does not state them; otherwise it costs 1. `burst`
+    is the cost that may be sent at once after a pause.
+    """
+
+    rate_per_second: float
+    burst: float
+    counts_tokens: bool = False
+    uncounted_cost: float = 0.0
+
+
 @attrs.frozen(kw_only=True)
 class Account:
     """Client account; an isolated one shares no KV cache with others."""
@@ -126,6 +141,7 @@
     keys: tuple[str, ...] = attrs.field(repr=False)
     priority: int | None
     is_isolated: bool
+    quota: Quota | None = None
 
 
 @attrs.frozen(kw_only=True)
@@ -165,6 +181,14 @@
         """Return the account that a key belongs to."""
         return self._accounts_by_key.get(key)
 
+    def find_quota(self, account: str) -> Quota | None:
+        """Return the quota of an account, None if it is not limited."""
+        return self._quotas_by_account.get(account)
+
+    def list_limited_accounts(self) -> abc.Iterable[str]:
+        """Return the names of the accounts that have a quota."""
+        return self._quotas_by_account.keys()
+
     def find_service(self, name: str) -> Service | None:
         """Return a service by its name."""
         return self._services_by_name.get(name)
@@ -192,6 +216,14 @@
             for key in account.keys
         }
 
+    @functools.cached_property
+    def _quotas_by_account(self) -> abc.Mapping[str, Quota]:
+        return {
+            account.name: account.quota
+            for account in self.accounts or ()
+            if account.quota is not None
+        }
+
     @functools.cached_property
     def _services_by_name(self) -> abc.Mapping[str, Service]:
         return {service.name: service for service in self.services}
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -29,7 +29,8 @@
     caller's timeout, None if it sends none. `after_event` is the id of the
     last event that a caller resuming a stream has received, and
     `resumed_request_id` that of its request which brought the first event;
-    otherwise both are empty.
+    otherwise both are empty. `token_count` is the number of prompt and output
+    tokens that the request states, None if it states none.
     """
 
     request_id: str
@@ -40,6 +41,12 @@
     prompt: prompts.Prompt | None
     after_event: str
     resumed_request_id: str = ''
+    token_count: int | None = None
+
+
+def allow_sending() -> bool:
+    """Return True: nothing forbids that a call is sent."""
+    return True
 
 
 @attrs.frozen(kw_only=True)
@@ -56,7 +63,7 @@
     with `needs_new_connection` none is reused.
     `is_retryable` is set if the call may run more than once. The target stops
     after `run_seconds_left` if that is shorter than `seconds_left`, the time
-    that the caller waits.
+    that the caller waits. `may_send` is called right before the call is sent.
     """
 
     request_id: str
@@ -77,6 +84,9 @@
     max_idle_seconds: float = float('inf')
     needs_new_connection: bool = False
     is_retryable: bool = False
+    may_send: abc.Callable[[], bool] = attrs.field(
+        default=allow_sending, repr=False, eq=False
+    )
 
     def get_target_seconds(self) -> float:
         """Return the time in seconds after which the target stops."""
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -20,6 +20,7 @@
 from pistachioseam.forwarding import notices
 from pistachioseam.forwarding import paces
 from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import quotas
 from pistachioseam.forwarding import rate_limits
 from pistachioseam.forwarding import rate_permits
 from pistachioseam.forwarding import repeats
@@ -76,6 +77,7 @@
     notices: notices.TargetNotices
     rate_limits: rate_limits.RateLimits
     permits: rate_permits.PermitClient
+    quotas: quotas.QuotaClient
     brittleness: brittleness.BrittleTargets
     stream_origins: stream_origins.StreamOrigins
     software: software_versions.SoftwareVersions
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -59,12 +59,17 @@
     assert call.service is not None
     router.budget.record_call(call.service.name, router.runtime.now())
     delivery_ = delivery.Delivery(call, router)
+    call.grant = router.quotas.create_grant(
+        call.account, call.head.token_count, call.request_id
+    )
     try:
         async with asyncio.timeout(call.deadline - router.runtime.now()):
             return await _send_until_served(call, router, delivery_)
     except TimeoutError:
         record_deadline_exceeded(call, router)
         return result.Failure(call_refusals.refuse_deadline_exceeded(call))
+    finally:
+        call.grant.end(call.may_have_run)
 
 
 async def _send_until_served(
@@ -72,15 +77,24 @@
     router: routers.CallRouter,
     delivery_: delivery.Delivery,
 ) -> filter_chains.FilterResult:
+    assert call.grant is not None
     while True:
+        over_quota = await call.grant.acquire()
+        if over_quota is not None:
+            return result.Failure(over_quota)
         chosen = await _wait_for_target(call, router)
         if not returns_pipeline.is_successful(chosen):
             return result.Failure(chosen.failure())
+        if not call.may_send():
+            # The grant expired during the wait. What may have changed while
+            # the issuer is asked again is checked again too.
+            continue
         choice = chosen.unwrap()
         failure = await _make_attempt(call, router, choice, delivery_)
         if failure is None:
             call.is_served = True
             return filter_chains.CONTINUE
+        call.grant.is_used = call.may_have_run
         refusal = decide_retry(call, router, failure)
         if refusal is None:
             router.sink.emit(
--- a/packages/pistachioseam/src/pistachioseam/membership.py
+++ b/packages/pistachioseam/src/pistachioseam/membership.py
@@ -103,6 +103,15 @@
             state.peer for state in self._states.values() if state.is_alive
         )
 
+    def list_recent(self, seconds: float) -> tuple[Peer, ...]:
+        """Return the peers with a heartbeat in the last `seconds`."""
+        since = self._runtime.now() - seconds
+        return tuple(
+            state.peer
+            for state in self._states.values()
+            if state.is_alive and state.last_seen_at >= since
+        )
+
     def list_known(self) -> tuple[Peer, ...]:
         """Return all peers, lost ones included until they are removed."""
         return tuple(state.peer for state in self._states.values())
--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -21,6 +21,7 @@
 from pistachioseam.forwarding import notices
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import prompts
+from pistachioseam.forwarding import quotas
 from pistachioseam.forwarding import rate_limits
 from pistachioseam.forwarding import rate_permits
 from pistachioseam.forwarding import router as routers
@@ -337,6 +338,11 @@
         self.permit_issuer = rate_permits.PermitIssuer(
             SeededRandom(), lambda: 1.0
         )
+        self.quota_requests: list[quotas.QuotaRequest] = []
+        self.quota_decision: quotas.QuotaDecision | None = (
+            quotas.QuotaDecision(True)
+        )
+        self.known_hosts: int | None = None
         self.router = self._create_router(domain)
         now = self.runtime.now()
         change = catalog.TargetChange(
@@ -388,8 +394,24 @@
             permits=rate_permits.PermitClient(
                 'host', self.runtime, self._issue_permit
             ),
+            quotas=quotas.QuotaClient(
+                'host',
+                self.runtime,
+                self.runtime.now,
+                SeededRandom(),
+                self.sink,
+                self._issue_quota,
+                lambda: self.known_hosts,
+                quotas.QuotaTerms(slack=110_000.0),
+            ),
         )
 
+    async def _issue_quota(
+        self, request: quotas.QuotaRequest
+    ) -> quotas.QuotaDecision | None:
+        self.quota_requests.append(request)
+        return self.quota_decision
+
     async def _issue_permit(
         self, request: rate_permits.PermitRequest
     ) -> rate_permits.PermitDecision:
--- a/tests/fleets.py
+++ b/tests/fleets.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import quotas
 from pistachioseam.forwarding import rate_permits
 from pistachioseam import membership
 from pistachioseam_entry import call_peers
@@ -146,6 +147,16 @@
         self.router.permits = rate_permits.PermitClient(
             own.name, self.router.runtime, self.peers.permits.request
         )
+        self.router.quotas = quotas.QuotaClient(
+            own.name,
+            self.router.runtime,
+            self.router.read_boot_clock,
+            self.router.random,
+            self.router.sink,
+            self.peers.quotas.request,
+            self.peers.count_known_hosts,
+            quotas.QuotaTerms(slack=110_000.0),
+        )
         self._network = network
         network.hosts[self.own.address] = self
 
