--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -121,6 +121,43 @@
             documents.decode_desired(document)
 
 
+def test_quotas_are_decoded(case: support.Case) -> None:
+    """A rate of 0, or none, means no quota; an odd one is rejected."""
+
+    def decode(**fields: object) -> desired.Quota | None:
+        tenant = {**CONFIG['tenants'][0], **fields}
+        document = {**CONFIG, 'tenants': [tenant]}
+        return documents.decode_desired(document).find_quota('t-1')
+
+    case.assertIsNone(decode())
+    case.assertIsNone(decode(ratePerS=0, burst=5, unit='tokens'))
+    case.assertIsNone(decode(ratePerS=None))
+    case.assertEqual(
+        desired.Quota(
+            rate_per_second=127000.0,
+            burst=254000.0,
+            counts_tokens=True,
+            uncounted_cost=900.0,
+        ),
+        decode(
+            ratePerS=127000, burst=254000, unit='tokens', uncachedTokens=900
+        ),
+    )
+    case.assertEqual(
+        desired.Quota(rate_per_second=2.5, burst=2.5),
+        decode(ratePerS=2.5, unit='requests'),
+    )
+    for field, value in (
+        ('ratePerS', -1),
+        ('ratePerS', 'many'),
+        ('burst', -1),
+        ('burst', [3]),
+        ('uncachedTokens', -5),
+    ):
+        with case.assertRaises(documents.MalformedError, msg=field):
+            decode(**{'ratePerS': 1, field: value})
+
+
 def test_target_entry_is_decoded(case: support.Case) -> None:
     """Weights, start time and remaining warm-up time are decoded."""
     target = documents.decode_target('i-1', ENTRY)
