--- a/tests/core/forwarding/test_quotas.py
+++ b/tests/core/forwarding/test_quotas.py
@@ -147,13 +147,14 @@
 @hypothesis.given(
     strategies.lists(
         strategies.tuples(
-            strategies.sampled_from([0.0, 0.01, 0.1, 0.5, 1.0]),
-            strategies.integers(1, 60),
-            strategies.one_of(strategies.none(), strategies.floats(0.0, 2.4)),
+            strategies.sampled_from([0.0, 0.2, 0.5, 1.0]),
+            strategies.sampled_from([5, 20, 40, 50]),
+            strategies.sampled_from([None, None, 0.0, 0.5, 1.2, 2.4]),
         ),
         max_size=60,
     )
 )
+@hypothesis.example([(0.0, 50, 1.2), (1.0, 40, None), (0.2, 50, None)])
 def check_returned_cost(
     steps: list[tuple[float, int, float | None]],
 ) -> None:
@@ -364,7 +365,7 @@
     clocks.run(run())
 
 
-FAULTS = ('join', 'freeze', 'cut', 'heal', 'restart', 'lose replies', 'stop')
+FAULTS = ('cut', 'freeze', 'restart', 'heal', 'join', 'lose replies', 'stop')
 
 
 @hypothesis.settings(
@@ -373,16 +374,17 @@
 @hypothesis.given(
     hosts=strategies.integers(2, 10),
     is_large=strategies.booleans(),
-    demand=strategies.sampled_from([0.56, 1.0, 2.0, 4.3]),
-    hot_hosts=strategies.integers(0, 3),
+    demand=strategies.sampled_from([4.3, 2.0, 1.0]),
+    hot_hosts=strategies.sampled_from([0, 0, 1, 3]),
     hold_seconds=strategies.sampled_from([0.0, 0.4, 1.8]),
     faults=strategies.lists(
         strategies.tuples(
-            strategies.sampled_from([0.0, 0.3, 1.0, 2.5, 5.0]),
+            strategies.sampled_from([5.0, 2.5, 1.0, 0.3, 0.0]),
             strategies.sampled_from(FAULTS),
-            strategies.integers(0, 9),
+            strategies.integers(1, 9),
             strategies.sampled_from([0.2, 0.45, 1.0, 3.0, 6.0]),
         ),
+        min_size=1,
         max_size=6,
     ),
     seed=strategies.integers(0, 1000),
@@ -418,7 +420,7 @@
             if number % 2:
                 name = fleet.find_issuer()
             bring_about(fleet, quota, kind, name, number, size)
-        await asyncio.sleep(10.0)
+        await asyncio.sleep(11.0)
         check_windows(case, fleet, quota)
 
     clocks.run(run())
@@ -440,7 +442,8 @@
         fleet.hosts[name].frozen_until = now + size
     elif kind == 'cut':
         fleet.sides = {
-            other: 1 for other in fleet.names[number % len(fleet.names) :]
+            other: 1
+            for other in fleet.names[number * len(fleet.names) // 10 :]
         }
     elif kind == 'heal':
         fleet.sides = {}
--- a/tests/entry/test_quota_exchange.py
+++ b/tests/entry/test_quota_exchange.py
@@ -3,9 +3,9 @@
 import asyncio
 from collections import abc
 
+from pistachioseam import events
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import quotas
-from pistachioseam import events
 from pistachioseam_entry import peer_messages
 from pistachioseam_peer.generated import messages_pb2
 from tests import call_fakes
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -160,6 +160,15 @@
         )
         head = headers.HeaderCodec().decode_call(pairs)
         case.assertIsNone(head.prompt)
+        case.assertIsNone(head.token_count)
+
+
+def test_token_count_is_the_sum_of_both_numbers(case: support.Case) -> None:
+    """A quota's cost needs no model, unlike a prompt."""
+    pairs = ((b'X-Pistachioseam-Token-Count', b'1460, 80'),)
+    head = headers.HeaderCodec().decode_call(pairs)
+    case.assertIsNone(head.prompt)
+    case.assertEqual(1540, head.token_count)
 
 
 def test_notices_of_targets_are_decoded(case: support.Case) -> None:
