--- a/tests/entry/test_routed_connections.py
+++ b/tests/entry/test_routed_connections.py
@@ -3,6 +3,7 @@
 import asyncio
 import typing
 
+import attrs
 from returns import result
 
 from pistachioseam.forwarding import paths
@@ -60,8 +61,10 @@
         )
 
 
-async def send(pool: SlowPool, relay: Relay) -> float:
-    """Send `CALL` to `ADDRESS`; return the seconds that it took."""
+async def send(
+    pool: SlowPool, relay: Relay, call: ports.OutgoingCall = CALL
+) -> float:
+    """Send a call to `ADDRESS`; return the seconds that it took."""
     sink = call_fakes.Sink()
     own_runtime = runtime.AsyncioRuntime(sink)
     target_paths = paths.TargetPaths(
@@ -78,7 +81,7 @@
         own_runtime,
     )
     started_at = own_runtime.now()
-    await connections.send(ADDRESS, CALL)
+    await connections.send(ADDRESS, call)
     return own_runtime.now() - started_at
 
 
@@ -98,6 +101,24 @@
     clocks.run(run())
 
 
+def test_grant_that_expired_during_the_connect_is_not_used(
+    case: support.Case,
+) -> None:
+    """The call was sent 0.4 s after its grant out of a quota had expired."""
+
+    async def run() -> None:
+        pool = SlowPool()
+        expires_at = asyncio.get_running_loop().time() + 0.5
+        call = attrs.evolve(
+            CALL,
+            may_send=lambda: asyncio.get_running_loop().time() < expires_at,
+        )
+        await send(pool, Relay(), call)
+        case.assertEqual([], pool.sent)
+
+    clocks.run(run())
+
+
 def test_time_to_find_the_path_lost_is_taken_off_the_time_limit(
     case: support.Case,
 ) -> None:
