--- a/packages/pistachioseam-entry/src/pistachioseam_entry/admission_exchange.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/admission_exchange.py
@@ -116,7 +116,7 @@
             return await self.coordinator.admit(question)
         message = self._create_message()
         admission_messages.add_question(message, question)
-        message.admission_question.hops = hops
+        message.host_status.admission_question.hops = hops
         response = await self._exchange(peer.address, message, seconds)
         if response is None:
             return None
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/admission_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/admission_messages.py
@@ -19,7 +19,9 @@
     message: messages_pb2.Message, question: coordination.Question
 ) -> None:
     """Set the content of a message to a question."""
-    encoded = message.admission_question
+    # All that hosts of earlier builds see is a partial status.
+    message.host_status.is_partial = True
+    encoded = message.host_status.admission_question
     encoded.target, encoded.born_ms = question.incarnation
     encoded.key = question.key
     encoded.prefill_tokens = min(MAX_TOKENS, question.prefill_tokens)
@@ -96,8 +98,10 @@
     message: messages_pb2.Message, progress: coordination.Progress
 ) -> None:
     """Set the content of a message to a report of progress."""
-    message.admission_progress.begun.extend(progress.begun)
-    message.admission_progress.ended.extend(progress.ended)
+    message.host_status.is_partial = True
+    encoded = message.host_status.admission_progress
+    encoded.begun.extend(progress.begun)
+    encoded.ended.extend(progress.ended)
 
 
 def decode_progress(
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -686,10 +686,11 @@
         content = message.WhichOneof('content')
         if content == 'permit_question':
             return await self.permits.respond(message.permit_question)
-        if content == 'admission_question':
-            return await self.admissions.respond(message.admission_question)
-        if content == 'quota_question':
-            return await self.quotas.respond(message.quota_question)
+        asked = message.host_status
+        if asked.HasField('admission_question'):
+            return await self.admissions.respond(asked.admission_question)
+        if asked.HasField('quota_question'):
+            return await self.quotas.respond(asked.quota_question)
         if content != 'store_question':
             self._handle_message(message)
             return self._create_handshake()
@@ -731,8 +732,10 @@
 
     def _handle_message(self, message: messages_pb2.Message) -> None:
         """Apply a peer's status; schedule an early relay if it is urgent."""
-        if message.WhichOneof('content') == 'admission_progress':
-            self.admissions.apply_progress(message.admission_progress)
+        if message.host_status.HasField('admission_progress'):
+            self.admissions.apply_progress(
+                message.host_status.admission_progress
+            )
             return
         sender = member_messages.decode_peer(message.sender)
         self.members.record_heartbeat(sender)
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/peer_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/peer_messages.py
@@ -217,7 +217,9 @@
     message: messages_pb2.Message, request: quotas.QuotaRequest, hops: int
 ) -> None:
     """Add a `QuotaQuestion` that has been passed on `hops` times."""
-    question = message.quota_question
+    # All that hosts of earlier builds see is a partial status.
+    message.host_status.is_partial = True
+    question = message.host_status.quota_question
     question.asker = request.asker
     question.account = request.account
     question.cost = request.cost
--- a/packages/pistachioseam/src/pistachioseam/forwarding/coordination.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/coordination.py
@@ -33,6 +33,9 @@
 doubled each time."""
 ASKED_COORDINATORS = 2
 """Hosts that are asked for one decision, one after the other."""
+UNANSWERED_BACKLOG_SECONDS = 0.5
+"""Backlog assumed of an engine whose coordinators do not answer, so that hosts
+without a view of its queue prefer other engines."""
 VIEW_SECONDS = 0.5
 """Age up to which an answer tells the backlog of an engine."""
 
@@ -391,6 +394,9 @@
             return Admission(
                 ticket=ticket, expected_seconds=answer.expected_seconds
             )
+        self._views[target.name] = _View(
+            UNANSWERED_BACKLOG_SECONDS, self._runtime.now()
+        )
         return None
 
     def report_begun(self, ticket: Ticket) -> None:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/engine_admission.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/engine_admission.py
@@ -15,7 +15,10 @@
 from pistachioseam.forwarding import selection
 
 MAX_PROBED_ENGINES = 3
-"""Engines that are asked without waiting, before the call waits at one."""
+"""Engines that are asked, before the call waits at one."""
+PROBE_SECONDS = 0.1
+"""Time for which a call waits at each of these: an engine with little work
+takes the next call sooner than another host answers."""
 WAIT_SECONDS = 0.3
 """Time for which a call waits at one engine before it is placed again."""
 MAX_ASKS = 40
@@ -120,9 +123,10 @@
             objective_seconds=call.route.objective_seconds,
             objective_left_seconds=call.route.objective_seconds - waited,
             seconds_left=min(seconds_left, choice.max_first_byte_seconds),
-            max_wait_seconds=0.0
-            if is_probe
-            else max(0.0, min(WAIT_SECONDS, seconds_left)),
+            max_wait_seconds=max(
+                0.0,
+                min(PROBE_SECONDS if is_probe else WAIT_SECONDS, seconds_left),
+            ),
         )
 
     def _get_seconds_left(self) -> float:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/engine_partitions.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/engine_partitions.py
@@ -23,7 +23,7 @@
 their streams need engines that prefill for less than half of the time."""
 MIN_ENGINES = 4
 """Engines of a region below which none is kept for interactive prompts."""
-OVERFLOW_COST_SECONDS = 0.2
+OVERFLOW_COST_SECONDS = 0.1
 """Cost of an engine with long prompts for an interactive call: the time by
 which its stream is slowed down there."""
 PARTITION_KEY = 3
--- a/packages/pistachioseam/src/pistachioseam/forwarding/engine_queues.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/engine_queues.py
@@ -26,7 +26,7 @@
 REPORT_DELAY_SECONDS = 0.15
 """Longest usual time from a first byte to the report of it. A call is taken
 to be prefilled in time until then; after that it counts as waiting."""
-MAX_OVERDUE_SECONDS = 3.0
+MAX_OVERDUE_SECONDS = 1.5
 """Time after which a call without a report of its first byte is forgotten: its
 host is lost, or the engine is left to outlier detection."""
 MAX_RUN_SECONDS = 30.0
@@ -215,7 +215,8 @@
             elif (
                 fits
                 and now + seconds <= demand.deadline
-                and now < demand.answer_by
+                and now + max(0.0, expected - MAX_BACKLOG_SECONDS)
+                < demand.answer_by
             ):
                 # Only calls that go on waiting delay those behind them.
                 is_blocked = True
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -36,8 +36,8 @@
 they are read about once a second, and callers give up after two."""
 DOUBT_CHECK_SECONDS = 0.1
 """Pause between two checks during that wait."""
-FIRST_STEP_SECONDS = 0.02
-"""Time of an engine's step that generates the first token, and of its set-up,
+FIRST_STEP_SECONDS = 0.008
+"""Time of an engine's set-up and of the step that generates the first token,
 as documented by the platform."""
 MAX_LOGGED_CANDIDATES = 3
 """Best candidates whose costs and loads are logged with a decision."""
--- a/tests/core/forwarding/test_engine_admission.py
+++ b/tests/core/forwarding/test_engine_admission.py
@@ -15,6 +15,7 @@
 from pistachioseam.forwarding import prompts
 from pistachioseam.forwarding import router as routers
 from pistachioseam import membership
+from pistachioseam.forwarding.steps import forward
 from tests import call_fakes
 from tests import clocks
 from tests import support
@@ -158,7 +159,13 @@
         case.assertEqual([key], coordinators.ended)
         ((name, question),) = coordinators.asked
         case.assertEqual(name, call.attempts[0].target.name)
-        case.assertEqual(GRANT, call.attempts[0].expected_seconds)
+        latency = fixture.router.topology.get_latency(
+            call.attempts[0].target.domain
+        )
+        case.assertAlmostEqual(
+            GRANT + 2 * latency + forward.FIRST_STEP_SECONDS,
+            call.attempts[0].expected_seconds,
+        )
         case.assertEqual(1000, question.prefill_tokens)
         case.assertEqual(1010, question.memory_tokens)
         case.assertEqual(0.0, question.max_wait_seconds)
@@ -209,7 +216,7 @@
         asked = [name for name, _ in coordinators.asked]
         case.assertEqual(3, len(set(asked[:3])))
         waits = coordinators.list_waits()
-        case.assertEqual([0.0] * 3, waits[:3])
+        case.assertEqual([engine_admission.PROBE_SECONDS] * 3, waits[:3])
         case.assertEqual([engine_admission.WAIT_SECONDS], waits[3:])
 
     clocks.run(run())
--- a/tests/entry/test_admission_exchange.py
+++ b/tests/entry/test_admission_exchange.py
@@ -200,7 +200,7 @@
     asking.peers.admissions._exchange = exchange
     await asking.peers.admissions.ask(older.own, create_question(1), 0.1)
     (message,) = sent
-    message.ClearField('admission_question')
+    message.host_status.ClearField('admission_question')
     await older.peers._handle_request(message)
 
 
--- a/tests/entry/test_admission_messages.py
+++ b/tests/entry/test_admission_messages.py
@@ -29,7 +29,9 @@
     """Return a question as a peer receives it."""
     message = messages_pb2.Message()
     admission_messages.add_question(message, question)
-    return admission_messages.decode_question(send(message).admission_question)
+    return admission_messages.decode_question(
+        send(message).host_status.admission_question
+    )
 
 
 def test_question_arrives_unchanged(case: support.Case) -> None:
@@ -92,7 +94,7 @@
     progress = coordination.Progress(begun=(1, 2**64 - 1), ended=(3,))
     message = messages_pb2.Message()
     admission_messages.add_progress(message, progress)
-    received = send(message).admission_progress
+    received = send(message).host_status.admission_progress
     case.assertEqual(progress, admission_messages.decode_progress(received))
 
 
--- a/tests/entry/test_admission_replay.py
+++ b/tests/entry/test_admission_replay.py
@@ -216,7 +216,7 @@
                 async with asyncio.timeout(seconds):
                     await asyncio.sleep(delay)
                     response = await self.exchanges[address].respond(
-                        message.admission_question
+                        message.host_status.admission_question
                     )
                     await asyncio.sleep(delay)
                     return response
@@ -227,7 +227,7 @@
             asyncio.get_running_loop().call_later(
                 get_delay(own.domain, domains[address]),
                 self.exchanges[address].apply_progress,
-                message.admission_progress,
+                message.host_status.admission_progress,
             )
 
         return admission_exchange.AdmissionExchange(
--- a/tests/entry/test_quota_exchange.py
+++ b/tests/entry/test_quota_exchange.py
@@ -235,9 +235,10 @@
     message = messages_pb2.Message()
     peer_messages.add_quota_request(message, request, 1)
     case.assertEqual(
-        request, peer_messages.decode_quota_request(message.quota_question)
+        request,
+        peer_messages.decode_quota_request(message.host_status.quota_question),
     )
-    case.assertEqual(1, message.quota_question.hops)
+    case.assertEqual(1, message.host_status.quota_question.hops)
     response = messages_pb2.Message()
     peer_messages.add_quota_decision(
         response, quotas.QuotaDecision(False, 0.0001)
