--- a/packages/pistachioseam/src/pistachioseam/forwarding/engine_admission.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/engine_admission.py
@@ -16,7 +16,7 @@
 
 MAX_PROBED_ENGINES = 3
 """Engines that are asked, before the call waits at one."""
-PROBE_SECONDS = 0.1
+PROBE_SECONDS = 0.05
 """Time for which a call waits at each of these: an engine with little work
 takes the next call sooner than another host answers."""
 WAIT_SECONDS = 0.3
--- a/packages/pistachioseam/src/pistachioseam/forwarding/engine_queues.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/engine_queues.py
@@ -35,11 +35,14 @@
 takes its slot and memory; if it were forgotten, others would exceed them."""
 SLOWDOWN_WEIGHT = 0.1
 """Weight of the newest call in the moving average of an engine's slowdown."""
-MIN_SLOWDOWN = 0.7
+MIN_SLOWDOWN = 0.9
 MAX_SLOWDOWN = 2.5
 """Bounds of the ratio of actual to expected time to first byte."""
-MIN_MEASURED_SECONDS = 0.05
+MIN_MEASURED_SECONDS = 0.15
 """Shorter expected times are too inexact to measure an engine's speed."""
+REPORT_SECONDS = 0.03
+"""Time that a report of a first byte takes to arrive, at the mean of the
+regions."""
 FULL_ENGINE_SECONDS = 0.2
 """Expected wait for a slot or memory of an engine that has none left."""
 MAX_MEMORY_FRACTION = 0.95
@@ -139,7 +142,8 @@
         expected = admitted.first_byte_at - admitted.admitted_at
         if expected < MIN_MEASURED_SECONDS:
             return
-        newest = self._slowdown * (now - admitted.admitted_at) / expected
+        actual = now - admitted.admitted_at - REPORT_SECONDS
+        newest = self._slowdown * actual / expected
         self._slowdown += SLOWDOWN_WEIGHT * (
             min(MAX_SLOWDOWN, max(MIN_SLOWDOWN, newest)) - self._slowdown
         )
