Target connections: truncated uploads' responses and malformed statuses are broken

Cause: the kernel reports the end of a response even after the reset that follows it, so a target that shuts down writing and closes its socket with unread data of the upload ended a response without a length as complete. Twisted takes any integer for a status.

Change: a response to an upload that ends with its connection counts as complete only once the target's kernel has acknowledged the upload without an error on the socket. A length together with chunks is malformed, and a connection whose 204 or 304 declares a body is not reused.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/platform.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/platform.py
@@ -14,6 +14,7 @@
 
 from pistachioseam import interfaces
 from pistachioseam_entry import reactors
+from pistachioseam_entry import response_parsers
 from pistachioseam_entry import settings
 
 JSON_HEADERS = {'content-type': ['application/json']}
@@ -34,10 +35,9 @@
     def __init__(self, options: settings.Platform) -> None:
         self._base_url = f'http://{options.address}'
         self._timeout_seconds = options.timeout_seconds
-        pool = client.HTTPConnectionPool(
+        pool = response_parsers.StrictPool(
             reactors.get_reactor(), persistent=True
         )
-        pool.retryAutomatically = False
         self._agent = client.Agent(
             reactors.get_reactor(),
             connectTimeout=options.timeout_seconds,
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
@@ -13,6 +13,7 @@
 from pistachioseam.forwarding import relays
 from pistachioseam import interfaces
 from pistachioseam import membership
+from pistachioseam import statuses
 from pistachioseam_entry import relay_messages
 from pistachioseam_peer.generated import messages_pb2
 from pistachioseam_peer import servers
@@ -245,6 +246,8 @@
         if word.WhichOneof('word') != 'head':
             return self._break('a response without a head')
         head = word.head
+        if not statuses.is_final(head.status):
+            return self._break(f'malformed status {head.status}')
         self.head = decoder.decode_response(
             head.status, relay_messages.decode_headers(head.headers)
         )
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/response_parsers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/response_parsers.py
@@ -1,4 +1,7 @@
-"""Parser of a target's responses that passes over those to other requests."""
+"""Parsers of responses: strict ones, and one for targets.
+
+The one for targets passes over responses to other requests.
+"""
 
 from collections import abc
 import typing
@@ -6,9 +9,12 @@
 from twisted.internet import defer
 from twisted.python import failure as failures
 from twisted.web import _newclient
+from twisted.web import client
 from twisted.web import http
 from twisted.web import http_headers
 
+from pistachioseam import statuses
+
 
 class EndlessResponseError(Exception):
     """A response to another request ends only with its connection."""
@@ -26,7 +32,78 @@
         """Return False for a response to pass over."""
 
 
-class ResponseParser(_newclient.HTTPClientParser):
+class StrictParser(_newclient.HTTPClientParser):
+    """Parser that fails on a malformed status or an unclear end of the body.
+
+    Twisted takes any integer for a status, and of a length and chunks it
+    ignores the length.
+    """
+
+    def take_over(
+        self, parser: _newclient.HTTPClientParser, transport: typing.Any
+    ) -> None:
+        """Replace a parser that has received nothing."""
+        self._responseDeferred: defer.Deferred[typing.Any] = (
+            parser._responseDeferred
+        )
+        self.makeConnection(transport)
+
+    def statusReceived(self, status: bytes) -> None:  # noqa: N802
+        """Fail unless the status line has a valid status."""
+        if statuses.parse_status(b''.join(status.split(b' ', 2)[1:2])) is None:
+            raise _newclient.ParseError('malformed status', status)
+        super().statusReceived(status)
+
+    def allHeadersReceived(self) -> None:  # noqa: N802
+        """Check how the body ends, and begin to read it.
+
+        No request follows on the connection of a response without a body
+        whose head declares one: the body may come nevertheless.
+        """
+        codings = self.connHeaders.getRawHeaders(b'transfer-encoding', [])
+        has_length = self.connHeaders.hasHeader(b'content-length')
+        if len(codings) + has_length > 1:
+            raise _newclient.ParseError(
+                'more than one end of the body', b', '.join(codings)
+            )
+        if self.response.code in self.NO_BODY_CODES and (
+            codings or _newclient._contentLength(self.connHeaders)
+        ):
+            self.request.persistent = False
+        super().allHeadersReceived()
+
+
+class StrictProtocol(_newclient.HTTP11ClientProtocol):
+    """Connection of an `Agent` that parses responses strictly."""
+
+    def request(
+        self, request: _newclient.Request
+    ) -> defer.Deferred[typing.Any]:
+        """Send a request; return the response once its head has arrived."""
+        pending = super().request(request)
+        if self._parser is not None:
+            parser = StrictParser(request, self._finishResponse)
+            parser.take_over(self._parser, self._transportProxy)
+            self._parser = parser
+        return pending
+
+
+class StrictFactory(client._HTTP11ClientFactory):
+    """Factory of the connections of a `StrictPool`."""
+
+    def buildProtocol(self, _: object) -> StrictProtocol:  # noqa: N802
+        """Return a new connection."""
+        return StrictProtocol(self._quiescentCallback)
+
+
+class StrictPool(client.HTTPConnectionPool):
+    """Connections of an `Agent`; no request is sent a second time."""
+
+    _factory = StrictFactory
+    retryAutomatically = False  # noqa: N815
+
+
+class ResponseParser(StrictParser):
     """Parser that waits for the first response which `head_filter` accepts.
 
     The bodies of others are dropped, and their connection is not used again.
@@ -42,20 +119,10 @@
         self._head_filter = head_filter
         self._is_passing_over = False
 
-    def take_over(
-        self, parser: _newclient.HTTPClientParser, transport: typing.Any
-    ) -> None:
-        """Replace a parser that has received nothing."""
-        self._responseDeferred: defer.Deferred[typing.Any] = (
-            parser._responseDeferred
-        )
-        self.makeConnection(transport)
-
     def allHeadersReceived(self) -> None:  # noqa: N802
         """Decide on a response; interim ones (1xx) are ignored."""
         code = self.response.code
-        is_interim = 100 <= code < 200
-        if is_interim or self._head_filter.accept_head(
+        if statuses.is_interim(code) or self._head_filter.accept_head(
             code, self.response.phrase, (self.headers, self.connHeaders)
         ):
             super().allHeadersReceived()
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -8,8 +8,11 @@
 import asyncio
 import collections
 from collections import abc
+import fcntl
 import re
 import socket
+import struct
+import termios
 import typing
 
 import attrs
@@ -18,10 +21,12 @@
 from twisted.internet import defer
 from twisted.internet import endpoints
 from twisted.internet import error
+from twisted.internet import interfaces as twisted_interfaces
 from twisted.internet import protocol
 from twisted.python import failure as failures
 from twisted.web import _newclient
 from twisted.web import http_headers
+from zope import interface
 
 from pistachioseam.forwarding import delivery
 from pistachioseam.forwarding import ports
@@ -58,6 +63,10 @@
 probes has no effect then. A sound target may be silent for a second or so."""
 KEEPALIVE_SECONDS = 1
 """Silence before the first TCP keepalive probe, and probe interval."""
+UPLOAD_CHECK_SECONDS = 0.005
+"""Interval at which the upload is checked once a target has ended its response
+with the connection. A target that closes its socket before it has read the
+upload sends a reset right behind the end of the response."""
 
 Kind = interfaces.FailureKind
 
@@ -74,6 +83,7 @@
         """Return the decoded status and headers of a response."""
 
 
+@interface.implementer(twisted_interfaces.IHalfCloseableProtocol)
 class Connection(_newclient.HTTP11ClientProtocol):
     """Connection to a target, for one request at a time.
 
@@ -104,6 +114,8 @@
         self._head_bytes = 0
         self._request_count = 0
         self._extra_count = 0
+        self._has_upload = False
+        self._is_read_ended = False
         # Hashes of the requests' ids; a collision costs a new connection.
         self._carried_ids: set[int] = set()
         self._on_lost = on_lost
@@ -125,6 +137,53 @@
         super().connectionLost(reason)
         self._on_lost(self)
 
+    def readConnectionLost(self) -> None:  # noqa: N802
+        """Close the connection that a target has closed.
+
+        If that ends a response to an upload, it is closed only once the
+        target has received all of the upload: until then the kernel reports
+        the end of the response even after a reset.
+        """
+        if self._is_read_ended:
+            return
+        self._is_read_ended = True
+        if self._has_upload and self._is_response_open():
+            reactors.get_reactor().callLater(
+                UPLOAD_CHECK_SECONDS, self._check_upload
+            )
+        else:
+            self._end_connection(error.ConnectionDone())
+
+    def writeConnectionLost(self) -> None:  # noqa: N802
+        """Do nothing; a connection is never shut down for writing alone."""
+
+    def _check_upload(self) -> None:
+        """Close the connection if the upload has been received, or failed."""
+        transport = self.transport
+        if not transport.connected:
+            return
+        handle = transport.getHandle()
+        if handle.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+            self._end_connection(error.ConnectionLost())
+        elif self._is_upload_received():
+            self._end_connection(error.ConnectionDone())
+        else:
+            reactors.get_reactor().callLater(
+                UPLOAD_CHECK_SECONDS, self._check_upload
+            )
+
+    def _is_upload_received(self) -> bool:
+        """Return whether the target's kernel has acknowledged all data."""
+        transport = self.transport
+        if transport.dataBuffer or transport._tempDataBuffer:
+            return False
+        size = struct.pack('i', 0)
+        queued = fcntl.ioctl(transport.getHandle(), termios.TIOCOUTQ, size)
+        return queued == size
+
+    def _end_connection(self, reason: Exception) -> None:
+        self.transport.connectionLost(failures.Failure(reason))
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received bytes; close the connection if the head has no end.
 
@@ -182,6 +241,9 @@
             return defer.fail(_newclient.RequestNotSent())
         self._request_count += 1
         self._carried_ids.add(hash(request_id))
+        self._has_upload = bool(
+            request.bodyProducer is not None and request.bodyProducer.length
+        )
         pending = self.request(request)
         if self._parser is not None:
             parser = response_parsers.ResponseParser(
@@ -198,11 +260,16 @@
         """
         if self.state not in ('TRANSMITTING', 'WAITING'):
             return False
-        if self._parser is None or self._is_reading_head():
-            return True
+        return not self._is_response_open()
+
+    def _is_response_open(self) -> bool:
+        """Return whether a response is read that ends with its connection."""
+        if self._parser is None or self._parser.state != _newclient.BODY:
+            return False
         headers = self._parser.connHeaders
-        return headers.hasHeader(b'content-length') or headers.hasHeader(
-            b'transfer-encoding'
+        return not (
+            headers.hasHeader(b'content-length')
+            or headers.hasHeader(b'transfer-encoding')
         )
 
     def _is_idle_cut(self) -> bool:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/targets.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/targets.py
@@ -13,6 +13,7 @@
 from pistachioseam import interfaces
 from pistachioseam_entry import bodies
 from pistachioseam_entry import reactors
+from pistachioseam_entry import response_parsers
 from pistachioseam_entry import settings
 
 CANCEL_TIMEOUT_SECONDS = 2.0
@@ -39,6 +40,9 @@
         self._agent = client.Agent(
             reactors.get_reactor(),
             connectTimeout=options.connect_timeout_seconds,
+            pool=response_parsers.StrictPool(
+                reactors.get_reactor(), persistent=False
+            ),
         )
 
     async def call(
