Responses: table of unclear ends and statuses, with a test for each line

Cause: Twisted ignores the length of a response that also has chunks, the second of two codings, and takes any text before the version of a status line for a protocol name, so bytes left of an earlier response. A connection whose 204 or 304 declared a body was used again before the body arrived.

Change: the strict parser fails on these; the log quotes what is malformed.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_bodies.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_bodies.py
@@ -9,6 +9,7 @@
 from twisted.internet import defer
 from twisted.internet import protocol
 from twisted.python import failure
+from twisted.web import _newclient
 from twisted.web import client
 from twisted.web import http
 from twisted.web import iweb
@@ -19,6 +20,8 @@
 MAX_BUFFERED_BYTES = 262_144
 """Buffered bytes of one response beyond which reading from its target pauses,
 as backpressure from a slow caller."""
+MAX_QUOTED_CHARACTERS = 60
+"""Characters of malformed data in a log line."""
 
 ReadResult: typing.TypeAlias = result.Result[bytes, interfaces.CallFailure]
 
@@ -115,7 +118,17 @@
 
 
 def describe_failure(reason: failure.Failure) -> str:
-    """Return the class names of an error and its causes, joined by `/`."""
+    """Return the class names of an error and its causes, joined by `/`.
+
+    Malformed data are quoted.
+    """
     causes = getattr(reason.value, 'reasons', None) or []
-    names = [type(cause.value).__name__ for cause in causes]
-    return '/'.join([type(reason.value).__name__, *names])
+    names = [_describe_error(cause.value) for cause in causes]
+    return '/'.join([_describe_error(reason.value), *names])
+
+
+def _describe_error(error: BaseException | None) -> str:
+    name = type(error).__name__
+    if not isinstance(error, _newclient.ParseError):
+        return name
+    return f'{name}: {error.args[0]}: {error.data!r:.{MAX_QUOTED_CHARACTERS}}'
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/response_parsers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/response_parsers.py
@@ -4,6 +4,7 @@
 """
 
 from collections import abc
+import re
 import typing
 
 from twisted.internet import defer
@@ -15,6 +16,10 @@
 
 from pistachioseam import statuses
 
+VERSION_PATTERN = re.compile(rb'HTTP/1\.[0-9]')
+"""Twisted takes any text before the version for the name of the protocol, so
+the rest of an earlier response too."""
+
 
 class EndlessResponseError(Exception):
     """A response to another request ends only with its connection."""
@@ -49,9 +54,14 @@
         self.makeConnection(transport)
 
     def statusReceived(self, status: bytes) -> None:  # noqa: N802
-        """Fail unless the status line has a valid status."""
-        if statuses.parse_status(b''.join(status.split(b' ', 2)[1:2])) is None:
-            raise _newclient.ParseError('malformed status', status)
+        """Fail unless the line has a valid version and status."""
+        version, _, rest = status.partition(b' ')
+        code = rest.partition(b' ')[0]
+        if (
+            not VERSION_PATTERN.fullmatch(version)
+            or statuses.parse_status(code) is None
+        ):
+            raise _newclient.ParseError('malformed status line', status)
         super().statusReceived(status)
 
     def allHeadersReceived(self) -> None:  # noqa: N802
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -159,7 +159,7 @@
 
     def _check_upload(self) -> None:
         """Close the connection if the upload has been received, or failed."""
-        transport = self.transport
+        transport: typing.Any = self.transport
         if not transport.connected:
             return
         handle = transport.getHandle()
@@ -174,7 +174,7 @@
 
     def _is_upload_received(self) -> bool:
         """Return whether the target's kernel has acknowledged all data."""
-        transport = self.transport
+        transport: typing.Any = self.transport
         if transport.dataBuffer or transport._tempDataBuffer:
             return False
         size = struct.pack('i', 0)
@@ -182,7 +182,8 @@
         return queued == size
 
     def _end_connection(self, reason: Exception) -> None:
-        self.transport.connectionLost(failures.Failure(reason))
+        transport: typing.Any = self.transport
+        transport.connectionLost(failures.Failure(reason))
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse received bytes; close the connection if the head has no end.
--- a/tests/entry/test_complete_answers.py
+++ b/tests/entry/test_complete_answers.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import abc
 import contextlib
+import pathlib
 import socket
 import struct
 import typing
@@ -10,7 +11,6 @@
 import attrs
 from returns import pipeline
 
-from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import router as routers
 from pistachioseam import interfaces
 from pistachioseam_entry import target_connections
@@ -116,7 +116,8 @@
             await self.ending(reader, writer)
 
 
-EARLY_HEAD = connections.HEAD + STAMP + b'Connection: close\r\n'
+HEAD_STAMPED = connections.HEAD + STAMP
+EARLY_HEAD = HEAD_STAMPED + b'Connection: close\r\n'
 HALF = EARLY_HEAD + b'\r\nhalf'
 EARLY_ENDINGS: tuple[tuple[Ending, bytes, bool], ...] = (
     (reset_at_once, UPLOAD, False),
@@ -303,6 +304,98 @@
     connections.run(work)
 
 
+PAGE = pathlib.Path(__file__).parents[2] / 'docs/explanation/promises.md'
+FINAL = HEAD_STAMPED + b'Content-Length: 3\r\n\r\nown'
+NO_BODY = HEAD_STAMPED.replace(b'200 OK', b'204 Any')
+NOT_MODIFIED = HEAD_STAMPED.replace(b'200 OK', b'304 Any')
+LENGTH = b'Content-Length: 3\r\n'
+CHUNKED = b'Transfer-Encoding: chunked\r\n'
+CHUNKS = b'\r\n3\r\nown\r\n0\r\n\r\n'
+FRAMINGS = {
+    '1xx, then a final response': (
+        b'HTTP/1.1 100 Continue\r\n\r\n'
+        b'HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n' + FINAL
+    ),
+    '1xx with the head of a rejection, then a final response': (
+        b'HTTP/1.1 102 Processing\r\nRetry-After: 9\r\n'
+        b'X-Pistachioseam-Not-Executed: 1\r\n\r\n' + FINAL
+    ),
+    '1xx without a final response': b'HTTP/1.1 100 Continue\r\n\r\n',
+    '1xx with a length and a body': (
+        b'HTTP/1.1 100 Continue\r\nContent-Length: 3\r\n\r\nown' + FINAL
+    ),
+    '204 without a body': NO_BODY + b'\r\n',
+    '204 with a length and a body': NO_BODY + LENGTH + b'\r\nown',
+    '204 with chunks': NO_BODY + CHUNKED + CHUNKS,
+    '204 with bytes behind the head': NO_BODY + b'\r\nown',
+    '304 with a length, without a body': NOT_MODIFIED + LENGTH + b'\r\n',
+    '304 with a length and a body': NOT_MODIFIED + LENGTH + b'\r\nown',
+    'the same length twice': HEAD_STAMPED + 2 * LENGTH + b'\r\nown',
+    'two different lengths': (
+        HEAD_STAMPED + LENGTH + b'Content-Length: 2\r\n\r\nown'
+    ),
+    'a length that is no number': (
+        HEAD_STAMPED + b'Content-Length: +3\r\n\r\nown'
+    ),
+    'a length and chunks': HEAD_STAMPED + LENGTH + CHUNKED + CHUNKS,
+    'bytes before the status line': b'own' + FINAL,
+    'two transfer codings': HEAD_STAMPED + 2 * CHUNKED + CHUNKS,
+    'another transfer coding': (
+        HEAD_STAMPED + b'Transfer-Encoding: gzip\r\n\r\nown'
+    ),
+}
+"""What a target sends, by the first column of the table."""
+
+
+async def judge_framing(sent: bytes) -> tuple[str, str]:
+    """Return what the caller gets, and whether the connection is used again.
+
+    A body at the end of what the target sends arrives after a pause.
+    """
+    body = b'own' if sent.endswith(b'\r\n\r\nown') else b''
+
+    async def send_body(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await asyncio.sleep(PAUSE_SECONDS)
+        writer.write(body)
+        await asyncio.sleep(6 * PAUSE_SECONDS)
+        writer.close()
+
+    target = EarlyTarget(sent.removesuffix(body), send_body)
+    async with target.listen() as address:
+        with target_connections.ConnectionPool(headers.HeaderCodec()) as pool:
+            fetched = await pool.fetch(address, connections.create_call())
+            outcome = 'broken, 502'
+            if pipeline.is_successful(fetched):
+                status, received = fetched.unwrap()
+                outcome = f'{status}, {received.decode() or "no body"}'
+            await asyncio.sleep(3 * PAUSE_SECONDS)
+            idle = pool._idle.get(address, ())
+            return outcome, 'yes' if any(idle) else 'no'
+
+
+def test_unclear_responses_are_judged_as_the_table_says(
+    case: support.Case,
+) -> None:
+    """Guards against MIXED: bytes of one response taken for another's."""
+    tables = PAGE.read_text().split('\n\n')
+    (table,) = [each for each in tables if each.startswith('| a target sends')]
+    rows = [
+        tuple(cell.strip() for cell in line.strip('|').split('|'))
+        for line in table.splitlines()[2:]
+    ]
+
+    async def work() -> None:
+        judged = [
+            (name, *await judge_framing(sent))
+            for name, sent in FRAMINGS.items()
+        ]
+        case.assertEqual(rows, judged)
+
+    connections.run(work)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
--- a/tests/entry/test_relay_client.py
+++ b/tests/entry/test_relay_client.py
@@ -4,8 +4,11 @@
 from collections import abc
 import typing
 
+from returns import pipeline
+
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import relays
+from pistachioseam import interfaces
 from pistachioseam import membership
 from pistachioseam_entry import relay_client
 from pistachioseam_entry import relay_messages
@@ -54,6 +57,21 @@
         return messages_pb2.Message(relay_word=word)
 
 
+class HeadStream(SlowStream):
+    """Stream to a host that passes on a response with some status."""
+
+    status = 200
+
+    async def receive(self) -> messages_pb2.Message | None:
+        """Return the acceptance, then a head."""
+        if len(self.sent) < 2:
+            return await super().receive()
+        named = messages_pb2.HeaderPair(name=b'id', value=b'1')
+        head = messages_pb2.RelayHead(status=self.status, headers=[named])
+        word = messages_pb2.RelayWord(head=head)
+        return messages_pb2.Message(relay_word=word)
+
+
 class MuteStream(SlowStream):
     """Stream to a host that accepts a call and then falls silent."""
 
@@ -172,6 +190,32 @@
     clocks.run(run())
 
 
+def test_relayed_head_with_an_invalid_status_is_broken(
+    case: support.Case,
+) -> None:
+    """Guards against hosts of earlier builds, which pass on any number."""
+
+    async def run() -> None:
+        for status, is_valid in (
+            (0, False),
+            (20, False),
+            (100, False),
+            (199, False),
+            (200, True),
+            (599, True),
+            (600, False),
+            (999, False),
+        ):
+            HeadStream.status = status
+            sent = await send(Link(HeadStream))
+            case.assertEqual(is_valid, pipeline.is_successful(sent), status)
+            if not is_valid:
+                kind = sent.failure().kind
+                case.assertIs(interfaces.FailureKind.BROKEN, kind)
+
+    clocks.run(run())
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
--- a/tests/entry/test_target_connections.py
+++ b/tests/entry/test_target_connections.py
@@ -453,8 +453,8 @@
         async def reset(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
-            await reader.readuntil(b'\r\n\r\n')
-            writer.write(HEAD + b'\r\nhalf')
+            own_id = read_own_id(await reader.readuntil(b'\r\n\r\n'))
+            writer.write(HEAD.replace(OWN_ID, own_id) + b'\r\nhalf')
             await writer.drain()
             await asyncio.sleep(0.05)
             raw_socket = writer.get_extra_info('socket')
--- a/tests/entry/test_targets.py
+++ b/tests/entry/test_targets.py
@@ -215,6 +215,45 @@
     test_target_connections.run(work)
 
 
+ODD_STATUSES = (b'000', b'999', b'20', b'+200', b'0200')
+
+
+def test_invalid_status_is_a_broken_response(case: support.Case) -> None:
+    """Guards against a status that callers cannot read, or that proves."""
+
+    async def work() -> None:
+        for status in ODD_STATUSES:
+            odd = create_response(b'HTTP/1.1 ' + status + b' Odd\r\n', b'odd')
+            for sent_headers in (MODEL_HEADERS, {}):
+                async with run_target(odd) as (target, client):
+                    request = create_request('first', headers=sent_headers)
+                    failed = await fetch(client, target, request)
+                    case.assertIs(Kind.BROKEN, failed, status)
+                    case.assertEqual(['first'], target.request_ids)
+
+    test_target_connections.run(work)
+
+
+def test_response_without_length_is_never_complete(
+    case: support.Case,
+) -> None:
+    """Its connection may have been reset; an engine's streams have an end."""
+
+    async def work() -> None:
+        head = OK + b'Incarnation: i\r\nConnection: close\r\n\r\n'
+        async with run_target(head + b'half') as (target, client):
+            request = create_request('first', headers={})
+            case.assertIs(Kind.BROKEN, await fetch(client, target, request))
+        pieces = create_event('s', 0, 'a')
+        async with run_target(head + pieces) as (target, client):
+            opened = await client.resume_stream(target.address, 'i', 's', 0)
+            stream = opened.unwrap()
+            case.assertEqual(b'a', (await stream.receive()).unwrap().data)
+            case.assertIs(Kind.BROKEN, (await stream.receive()).failure().kind)
+
+    test_target_connections.run(work)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
--- a/tests/platform/test_engines.py
+++ b/tests/platform/test_engines.py
@@ -10,6 +10,7 @@
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import drains
 from pistachioseam.forwarding import ports
+from pistachioseam import interfaces
 from pistachioseam_entry import target_connections
 from pistachioseam_platform import engines
 from pistachioseam_platform import headers
@@ -132,6 +133,29 @@
     test_target_connections.run(work)
 
 
+def test_invalid_status_is_no_answer_of_an_engine_or_store(
+    case: support.Case,
+) -> None:
+    """Guards against a rollout that goes on by an answer nobody can read."""
+
+    async def work() -> None:
+        for status in (0, 20, 600, 999):
+            answer = create_answer(status, {**REPORT, 'epoch': 5, 'next': 7})
+            async with run_engine(answer, answer, answer) as (server, client):
+                target = create_target(server.address)
+                answers = [
+                    await client.order_weights(target, ORDER, lambda: True),
+                    await client.read_report(target),
+                    await client.read_epoch(server.address, 0),
+                ]
+                kinds = [each.failure().kind for each in answers]
+                case.assertEqual(
+                    3 * [interfaces.FailureKind.BROKEN], kinds, status
+                )
+
+    test_target_connections.run(work)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
