check: desired states, differences from the version in force, JSON

Cause: 'check' knew table files only; a desired state with a route that never matches, or an objective above its time limit, was found when callers were.

--- a/packages/pistachioseam-operator/src/pistachioseam_operator/command.py
+++ b/packages/pistachioseam-operator/src/pistachioseam_operator/command.py
@@ -74,11 +74,38 @@
 class Commands:
     """Operate pistachioseam: tables, hosts, requests and histories."""
 
-    def check(self, *paths: str) -> None:
-        """Validate table files, print findings; exit 1 if any is an error."""
-        found = files.check_files([pathlib.Path(path) for path in paths])
-        _print_findings(found)
-        if findings.has_errors(found):
+    def check(
+        self,
+        *paths: str,
+        against: str = '',
+        store: str = '',
+        capacity: float = 0.0,
+        as_json: bool = False,
+    ) -> None:
+        """Validate table files or a desired state; exit 1 on errors.
+
+        Print all findings, and the differences from the version in force: that
+        in the file `against`, or a desired state in the store at an address.
+        `capacity` is what the fleet serves, in tokens per second; the quotas
+        of a desired state are compared with it.
+        """
+        # Importing the platform's client needs the installed reactor.
+        reactors.ensure_reactor()
+        from pistachioseam_operator import file_checks
+
+        former = None
+        if store:
+            former = _run_on_reactor(lambda: file_checks.read_in_force(store))
+            if former is None:
+                _exit_operation_failed(f'no desired state in store {store}')
+        report = file_checks.check(
+            [pathlib.Path(path) for path in paths],
+            pathlib.Path(against) if against else None,
+            former,
+            float(capacity),
+        )
+        print(report.format_json() if as_json else report.format(), end='')
+        if findings.has_errors(report.found):
             sys.exit(EXIT_CHECK_FAILED)
 
     def tables(self, platform: str = '') -> None:
--- a/tests/operator/test_command.py
+++ b/tests/operator/test_command.py
@@ -1,5 +1,6 @@
 """Commands of `pistachioseam` on files and on a running deployment."""
 
+import copy
 import json
 import pathlib
 import subprocess
@@ -11,6 +12,7 @@
 
 from pistachioseam_standins import deployment
 from tests import deployments
+from tests.platform import test_documents
 from tests import support
 
 ROOT = pathlib.Path(__file__).parent.parent.parent
@@ -60,6 +62,56 @@
     case.assertEqual((0, ''), (ended.returncode, ended.stdout))
 
 
+def test_check_reports_on_a_desired_state(case: support.Case) -> None:
+    """Findings and differences are printed, as text and as JSON."""
+    folder = pathlib.Path(case.useFixture(fixtures.TempDir()).path)
+    former, new = folder / 'former.json', folder / 'new.json'
+    document = copy.deepcopy(test_documents.CONFIG)
+    # One of the route's services has no engines.
+    document['routes'][0]['sessionAffinity'] = False
+    former.write_text(json.dumps(document))
+    document['version'] = 8
+    document['routes'][1]['targetLatencyMs'] = 9000
+    new.write_text(json.dumps(document))
+    ended = _run_command('check', former)
+    case.assertEqual((0, ''), (ended.returncode, ended.stdout), ended.stderr)
+    ended = _run_command('check', new, f'--against={former}')
+    case.assertEqual(1, ended.returncode, ended.stderr)
+    objective, *changed = ended.stdout.splitlines()
+    case.assertTrue(objective.startswith(f'{new}:routes:r-2:objective: error'))
+    case.assertEqual(
+        [
+            'changed: version: 7 -> 8',
+            'changed: routes.r-2.targetLatencyMs: absent -> 9000',
+        ],
+        changed,
+    )
+    ended = _run_command('check', new, f'--against={former}', '--as_json')
+    case.assertEqual(1, ended.returncode, ended.stderr)
+    report = json.loads(ended.stdout)
+    (finding,) = report['findings']
+    case.assertEqual(
+        ('routes:r-2', 'objective', 'error'),
+        (finding['row'], finding['field'], finding['severity']),
+    )
+    case.assertEqual(2, len(report['differences']))
+    ended = _run_command('check', new, '--store=127.0.0.1:1')
+    case.assertEqual(4, ended.returncode, ended.stdout)
+
+
+def test_check_prints_changed_rows_of_table_files(case: support.Case) -> None:
+    """The tables in force are what `tables` prints."""
+    example = yaml.safe_load((ROOT / 'examples/tables.yaml').read_text())
+    former = _write(case, example)
+    example['routes'][0]['deadline_seconds'] = 77.0
+    new = _write(case, example)
+    ended = _run_command('check', new, f'--against={former}')
+    case.assertEqual(0, ended.returncode, ended.stdout + ended.stderr)
+    (line,) = ended.stdout.splitlines()
+    case.assertIn('deadline_seconds', line)
+    case.assertIn('-> 77.0', line)
+
+
 def test_apply_reports_a_lost_race(case: support.Case) -> None:
     """Of two edits with the same base revision, the second exits with 3."""
     spec = deployment.Spec(entries=1)
