--- a/tests/test_benchmarks.py
+++ b/tests/test_benchmarks.py
@@ -11,6 +11,7 @@
 from benchmarks import crashes
 from benchmarks import forwarding
 from benchmarks import latency
+from benchmarks import parsers
 from benchmarks import slopes
 from tests import support
 
@@ -76,6 +77,12 @@
     case.assertTrue(read_output(slopes.main))
 
 
+def test_parsers_benchmark_measures_both(case: support.Case) -> None:
+    """It needs no process."""
+    use_sizes(case, parsers, ROUNDS=1, RESPONSES=2)
+    case.assertEqual(2, len(read_output(parsers.main).splitlines()))
+
+
 def use_sizes(
     case: support.Case, module: types.ModuleType, **sizes: object
 ) -> None:
