--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -178,7 +178,11 @@
         if transport.dataBuffer or transport._tempDataBuffer:
             return False
         size = struct.pack('i', 0)
-        queued = fcntl.ioctl(transport.getHandle(), termios.TIOCOUTQ, size)
+        try:
+            queued = fcntl.ioctl(transport.getHandle(), termios.TIOCOUTQ, size)
+        except OSError:
+            # Without this call the kernel's buffer counts as received.
+            return True
         return queued == size
 
     def _end_connection(self, reason: Exception) -> None:
