--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_admin.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_admin.py
@@ -27,6 +27,9 @@
     'targets_age_seconds',
     'target_paths_lost',
     'failing_loops',
+    'coordinated_engines',
+    'calls_awaiting_admission',
+    'unanswered_admissions',
 )
 """Values of the label `name` of the metric `pistachioseam_state`, in the order
 of the values in `_update_state_gauges`."""
@@ -77,6 +80,9 @@
             router.targets_freshness.get_age(router.read_boot_clock()),
             int(process.paths.is_lost()),
             len(process.runtime.loops.list_failing()),
+            process.peers.admissions.coordinator.count_queues(),
+            process.peers.admissions.coordinator.count_waiting(),
+            router.coordinators.unanswered if router.coordinators else 0,
         )
         for name, value in zip(STATE_NAMES, values, strict=True):
             process.metrics.set_state(name, value)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/home_engines.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/affinity_engines.py
@@ -1,4 +1,4 @@
-"""Home engines of shared prompt parts.
+"""Affinity engines of shared prompt parts.
 
 Load pattern: prompts share parts that each engine evicts within seconds, and
 dozens of hosts learn late, or not at all, which engine holds a part. All hosts
@@ -16,18 +16,18 @@
 from pistachioseam.forwarding import prompts
 from pistachioseam.placement import rendezvous
 
-HOME_ENGINES = 3
+AFFINITY_ENGINES = 3
 """Engines of a part that are ranked; all others come after them."""
 RANK_COST_SECONDS = 0.01
 """Cost per rank, so that all hosts send a new part to the same target."""
-HOME_HIT_PROBABILITY = 0.5
+AFFINITY_HIT_PROBABILITY = 0.5
 """Assumed probability that a part which no host has told of is cached at its
 first engine or in the cache store near it."""
 
 
 @attrs.frozen
-class HomeEngines:
-    """Ranks of the home engines of one prompt's shared parts, by name.
+class AffinityEngines:
+    """Ranks of the affinity engines of one prompt's shared parts, by name.
 
     `domain` is the failure domain of the first of the service's engines, empty
     if there is none.
@@ -45,21 +45,26 @@
         `recompute_cost` is that of the shared tokens that would be prefilled
         there, as far as known.
         """
-        rank = self.ranks.get(target, HOME_ENGINES)
+        rank = self.ranks.get(target, AFFINITY_ENGINES)
         cost = RANK_COST_SECONDS * rank
         if self.is_assumed:
-            cost += HOME_HIT_PROBABILITY * recompute_cost * rank / HOME_ENGINES
+            cost += (
+                AFFINITY_HIT_PROBABILITY
+                * recompute_cost
+                * rank
+                / AFFINITY_ENGINES
+            )
         return cost
 
 
-def find_home_engines(
+def find_affinity_engines(
     prompt: prompts.Prompt,
     targets: abc.Collection[catalog.LiveTarget],
     rendezvous_hash: rendezvous.RendezvousHash,
     is_assumed: bool = False,
     known: abc.Collection[catalog.LiveTarget] = (),
-) -> HomeEngines:
-    """Return the home engines of a prompt among the given targets.
+) -> AffinityEngines:
+    """Return the affinity engines of a prompt among the given targets.
 
     `known` are all targets of the service, also those that take no calls at
     the moment; the domain is that of the first of them, so that it does not
@@ -70,10 +75,10 @@
     )
     key = int.from_bytes(digest.digest(), 'big')
     domains = {target.name: target.domain for target in targets}
-    ranked = rendezvous_hash.rank(key, sorted(domains), HOME_ENGINES)
+    ranked = rendezvous_hash.rank(key, sorted(domains), AFFINITY_ENGINES)
     known_domains = {target.name: target.domain for target in known} or domains
     first = rendezvous_hash.rank(key, sorted(known_domains), 1)
-    return HomeEngines(
+    return AffinityEngines(
         ranks={name: rank for rank, name in enumerate(ranked)},
         domain=known_domains[first[0]] if first else '',
         is_assumed=is_assumed,
--- a/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
@@ -49,9 +49,9 @@
     None if it has none yet; `first_byte_at` is the time at which the first
     part of the response was ready for the caller, None until then. `grant` is
     the cost granted out of the account's quota, once for all attempts.
-    `home_domain` is the failure domain near which the call's shared parts are
-    taken to be saved, empty if unknown. `admission_ticket` is that of the next
-    attempt, until it is sent.
+    `affinity_domain` is the failure domain near which the call's shared parts
+    are taken to be saved, empty if unknown. `admission_ticket` is that of the
+    next attempt, until it is sent.
     """
 
     head: ports.CallHead
@@ -66,7 +66,7 @@
     desired_version: int = 0
     deadline: float = 0.0
     digest: str = ''
-    home_domain: str = ''
+    affinity_domain: str = ''
     may_have_run: bool = False
     is_served: bool = False
     status: int = 0
--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -7,7 +7,7 @@
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import engine_partitions
 from pistachioseam.forwarding import faults
-from pistachioseam.forwarding import home_engines
+from pistachioseam.forwarding import affinity_engines
 from pistachioseam.forwarding import plans
 from pistachioseam.forwarding import router as routers
 from pistachioseam.forwarding import selection
@@ -31,19 +31,19 @@
         )
     partition = _find_partition(call, router)
     eligible = partition.filter_engines(eligible)
-    homes = home_engines.find_home_engines(
+    ranked = affinity_engines.find_affinity_engines(
         call.prompt,
         eligible,
         router.rendezvous_hash,
         router.has_many_hosts(),
         router.catalog.list_service(call.service.name),
     )
-    call.home_domain = homes.domain if homes.is_assumed else ''
+    call.affinity_domain = ranked.domain if ranked.is_assumed else ''
     holder_lookup = plans.HolderLookup(call, router)
     return selection.choose_target(
         eligible,
         lambda target: _score_engine(
-            call, router, target, homes, partition, holder_lookup
+            call, router, target, ranked, partition, holder_lookup
         ),
         router.random.random(),
     )
@@ -257,7 +257,7 @@
     call: calls.Call,
     router: routers.CallRouter,
     target: catalog.LiveTarget,
-    homes: home_engines.HomeEngines,
+    ranked: affinity_engines.AffinityEngines,
     partition: engine_partitions.Partition,
     holder_lookup: plans.HolderLookup,
 ) -> selection.Candidate:
@@ -269,7 +269,7 @@
     plan = plans.plan_run(call, router, target, holder_lookup)
     other_cost = _compute_failure_cost(router, target, now)
     other_cost += partition.compute_cost(target.name)
-    other_cost += homes.compute_cost(
+    other_cost += ranked.compute_cost(
         target.name,
         plan.recomputed_tokens * transfers.RECOMPUTE_SECONDS_PER_TOKEN,
     )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/plans.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/plans.py
@@ -282,12 +282,12 @@
 ) -> str:
     """Return the failure domain whose cache store a run uses.
 
-    Within a region this is the domain of the parts' first home engine, so that
+    Within a region this is the domain of the first affinity engine, so that
     all engines of the region save to, and fetch from, the same store.
     """
-    home = call.home_domain
-    if home and router.topology.share_region(target.domain, home):
-        return home
+    domain = call.affinity_domain
+    if domain and router.topology.share_region(target.domain, domain):
+        return domain
     return target.domain
 
 
--- a/tests/core/forwarding/test_home_engines.py
+++ b/tests/core/forwarding/test_affinity_engines.py
@@ -10,7 +10,7 @@
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import coordination
 from pistachioseam.forwarding import desired
-from pistachioseam.forwarding import home_engines
+from pistachioseam.forwarding import affinity_engines
 from pistachioseam.forwarding import placement
 from pistachioseam.forwarding import plans
 from pistachioseam.forwarding import prompts
@@ -52,9 +52,9 @@
 
 def find(
     prompt: prompts.Prompt, targets: list[catalog.LiveTarget]
-) -> home_engines.HomeEngines:
-    """Return the home engines as a host of a large fleet finds them."""
-    return home_engines.find_home_engines(
+) -> affinity_engines.AffinityEngines:
+    """Return the affinity engines as a host of a large fleet finds them."""
+    return affinity_engines.find_affinity_engines(
         prompt, targets, rendezvous.RendezvousHash(), is_assumed=True
     )
 
@@ -107,22 +107,22 @@
     shuffled = random.Random(1).sample(targets, len(targets))
     for number in range(20):
         prompt = create_prompt(f'part-{number}')
-        homes = find(prompt, targets)
-        case.assertEqual(homes, find(prompt, shuffled))
+        ranked = find(prompt, targets)
+        case.assertEqual(ranked, find(prompt, shuffled))
         case.assertEqual(
-            homes, find(create_prompt(f'part-{number}', 'b'), targets)
+            ranked, find(create_prompt(f'part-{number}', 'b'), targets)
         )
-        case.assertEqual({0, 1, 2}, set(homes.ranks.values()))
+        case.assertEqual({0, 1, 2}, set(ranked.ranks.values()))
 
 
 def test_other_engines_do_not_move_parts(case: support.Case) -> None:
     """The restart of one engine moved all parts, which were recomputed."""
     targets = create_engines(30)
-    homes = find(create_prompt('part'), targets)
-    others = [t for t in targets if t.name not in homes.ranks]
+    ranked = find(create_prompt('part'), targets)
+    others = [t for t in targets if t.name not in ranked.ranks]
     kept = [t for t in targets if t is not others[0]]
-    case.assertEqual(homes, find(create_prompt('part'), kept))
-    ranked = sorted(homes.ranks, key=lambda name: homes.ranks[name])
+    case.assertEqual(ranked, find(create_prompt('part'), kept))
+    ranked = sorted(ranked.ranks, key=lambda name: ranked.ranks[name])
     left = [t for t in targets if t.name != ranked[0]]
     moved = find(create_prompt('part'), left)
     case.assertEqual(0, moved.ranks[ranked[1]])
@@ -134,29 +134,29 @@
     targets = create_engines(30)
     counts: collections.Counter[str] = collections.Counter()
     for number in range(3_000):
-        homes = find(create_prompt(f'part-{number}'), targets)
-        counts.update(name for name, rank in homes.ranks.items() if not rank)
+        ranked = find(create_prompt(f'part-{number}'), targets)
+        counts.update(name for name, rank in ranked.ranks.items() if not rank)
     case.assertEqual(30, len(counts))
     case.assertLess(max(counts.values()), 1.5 * 100)
 
 
-def test_no_engines_no_homes(case: support.Case) -> None:
+def test_service_without_engines_has_none(case: support.Case) -> None:
     """Placement failed while a service had no engine."""
-    homes = find(create_prompt('part'), [])
-    case.assertEqual({}, homes.ranks)
-    case.assertEqual('', homes.domain)
+    ranked = find(create_prompt('part'), [])
+    case.assertEqual({}, ranked.ranks)
+    case.assertEqual('', ranked.domain)
 
 
 def test_cost_grows_with_the_rank(case: support.Case) -> None:
     """Overflow went to all engines alike."""
-    homes = find(create_prompt('part'), create_engines(30))
-    ranked = sorted(homes.ranks, key=lambda name: homes.ranks[name])
-    costs = [homes.compute_cost(name, 0.15) for name in (*ranked, 'other')]
+    ranked = find(create_prompt('part'), create_engines(30))
+    names = sorted(ranked.ranks, key=lambda name: ranked.ranks[name])
+    costs = [ranked.compute_cost(name, 0.15) for name in (*names, 'other')]
     case.assertEqual(0.0, costs[0])
     case.assertEqual(sorted(set(costs)), costs)
-    small = attrs.evolve(homes, is_assumed=False)
+    small = attrs.evolve(ranked, is_assumed=False)
     case.assertEqual(
-        home_engines.RANK_COST_SECONDS, small.compute_cost(ranked[1], 0.15)
+        affinity_engines.RANK_COST_SECONDS, small.compute_cost(names[1], 0.15)
     )
 
 
@@ -166,9 +166,9 @@
     async def run() -> None:
         for number in range(8):
             prompt = create_prompt(f'part-{number}')
-            homes = find(prompt, create_engines(12))
+            ranked = find(prompt, create_engines(12))
             placed = {Host(domain).place(prompt)[1] for domain in ('d1', 'd2')}
-            ranks = [homes.ranks.get(name) for name in placed]
+            ranks = [ranked.ranks.get(name) for name in placed]
             case.assertEqual([0], ranks)
 
     clocks.run(run())
@@ -181,13 +181,13 @@
         host = Host()
         router = host.fixture.router
         prompt = create_prompt('part')
-        homes = find(prompt, create_engines(12))
+        ranked = find(prompt, create_engines(12))
         placed = []
-        for _ in homes.ranks:
+        for _ in ranked.ranks:
             placed.append(host.place(prompt)[1])
             router.loads.start_call(placed[-1], 80_000, 80_000)
-        case.assertEqual(0, homes.ranks[placed[0]])
-        case.assertEqual(set(homes.ranks), set(placed))
+        case.assertEqual(0, ranked.ranks[placed[0]])
+        case.assertEqual(set(ranked.ranks), set(placed))
         case.assertNotIn(host.place(prompt)[1], placed)
 
     clocks.run(run())
@@ -202,13 +202,13 @@
         host = Host()
         prompt = create_prompt('part')
         call, _ = host.place(prompt)
-        home = find(prompt, create_engines(12)).domain
-        case.assertEqual(home, call.home_domain)
+        first = find(prompt, create_engines(12)).domain
+        case.assertEqual(first, call.affinity_domain)
         topology = host.fixture.router.topology
         for target in create_engines(12):
             plan = plans.plan_run(call, host.fixture.router, target)
-            near = topology.share_region(home, target.domain)
-            domain = home if near else target.domain
+            near = topology.share_region(first, target.domain)
+            domain = first if near else target.domain
             case.assertEqual(f'{domain}:80', plan.save_to)
             case.assertEqual(f'{domain}:80', plan.fetch_from)
 
@@ -226,7 +226,7 @@
         router.busy_until[first] = router.runtime.now() + 0.25
         other, second = host.place(prompt)
         case.assertNotEqual(first, second)
-        case.assertEqual(call.home_domain, other.home_domain)
+        case.assertEqual(call.affinity_domain, other.affinity_domain)
 
     clocks.run(run())
 
@@ -237,7 +237,7 @@
     async def run() -> None:
         host = Host(is_large=False)
         call, _ = host.place(create_prompt('part'))
-        case.assertEqual('', call.home_domain)
+        case.assertEqual('', call.affinity_domain)
 
     clocks.run(run())
 
