--- a/tests/entry/test_complete_answers.py
+++ b/tests/entry/test_complete_answers.py
@@ -248,6 +248,24 @@
     connections.run(work)
 
 
+def test_resumed_stream_is_whole_or_cut(case: support.Case) -> None:
+    """Guards against ORDER: a stream that ended early counts as ended.
+
+    Both targets end theirs with a reset, so that the caller's is cut.
+    """
+
+    async def work() -> None:
+        target = EarlyTarget(
+            EARLY_HEAD + b'\r\nid: 1\ndata: a\n\n', close_with_unread_data
+        )
+        status, reply = await forward('/resumable/', target)
+        case.assertEqual((502, 200), (status, reply.status))
+        case.assertEqual(b'id: 1\ndata: a\n\n', reply.body)
+        case.assertEqual(2, target.requests)
+
+    connections.run(work)
+
+
 INVALID_STATUSES = (
     b'000',
     b'099',
--- a/tests/entry/test_relay_service.py
+++ b/tests/entry/test_relay_service.py
@@ -26,9 +26,11 @@
     def __init__(self, request: messages_pb2.RelayRequest) -> None:
         self._request: messages_pb2.RelayRequest | None = request
         self._nonce = b''
+        self.words: list[messages_pb2.RelayWord] = []
 
     async def send(self, message: messages_pb2.Message) -> None:
-        """Keep the nonce of the acceptance."""
+        """Keep the word, and the nonce of the acceptance."""
+        self.words.append(message.relay_word)
         self._nonce = message.relay_word.accepted_nonce or self._nonce
 
     async def receive(self) -> messages_pb2.Message | None:
@@ -75,6 +77,33 @@
     clocks.run(run())
 
 
+def test_truncated_response_is_relayed_as_such(case: support.Case) -> None:
+    """Guards against MIXED: half a body would count as the whole one."""
+
+    async def run() -> None:
+        target = call_fakes.create_target(1)
+        fixture = call_fakes.RouterFixture([target])
+        service = relay_service.RelayService(
+            fixture.router,
+            typing.cast(paths.TargetPaths, OpenPaths()),
+            fixture.targets,
+        )
+        call = attrs.evolve(test_relay_messages.CALL, incarnation=target.name)
+        broken = call_fakes.create_failure(call_fakes.Kind.BROKEN)
+        fixture.targets.script.append(
+            [call_fakes.respond(chunks=(b'half', broken))]
+        )
+        stream = Stream(relay_messages.encode_request(call))
+        await service.serve(stream)
+        *_, data, end = stream.words
+        case.assertEqual(b'half', data.data)
+        case.assertEqual('failure', end.WhichOneof('word'))
+        failure = relay_messages.decode_failure(end.failure)
+        case.assertIs(call_fakes.Kind.BROKEN, failure.kind)
+
+    clocks.run(run())
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
