--- a/packages/pistachioseam-entry/src/pistachioseam_entry/admission_exchange.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/admission_exchange.py
@@ -186,7 +186,8 @@
             question.max_wait_seconds + PASS_ON_SECONDS,
             hops=1,
         )
-        if answer is None:
+        if answer is None or not answer.is_engine_known:
+            # A host that has just started has not read the targets yet.
             return None
         return attrs.evolve(answer, coordinator=first)
 
