--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_settings.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_settings.py
@@ -49,6 +49,22 @@
     )
 
 
+@attrs.frozen(kw_only=True)
+class Capacity:
+    """Limits of the machine on this process.
+
+    `memory_mb` includes temporary files, `max_descriptors` counts open files
+    and connections. The defaults are those of the smallest hosts.
+    """
+
+    memory_mb: float = attrs.field(
+        default=128.0, validator=validators.check_positive
+    )
+    max_descriptors: int = attrs.field(
+        default=4100, validator=validators.check_positive
+    )
+
+
 @attrs.frozen(kw_only=True)
 class CallSettings:
     """All settings of a host that forwards calls."""
@@ -59,6 +75,7 @@
     bounds: Bounds
     retries: budgets.BudgetTerms = attrs.field(factory=budgets.BudgetTerms)
     logs: setting_files.Logs = attrs.field(factory=setting_files.Logs)
+    capacity: Capacity = attrs.field(factory=Capacity)
 
 
 def load_call_settings(
