Bound what callers make a host hold

Cause: bodies went to temporary files without a total, a request's memory had no owner beside its own limit, and three ways let requests sent ahead pile up: Twisted reads on while a response waits for its caller; it reads on when a body's last bytes come with the next request (a further 64 KB for each 20 KB request); and it begins the next request before the response to the last one is read, without telling the new one that the connection is full. The 503 beside 7-byte chunks: 40 connections with 64 KB of them each keep the event loop for seconds a round, the store's answers time out, and after 5 s without a confirmation no key may be accepted.

Change: one account for all HTTP ports of a host (`caller_holdings`), with a budget from the settings `capacity` (24 MB and 1,922 connections at 128 MB and 4,100 descriptors). What to turn away is decided in `caller_budgets`, without a network: what would take longest to bring again goes first; connections that hold 64 KB or less have a reserve; a request that is served is never chosen. Bodies are held in memory, so they take no descriptors. Small chunks are parsed at 10,000 a second by the whole host. Bodies have a least rate of 1,024 bytes/s after twice the idle timeout. Bodies of oversized requests are released, and refused with 413 beyond four times the limit. Forms are no longer parsed. Buffers of targets' responses have a total.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_admin.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_admin.py
@@ -27,6 +27,10 @@
     'targets_age_seconds',
     'target_paths_lost',
     'failing_loops',
+    'caller_held_bytes',
+    'caller_budget_bytes',
+    'caller_connections',
+    'response_buffer_bytes',
 )
 """Values of the label `name` of the metric `pistachioseam_state`, in the order
 of the values in `_update_state_gauges`."""
@@ -77,6 +81,10 @@
             router.targets_freshness.get_age(router.read_boot_clock()),
             int(process.paths.is_lost()),
             len(process.runtime.loops.list_failing()),
+            process.holdings.count_bytes(),
+            process.holdings.budget.bytes,
+            process.holdings.count_connections(),
+            process.connections.buffers.held_bytes,
         )
         for name, value in zip(STATE_NAMES, values, strict=True):
             process.metrics.set_state(name, value)
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_bodies.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_bodies.py
@@ -18,11 +18,30 @@
 
 MAX_BUFFERED_BYTES = 262_144
 """Buffered bytes of one response beyond which reading from its target pauses,
-as backpressure from a slow caller."""
+as backpressure from a slow caller. Targets cut off a response that stays
+unread for some seconds, so a response is not paused before."""
+MIN_BUFFERED_BYTES = 16_384
+"""The same while the buffers of all responses together are full."""
+DEFAULT_BUFFERS_BYTES = 8_388_608
+"""Limit on the buffers of all responses together, unless it is set."""
 
 ReadResult: typing.TypeAlias = result.Result[bytes, interfaces.CallFailure]
 
 
+class ResponseBuffers:
+    """Bytes of targets' responses that a host holds for slow callers."""
+
+    def __init__(self) -> None:
+        self.held_bytes = 0
+        self.limit_bytes = DEFAULT_BUFFERS_BYTES
+
+    def is_full_for(self, own_bytes: int) -> bool:
+        """Return whether a response with these bytes must be paused."""
+        if self.held_bytes > self.limit_bytes:
+            return own_bytes > MIN_BUFFERED_BYTES
+        return own_bytes > MAX_BUFFERED_BYTES
+
+
 @interface.implementer(iweb.IBodyProducer)
 class BytesBody:
     """Producer of a request body that is held in memory."""
@@ -54,13 +73,20 @@
     A body without a length ends with its connection. It is complete only if
     `is_reset` returns False: the connection was closed without a reset.
     `is_end_marked` is set at the end of a body with a length or chunks.
+    `buffers` counts what this reader holds.
     """
 
-    def __init__(self, is_reset: abc.Callable[[], bool]) -> None:
+    def __init__(
+        self,
+        is_reset: abc.Callable[[], bool],
+        buffers: ResponseBuffers | None = None,
+    ) -> None:
         self._is_reset = is_reset
+        self._buffers = buffers or ResponseBuffers()
         self._chunks: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
         self._is_paused = False
+        self._is_abandoned = False
         self._changed = asyncio.Event()
         self._end: ReadResult | None = None
         self.is_end_marked = False
@@ -71,9 +97,13 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Buffer data; pause reading from the target if there is too much."""
+        if self._is_abandoned:
+            return
         self._chunks.append(data)
         self._buffered_bytes += len(data)
-        if self._buffered_bytes > MAX_BUFFERED_BYTES and not self._is_paused:
+        self._buffers.held_bytes += len(data)
+        is_full = self._buffers.is_full_for(self._buffered_bytes)
+        if is_full and not self._is_paused:
             self._is_paused = True
             self._get_transport().pauseProducing()
         self._changed.set()
@@ -98,6 +128,16 @@
     def _get_transport(self) -> typing.Any:
         return self.transport
 
+    def abandon(self) -> None:
+        """Discard what is buffered and all that is still to come."""
+        self._is_abandoned = True
+        self._release()
+
+    def _release(self) -> None:
+        self._chunks.clear()
+        self._buffers.held_bytes -= self._buffered_bytes
+        self._buffered_bytes = 0
+
     async def read(self) -> ReadResult:
         """Return the next bytes, empty at the end of a complete body."""
         while not self._chunks:
@@ -106,8 +146,7 @@
             self._changed.clear()
             await self._changed.wait()
         data = b''.join(self._chunks)
-        self._chunks.clear()
-        self._buffered_bytes = 0
+        self._release()
         if self._is_paused:
             self._is_paused = False
             self._get_transport().resumeProducing()
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
@@ -22,9 +22,16 @@
 from pistachioseam import refusals
 from pistachioseam_entry import bounded_requests
 from pistachioseam_entry import call_replies
+from pistachioseam_entry import caller_channels
+from pistachioseam_entry import caller_holdings
 from pistachioseam_entry import metrics
 
 
+BODY_COPIES = 2
+FULL_RETRY_AFTER_SECONDS = 1.0
+"""Most calls that hold a body end within a second."""
+
+
 class CallDecoder(typing.Protocol):
     """Wire format of callers' requests."""
 
@@ -53,6 +60,7 @@
         router: routers.CallRouter,
         decoder: CallDecoder,
         process_metrics: metrics.Metrics,
+        holdings: caller_holdings.CallerHoldings | None = None,
     ) -> None:
         super().__init__()
         self.active_requests = 0
@@ -61,12 +69,16 @@
         self._router = router
         self._decoder = decoder
         self._metrics = process_metrics
+        self.holdings = holdings or caller_holdings.CallerHoldings()
+        self.holdings.on_turned_away = self._record_turned_away
         self._site: bounded_requests.BoundedSite | None = None
         router.desired.add_listener(self._apply_limits)
 
     def create_site(self) -> server.Site:
         """Return the protocol factory of the callers' port."""
-        site = bounded_requests.BoundedSite(self, requestFactory=CallRequest)
+        site = bounded_requests.BoundedSite(
+            self, holdings=self.holdings, requestFactory=CallRequest
+        )
         site.displayTracebacks = False
         site.on_request_timeout = self._record_timeout
         self._site = site
@@ -101,6 +113,18 @@
         """Log and count a request that got a 408 response."""
         self._router.sink.emit(events.Event.CALLER_SLOW)
 
+    def _record_turned_away(self, counts: dict[str, int]) -> None:
+        """Log and count connections that were turned away, by cause."""
+        for cause, count in counts.items():
+            self._metrics.count_turned_away(cause, count)
+        self._router.sink.emit(
+            events.Event.CALLERS_TURNED_AWAY,
+            causes=counts,
+            held_bytes=self.holdings.count_bytes(),
+            budget_bytes=self.holdings.budget.bytes,
+            connections=self.holdings.count_connections(),
+        )
+
     def render(self, request: typing.Any) -> int:
         """Start to serve a request; the response is sent asynchronously."""
         self.active_requests += 1
@@ -116,10 +140,16 @@
     async def _handle(self, request: typing.Any) -> None:
         with call_replies.ForwardedReply(request) as reply:
             call = self._create_call(request, reply)
-            task = asyncio.ensure_future(self._serve(request, call, reply))
+            weight = _weigh_call(request, call)
+            is_held = self.holdings.serve(weight)
+            task = asyncio.ensure_future(
+                self._serve(request, call, reply, is_held)
+            )
             finished = request.notifyFinish()
             finished.addBoth(lambda _: self._handle_disconnect(call, task))
             await asyncio.wait((task,))
+            if is_held:
+                self.holdings.release(weight)
         if request._disconnected or reply.is_aborted():
             return
         is_complete = call.is_served or call.refusal is not None
@@ -148,7 +178,7 @@
             head=self._decoder.decode_call(headers),
             method=request.method,
             uri=request.uri,
-            body=request.content.read(),
+            body=request.take_content(),
             received_at=self._router.runtime.now(),
             reply=reply,
         )
@@ -158,12 +188,13 @@
         request: typing.Any,
         call: calls.Call,
         reply: call_replies.ForwardedReply,
+        is_held: bool,
     ) -> None:
         has_disconnected = False
         if self.is_draining:
             request.setHeader('connection', 'close')
         try:
-            await self._run_filters(request, call)
+            await self._run_filters(request, call, is_held)
             call.refusal = call_refusals.restate_refusal(call, self._router)
             if call.refusal is not None:
                 await reply.refuse(call.request_id, call.refusal)
@@ -175,9 +206,11 @@
             self._record_end(call, has_disconnected)
 
     async def _run_filters(
-        self, request: typing.Any, call: calls.Call
+        self, request: typing.Any, call: calls.Call, is_held: bool
     ) -> None:
         call.refusal = self._check_request(request, call)
+        if call.refusal is None and not is_held:
+            call.refusal = _refuse_full()
         if call.refusal is not None:
             return
         try:
@@ -265,5 +298,26 @@
             )
 
 
+def _weigh_call(request: typing.Any, call: calls.Call) -> int:
+    """Return the memory of a call while it is served.
+
+    Its body is copied once on the way to the target.
+    """
+    header_bytes = bounded_requests.measure_headers(request)
+    return (
+        BODY_COPIES * len(call.body)
+        + caller_channels.HEADER_FACTOR * header_bytes
+    )
+
+
+def _refuse_full() -> refusals.Refusal:
+    return refusals.Refusal(
+        503,
+        refusals.Reason.OVERLOADED,
+        'this host holds too many bodies',
+        retry_after_seconds=FULL_RETRY_AFTER_SECONDS,
+    )
+
+
 _TASKS: set[asyncio.Future[None]] = set()
 """Keeps running tasks referenced; asyncio holds only weak references."""
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -9,8 +9,8 @@
 from returns import pipeline
 from twisted.internet import defer
 from twisted.web import resource
-from twisted.web import server
 
+from pistachioseam import caller_budgets
 from pistachioseam import events
 from pistachioseam.forwarding import brittleness
 from pistachioseam.forwarding import budgets
@@ -37,9 +37,11 @@
 from pistachioseam import links
 from pistachioseam import membership
 from pistachioseam import quarantine
+from pistachioseam_entry import bounded_requests
 from pistachioseam_entry import call_listener
 from pistachioseam_entry import call_peers
 from pistachioseam_entry import call_settings
+from pistachioseam_entry import caller_holdings
 from pistachioseam_entry import lifecycle
 from pistachioseam_entry import log_writer
 from pistachioseam_entry import logs
@@ -85,6 +87,11 @@
 when it arrives."""
 
 
+RESPONSE_BUFFER_DIVISOR = 4
+"""Part of the callers' budget that buffers of targets' responses may use in
+addition."""
+
+
 class Codec(
     call_listener.CallDecoder, relay_client.HeadDecoder, typing.Protocol
 ):
@@ -178,8 +185,12 @@
         self.router = self._create_router(store, own_peer, adapter.codec)
         self.paths.add_listener(self._handle_paths_change)
         set_weights_limits(self.router, options.bounds)
+        self.holdings = create_holdings(options.capacity)
+        self.connections.buffers.limit_bytes = (
+            self.holdings.budget.bytes // RESPONSE_BUFFER_DIVISOR
+        )
         self.listener = call_listener.CallListener(
-            self.router, adapter.codec, self.metrics
+            self.router, adapter.codec, self.metrics, self.holdings
         )
         self.relay_service = relay_service.RelayService(
             self.router, self.paths, self.connections
@@ -350,10 +361,15 @@
         self.connections.on_broken = self.router.target_doubts.record_broken
         self.router.catalog.add_listener(self._forget_target)
         self.router.weights.add_listener(self.router.cache_models.forget)
-        readiness_site = server.Site(ReadinessResource(self))
+        readiness_site = bounded_requests.create_small_site(
+            ReadinessResource(self), self.holdings
+        )
+        admin_site = bounded_requests.create_small_site(
+            AdminResource(self), self.holdings
+        )
         self._listen(self.listener.create_site(), host.listen_address)
         self._listen(readiness_site, host.ready_address)
-        self._listen(server.Site(AdminResource(self)), host.admin_address)
+        self._listen(admin_site, host.admin_address)
         self._start_loops()
         self.peers.__enter__()
         return self
@@ -506,6 +522,18 @@
         self.lifecycle.stop()
 
 
+def create_holdings(
+    capacity: call_settings.Capacity,
+) -> caller_holdings.CallerHoldings:
+    """Return the accounts of callers, with the budget of a host."""
+    return caller_holdings.CallerHoldings(
+        caller_budgets.derive_budget(
+            capacity.memory_mb, capacity.max_descriptors
+        ),
+        body_rate=capacity.min_body_bytes_per_second,
+    )
+
+
 def set_weights_limits(
     router: routers.CallRouter, bounds: call_settings.Bounds
 ) -> None:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_settings.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_settings.py
@@ -54,7 +54,8 @@
     """Limits of the machine on this process.
 
     `memory_mb` includes temporary files, `max_descriptors` counts open files
-    and connections. The defaults are those of the smallest hosts.
+    and connections. The defaults are those of the smallest hosts. A body must
+    bring `min_body_bytes_per_second` on average, after twice the idle timeout.
     """
 
     memory_mb: float = attrs.field(
@@ -63,6 +64,9 @@
     max_descriptors: int = attrs.field(
         default=4100, validator=validators.check_positive
     )
+    min_body_bytes_per_second: float = attrs.field(
+        default=1024.0, validator=validators.check_positive
+    )
 
 
 @attrs.frozen(kw_only=True)
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/listener.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/listener.py
@@ -116,7 +116,7 @@
             method=request.method.decode('latin-1'),
             path=request.uri.decode('latin-1'),
             headers=headers,
-            body=request.content.read(),
+            body=request.take_content(),
             received_at=self._router.runtime.now(),
             reply=reply,
         )
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/metrics.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/metrics.py
@@ -77,6 +77,12 @@
             'Log lines omitted or dropped, by cause.',
             registry=self.registry,
         )
+        self._turned_away = aioprometheus.Counter(
+            'pistachioseam_callers_turned_away_total',
+            'Connections and calls of callers that were turned away because '
+            'callers hold too much or are too slow, by cause.',
+            registry=self.registry,
+        )
         self._retry_budget = aioprometheus.Gauge(
             'pistachioseam_retry_budget',
             'Retries by service that this host has spent in the current '
@@ -143,6 +149,10 @@
         """Count log lines that were omitted or dropped."""
         self._log_lines_lost.add({'cause': cause}, count)
 
+    def count_turned_away(self, cause: str, count: int) -> None:
+        """Count connections and calls that were turned away."""
+        self._turned_away.add({'cause': cause}, count)
+
     def set_retry_budget(
         self, service: str, spent: int, allowed: float
     ) -> None:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -333,6 +333,7 @@
         self._open: set[Connection] = set()
         self._listeners: list[ports.ResponseListener] = []
         self.opened_count = 0
+        self.buffers = call_bodies.ResponseBuffers()
 
     def __enter__(self) -> 'ConnectionPool':
         """Return the pool; connections are opened on demand."""
@@ -589,7 +590,9 @@
         if head.request_id != call.request_id:
             connection.drop()
             return _break(connection, 'response without a request id')
-        return result.Success(TargetResponse(connection, response, head))
+        return result.Success(
+            TargetResponse(connection, response, head, self.buffers)
+        )
 
     def _report_on(
         self,
@@ -697,13 +700,16 @@
         connection: Connection,
         response: typing.Any,
         head: ports.ResponseHead,
+        buffers: call_bodies.ResponseBuffers | None = None,
     ) -> None:
         self.head = head
         self.connection = connection.get_use().describe()
         self._connection = connection
         has_length = isinstance(response.length, int)
         self.declared_bytes = response.length if has_length else None
-        self._reader = call_bodies.BodyReader(lambda: connection.is_reset)
+        self._reader = call_bodies.BodyReader(
+            lambda: connection.is_reset, buffers
+        )
         response.deliverBody(self._reader)
 
     @property
@@ -723,6 +729,10 @@
         self._connection.drop()
 
     def abort(self) -> None:
-        """Close the connection unless the body has ended."""
+        """Close the connection unless the body has ended.
+
+        What has not been read is discarded.
+        """
         if not self._reader.is_ended():
             self._connection.drop()
+        self._reader.abandon()
--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -163,6 +163,11 @@
         Level.WARNING,
         'call of another host failed, or its target answered with an error',
     )
+    CALLERS_TURNED_AWAY = EventKind(
+        323,
+        Level.WARNING,
+        'callers turned away that hold too much or are too slow',
+    )
     CLAIM_DROPPED = EventKind(
         401,
         Level.WARNING,
--- a/tests/failures/test_crowds.py
+++ b/tests/failures/test_crowds.py
@@ -22,8 +22,8 @@
 
 from pistachioseam_standins import deployment
 from pistachioseam_standins import fleet
-from tests import support
 from tests.failures import test_forwarding
+from tests import support
 
 MEMORY_MB = 64.0
 """The capacity setting, far below that of any deployment."""
