Peer port: bound messages that are not authentic yet

Cause: a message is authenticated once it is complete, and the protocol lets it announce 4 GiB; grpclib acknowledges its parts as they arrive. Whoever reaches the port could thus fill a host.

Change: `bounded_servers` closes a connection whose unread messages exceed the limit of one message, and that which holds most when all together exceed theirs; beyond 1,024 connections the oldest without a request goes first.

Weighed: one budget with the callers was left out. Peers are other hosts, on an internal address, and turning away a status message for a caller's body would cost callers more; the account by bytes would need grpclib's flow control opened further. Not bounded: a peer with the secret.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -28,6 +28,11 @@
 from pistachioseam_peer.generated import messages_pb2
 from pistachioseam_peer import servers
 
+MAX_MESSAGE_BYTES = 4_194_304
+"""Largest message that is accepted. Relayed bodies have up to 900,000 bytes,
+no other message is larger."""
+MAX_HELD_BYTES = 8_388_608
+"""What peers together may make this host hold of incomplete messages."""
 CACHE_UPDATE_DELAY_SECONDS = 0.02
 """Time for which updates of new prefills, and of streams that have begun, are
 batched for peers; also that of targets that get no more calls."""
@@ -307,6 +312,8 @@
             self._relay_service.serve
             if self._relay_service
             else servers.refuse_relay,
+            MAX_MESSAGE_BYTES,
+            MAX_HELD_BYTES,
         )
         host, _, port = self.members.own.address.rpartition(':')
         await server.start(host, int(port))
--- a/packages/pistachioseam-peer/src/pistachioseam_peer/servers.py
+++ b/packages/pistachioseam-peer/src/pistachioseam_peer/servers.py
@@ -6,9 +6,9 @@
 
 import grpclib
 from grpclib import const
-from grpclib import server
 from returns import pipeline
 
+from pistachioseam_peer import bounded_servers
 from pistachioseam_peer import envelopes
 from pistachioseam_peer.generated import messages_grpc
 from pistachioseam_peer.generated import messages_pb2
@@ -76,7 +76,8 @@
 
     `handle_request` returns the response to a message, `handle_message`
     processes a one-way message, `handle_rejection` gets the reason of a
-    rejection, `handle_relay` the stream of a call to relay.
+    rejection, `handle_relay` the stream of a call to relay. The limits are
+    those of `bounded_servers`.
     """
 
     def __init__(
@@ -86,13 +87,17 @@
         handle_message: MessageHandler,
         handle_rejection: RejectionHandler,
         handle_relay: RelayHandler = refuse_relay,
+        max_message_bytes: int = bounded_servers.MAX_MESSAGE_BYTES,
+        max_held_bytes: int = bounded_servers.MAX_HELD_BYTES,
     ) -> None:
         self._secrets = [secret]
         self._handle_request = handle_request
         self._handle_message = handle_message
         self._handle_rejection = handle_rejection
         self._handle_relay = handle_relay
-        self._server = server.Server([self])
+        self._server = bounded_servers.BoundedServer(
+            [self], max_message_bytes, max_held_bytes
+        )
 
     def add_secret(self, secret: bytes) -> None:
         """Accept also messages with this secret, tried before the others."""
