--- a/packages/pistachioseam/src/pistachioseam/caller_budgets.py
+++ b/packages/pistachioseam/src/pistachioseam/caller_budgets.py
@@ -106,8 +106,11 @@
 
     `total_bytes` is what all callers hold, requests being served included.
     Those that would take longest to bring again what they hold go first.
-    Requests being served are not chosen: they may have run. Ordinary
-    connections are chosen only for what they hold beyond their reserve.
+    Requests being served are not chosen: they may have run. Of the others
+    with more than an ordinary connection holds, the best one stays, so that
+    a calm host of any size receives the largest body and delivers the largest
+    response. Ordinary connections are chosen only for what they hold beyond
+    their reserve.
     """
     if total_bytes <= budget.bytes:
         return []
@@ -116,17 +119,19 @@
         key=_get_cost,
         reverse=True,
     )
+    large = [h for h in candidates if h.held_bytes > ORDINARY_BYTES]
+    ordinary = [h for h in candidates if h.held_bytes <= ORDINARY_BYTES]
+    spared_bytes = large[-1].held_bytes if large else 0
+    goal_bytes = budget.bytes * (1 - RELIEF)
+    limit_bytes = budget.bytes * (1 + ORDINARY_RESERVE) + spared_bytes
     chosen = []
     left_bytes = total_bytes
-    goal_bytes = budget.bytes * (1 - RELIEF)
-    limit_bytes = budget.bytes * (1 + ORDINARY_RESERVE)
-    for is_ordinary, bound in ((False, goal_bytes), (True, limit_bytes)):
-        for holding in candidates:
+    for group, bound in ((large[:-1], goal_bytes), (ordinary, limit_bytes)):
+        for holding in group:
             if left_bytes <= bound:
                 break
-            if (holding.held_bytes <= ORDINARY_BYTES) == is_ordinary:
-                chosen.append(holding)
-                left_bytes -= holding.held_bytes
+            chosen.append(holding)
+            left_bytes -= holding.held_bytes
     return chosen
 
 
