--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_admin.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_admin.py
@@ -30,6 +30,10 @@
     'coordinated_engines',
     'calls_awaiting_admission',
     'unanswered_admissions',
+    'caller_held_bytes',
+    'caller_budget_bytes',
+    'caller_connections',
+    'response_buffer_bytes',
 )
 """Values of the label `name` of the metric `pistachioseam_state`, in the order
 of the values in `_update_state_gauges`."""
@@ -83,6 +87,10 @@
             process.peers.admissions.coordinator.count_queues(),
             process.peers.admissions.coordinator.count_waiting(),
             router.coordinators.unanswered if router.coordinators else 0,
+            process.holdings.count_bytes(),
+            process.holdings.budget.bytes,
+            process.holdings.count_connections(),
+            process.connections.buffers.held_bytes,
         )
         for name, value in zip(STATE_NAMES, values, strict=True):
             process.metrics.set_state(name, value)
--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -174,6 +174,11 @@
         "no answer to a request for the cost of a call out of its account's"
         ' quota',
     )
+    CALLERS_TURNED_AWAY = EventKind(
+        325,
+        Level.WARNING,
+        'callers turned away that hold too much or are too slow',
+    )
     CLAIM_DROPPED = EventKind(
         401,
         Level.WARNING,
--- a/tests/entry/test_call_settings.py
+++ b/tests/entry/test_call_settings.py
@@ -32,6 +32,7 @@
     'guarantees.budgetWindowS': '10',
     'guarantees.retryBudgetSlack': '20',
 }
+LIMIT_VALUES = {'limits.memoryMb': '128', 'limits.maxFds': '4100'}
 QUOTA_VALUES = {
     'guarantees.quotaWindowS': '8',
     'guarantees.quotaOverage': '0.1',
@@ -71,6 +72,10 @@
         path.write_text(render(values))
         loaded = call_settings.load_call_settings(path).unwrap()
         case.assertEqual(expected, loaded.quotas)
+    path.write_text(render({**VALUES, **LIMIT_VALUES}))
+    loaded = call_settings.load_call_settings(path).unwrap()
+    case.assertEqual(128, loaded.capacity.memory_mb)
+    case.assertEqual(4100, loaded.capacity.max_descriptors)
 
 
 def load_tests(*_: object) -> object:
