--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -2,12 +2,12 @@
 
 from collections import abc
 
+from pistachioseam.forwarding import affinity_engines
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import engine_partitions
 from pistachioseam.forwarding import faults
-from pistachioseam.forwarding import affinity_engines
 from pistachioseam.forwarding import plans
 from pistachioseam.forwarding import router as routers
 from pistachioseam.forwarding import selection
--- a/tests/core/forwarding/test_affinity_engines.py
+++ b/tests/core/forwarding/test_affinity_engines.py
@@ -6,11 +6,11 @@
 
 import attrs
 
+from pistachioseam.forwarding import affinity_engines
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import coordination
 from pistachioseam.forwarding import desired
-from pistachioseam.forwarding import affinity_engines
 from pistachioseam.forwarding import placement
 from pistachioseam.forwarding import plans
 from pistachioseam.forwarding import prompts
--- a/tests/core/forwarding/test_engine_admission.py
+++ b/tests/core/forwarding/test_engine_admission.py
@@ -14,8 +14,8 @@
 from pistachioseam.forwarding import freshness
 from pistachioseam.forwarding import prompts
 from pistachioseam.forwarding import router as routers
-from pistachioseam import membership
 from pistachioseam.forwarding.steps import forward
+from pistachioseam import membership
 from tests import call_fakes
 from tests import clocks
 from tests import support
