--- a/packages/pistachioseam-entry/src/pistachioseam_entry/admission_exchange.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/admission_exchange.py
@@ -16,6 +16,7 @@
 from pistachioseam import membership
 from pistachioseam_entry import admission_messages
 from pistachioseam_entry import coalescing
+from pistachioseam_entry import permit_exchange
 from pistachioseam_peer.generated import messages_pb2
 
 REPORT_DELAY_SECONDS = 0.02
@@ -25,12 +26,6 @@
 """Time beyond the wait of a question in which the coordinator answers another
 host of its domain."""
 
-Exchange: typing.TypeAlias = abc.Callable[
-    [str, messages_pb2.Message, float],
-    abc.Awaitable[messages_pb2.Message | None],
-]
-"""Sends a message to an address; returns the response, None without one in the
-given seconds."""
 Send: typing.TypeAlias = abc.Callable[[str, messages_pb2.Message], None]
 """Sends a one-way message to an address."""
 
@@ -48,7 +43,7 @@
         router: routers.CallRouter,
         get_view: abc.Callable[[], contacts.FleetView],
         create_message: abc.Callable[[], messages_pb2.Message],
-        exchange: Exchange,
+        exchange: permit_exchange.Exchange,
         send: Send,
     ) -> None:
         self._router = router
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -10,7 +10,7 @@
 from pistachioseam import events
 from pistachioseam.forwarding import confirmations
 from pistachioseam.forwarding import contacts
-from pistachioseam.forwarding import coordination
+from pistachioseam.forwarding import coordinator_clients
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import loads
 from pistachioseam.forwarding import ports
@@ -136,7 +136,7 @@
             self._exchange,
             self._send_one_way,
         )
-        router.coordinators = coordination.CoordinatorClient(
+        router.coordinators = coordinator_clients.CoordinatorClient(
             runtime,
             self.admissions,
             router.rendezvous_hash,
--- a/packages/pistachioseam/src/pistachioseam/forwarding/admission_order.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/admission_order.py
@@ -59,17 +59,3 @@
             demand.key,
         ),
     )
-
-
-def list_first_bytes(
-    ordered: abc.Iterable[Demand], backlog_seconds: float
-) -> list[tuple[Demand, float]]:
-    """Return the expected time to first byte of each call, in seconds.
-
-    `backlog_seconds` is the time in which the engine prefills what it has.
-    """
-    expected = []
-    for demand in ordered:
-        backlog_seconds += demand.get_prefill_seconds()
-        expected.append((demand, backlog_seconds))
-    return expected
--- a/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
@@ -6,7 +6,7 @@
 
 from pistachioseam import filter_notes
 from pistachioseam.forwarding import catalog
-from pistachioseam.forwarding import coordination
+from pistachioseam.forwarding import coordinator_clients
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import prompts
@@ -72,7 +72,7 @@
     status: int = 0
     origin: stream_origins.StreamOrigin | None = None
     first_byte_at: float | None = None
-    admission_ticket: coordination.Ticket | None = None
+    admission_ticket: coordinator_clients.Ticket | None = None
     attempts: list[CallAttempt] = attrs.field(factory=list)
     notes: list[filter_notes.Note] = attrs.field(factory=list)
     refusal: refusals.Refusal | None = None
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -10,7 +10,7 @@
 from pistachioseam.forwarding import begin_limits
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import catalog
-from pistachioseam.forwarding import coordination
+from pistachioseam.forwarding import coordinator_clients
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import event_streams
 from pistachioseam.forwarding import loads
@@ -72,7 +72,7 @@
         )
         self._target_work: loads.InFlightWork | None = None
         self._source_work: loads.InFlightWork | None = None
-        self._ticket: coordination.Ticket | None = None
+        self._ticket: coordinator_clients.Ticket | None = None
         self._has_reported_begin = False
         self._plan: plans.RunPlan | None = None
         self._begin_limit = begin_limits.BeginLimit(lambda: float('inf'))
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -11,7 +11,7 @@
 from pistachioseam.forwarding import budgets
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import catalog
-from pistachioseam.forwarding import coordination
+from pistachioseam.forwarding import coordinator_clients
 from pistachioseam.forwarding import crash_evidence
 from pistachioseam.forwarding import doubts
 from pistachioseam.forwarding import faults
@@ -97,7 +97,7 @@
         factory=paces.SlowdownTracker
     )
     is_cut_off: abc.Callable[[], bool] = lambda: False
-    coordinators: coordination.CoordinatorClient | None = None
+    coordinators: coordinator_clients.CoordinatorClient | None = None
     prefill_listeners: list[abc.Callable[[], None]] = attrs.field(factory=list)
     rendezvous_hash: rendezvous.RendezvousHash = attrs.field(
         factory=rendezvous.RendezvousHash
--- a/tests/core/forwarding/test_affinity_engines.py
+++ b/tests/core/forwarding/test_affinity_engines.py
@@ -9,7 +9,7 @@
 from pistachioseam.forwarding import affinity_engines
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import catalog
-from pistachioseam.forwarding import coordination
+from pistachioseam.forwarding import coordinator_clients
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import placement
 from pistachioseam.forwarding import plans
@@ -70,7 +70,7 @@
         )
         router = self.fixture.router
         router.coordinators = typing.cast(
-            coordination.CoordinatorClient, coordinators
+            coordinator_clients.CoordinatorClient, coordinators
         )
         router.topology = links.Topology(domain=domain, regions=REGIONS)
         state = call_fakes.create_state(2)
--- a/tests/core/forwarding/test_coordination.py
+++ b/tests/core/forwarding/test_coordination.py
@@ -9,6 +9,7 @@
 from pistachioseam import events
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import coordination
+from pistachioseam.forwarding import coordinator_clients
 from pistachioseam.forwarding import loads
 from pistachioseam import membership
 from pistachioseam.placement import rendezvous
@@ -68,9 +69,9 @@
             for peer in self.peers
         }
 
-    def create_client(self) -> coordination.CoordinatorClient:
+    def create_client(self) -> coordinator_clients.CoordinatorClient:
         """Return the client of one host."""
-        return coordination.CoordinatorClient(
+        return coordinator_clients.CoordinatorClient(
             self.runtime,
             self,
             rendezvous.RendezvousHash(),
@@ -154,8 +155,10 @@
 
 
 async def admit(
-    client: coordination.CoordinatorClient, key: int, **fields: typing.Any
-) -> coordination.Ticket:
+    client: coordinator_clients.CoordinatorClient,
+    key: int,
+    **fields: typing.Any,
+) -> coordinator_clients.Ticket:
     """Return the ticket of a call that has to be admitted."""
     asked = await client.ask(TARGET, create_question(key, **fields))
     assert asked is not None and asked.ticket is not None
@@ -236,7 +239,7 @@
         case.assertEqual([second], link.list_asked())
         client.report_ended(ticket)
         link.lost.clear()
-        await asyncio.sleep(coordination.MIN_SUSPICION_SECONDS)
+        await asyncio.sleep(coordinator_clients.MIN_SUSPICION_SECONDS)
         await admit(client, 3)
         case.assertEqual([first], link.list_asked())
 
@@ -256,7 +259,7 @@
             seconds_left=0.5,
         )
         (_, first), (_, second) = link.asked
-        waited = coordination.ANSWER_MARGIN_SECONDS + 2 * DELAY_SECONDS
+        waited = coordinator_clients.ANSWER_MARGIN_SECONDS + 2 * DELAY_SECONDS
         case.assertAlmostEqual(
             first.seconds_left - waited, second.seconds_left
         )
@@ -492,7 +495,7 @@
         case.assertAlmostEqual(0.2, backlog or 0.0)
         backlog = client.get_backlog_seconds(TARGET.name, now + 0.15)
         case.assertAlmostEqual(0.05, backlog or 0.0)
-        later = now + coordination.VIEW_SECONDS + 0.01
+        later = now + coordinator_clients.VIEW_SECONDS + 0.01
         case.assertIsNone(client.get_backlog_seconds(TARGET.name, later))
         await client.ask(TARGET, create_question(2, prefill_tokens=20_000))
         client.forget(TARGET.name)
--- a/tests/core/forwarding/test_engine_admission.py
+++ b/tests/core/forwarding/test_engine_admission.py
@@ -9,6 +9,7 @@
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import coordination
+from pistachioseam.forwarding import coordinator_clients
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import engine_admission
 from pistachioseam.forwarding import freshness
@@ -65,7 +66,7 @@
 
     async def ask(
         self, target: catalog.LiveTarget, question: coordination.Question
-    ) -> coordination.Admission | None:
+    ) -> coordinator_clients.Admission | None:
         """Return the next answer."""
         self.asked.append((target.name, question))
         answer = self.answers[0]
@@ -77,17 +78,21 @@
         if isinstance(answer, Reject):
             if answer.expected_seconds <= question.seconds_left:
                 await asyncio.sleep(question.max_wait_seconds)
-            return coordination.Admission(
+            return coordinator_clients.Admission(
                 ticket=None, expected_seconds=answer.expected_seconds
             )
-        ticket = coordination.Ticket(question.key, PEER, target.name, answer)
-        return coordination.Admission(ticket=ticket, expected_seconds=answer)
+        ticket = coordinator_clients.Ticket(
+            question.key, PEER, target.name, answer
+        )
+        return coordinator_clients.Admission(
+            ticket=ticket, expected_seconds=answer
+        )
 
-    def report_begun(self, ticket: coordination.Ticket) -> None:
+    def report_begun(self, ticket: coordinator_clients.Ticket) -> None:
         """Record that a call has begun."""
         self.begun.append(ticket.key)
 
-    def report_ended(self, ticket: coordination.Ticket) -> None:
+    def report_ended(self, ticket: coordinator_clients.Ticket) -> None:
         """Record that a call has ended, or was not sent."""
         self.ended.append(ticket.key)
 
@@ -125,7 +130,7 @@
     )
     fixture.set_state(create_state())
     fixture.router.coordinators = typing.cast(
-        coordination.CoordinatorClient, coordinators
+        coordinator_clients.CoordinatorClient, coordinators
     )
     return fixture
 
@@ -294,7 +299,7 @@
 
         async def ask(
             target: catalog.LiveTarget, question: coordination.Question
-        ) -> coordination.Admission | None:
+        ) -> coordinator_clients.Admission | None:
             """Reject at once, as coordinators do without a chance."""
             return await Coordinators.ask(
                 coordinators,
--- a/tests/core/forwarding/test_engine_partitions.py
+++ b/tests/core/forwarding/test_engine_partitions.py
@@ -4,29 +4,11 @@
 from pistachioseam.forwarding import engine_partitions
 from pistachioseam import links
 from pistachioseam.placement import rendezvous
-from tests import call_fakes
+from tests.core.forwarding import test_affinity_engines
 from tests import support
 
-DOMAINS = ('d1', 'd2', 'd3', 'd4')
-TOPOLOGY = links.Topology(
-    domain='d1',
-    regions=(
-        links.Region(name='r1', domains=('d1', 'd2')),
-        links.Region(name='r2', domains=('d3', 'd4')),
-    ),
-)
-
-
-def create_engines(count: int) -> list[catalog.LiveTarget]:
-    """Return engines, spread over the domains."""
-    return [
-        call_fakes.create_target(
-            number,
-            call_fakes.ENGINE_SERVICE,
-            domain=DOMAINS[number % len(DOMAINS)],
-        )
-        for number in range(count)
-    ]
+TOPOLOGY = links.Topology(domain='d1', regions=test_affinity_engines.REGIONS)
+create_engines = test_affinity_engines.create_engines
 
 
 def list_interactive(
--- a/tests/entry/test_admission_exchange.py
+++ b/tests/entry/test_admission_exchange.py
@@ -7,6 +7,7 @@
 
 from pistachioseam.forwarding import contacts
 from pistachioseam.forwarding import coordination
+from pistachioseam.forwarding import coordinator_clients
 from pistachioseam_peer.generated import messages_pb2
 from tests import call_fakes
 from tests import clocks
@@ -59,7 +60,7 @@
         return queue.count_admitted() if queue is not None else 0
 
 
-async def admit(host: fleets.Host, key: int) -> coordination.Ticket:
+async def admit(host: fleets.Host, key: int) -> coordinator_clients.Ticket:
     """Return the ticket of a call of a host, which has to be admitted."""
     assert host.router.coordinators is not None
     asked = await host.router.coordinators.ask(TARGET, create_question(key))
--- a/tests/entry/test_admission_replay.py
+++ b/tests/entry/test_admission_replay.py
@@ -17,7 +17,7 @@
 
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import contacts
-from pistachioseam.forwarding import coordination
+from pistachioseam.forwarding import coordinator_clients
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import prompts
@@ -184,7 +184,7 @@
                 domain=own.domain, regions=REGIONS
             )
             exchange = self._create_exchange(own.name, router)
-            router.coordinators = coordination.CoordinatorClient(
+            router.coordinators = coordinator_clients.CoordinatorClient(
                 router.runtime,
                 exchange,
                 router.rendezvous_hash,
