Connections: close one that opens as its call is cancelled

A call that was cancelled between the end of the TCP connect and the return of connect() left an open connection that the pool did not know. It stayed until the target closed it, and counted against the limits of both sides. connect() now drops it.

The new test fails before (the transport is still connected after 0.2 s) and passes now; test_target_connections: 27 passed.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -571,6 +571,10 @@
         try:
             connecting = endpoints.connectProtocol(endpoint, connection)
             await connecting.asFuture(asyncio.get_running_loop())
+        except asyncio.CancelledError:
+            # The connection may have opened just before.
+            connection.drop()
+            raise
         except (error.ConnectError, error.ConnectingCancelledError) as raised:
             if isinstance(raised, error.ConnectError):
                 self.on_broken(address)
--- a/tests/entry/test_target_connections.py
+++ b/tests/entry/test_target_connections.py
@@ -7,6 +7,7 @@
 import socket
 import struct
 import typing
+from unittest import mock
 
 import attrs
 from returns import pipeline
@@ -758,6 +759,37 @@
     run(work)
 
 
+def test_connect_cancelled_as_it_succeeds_leaves_no_connection(
+    case: support.Case,
+) -> None:
+    """Guards against a connection that nobody knows and nobody closes."""
+
+    async def work() -> None:
+        opened: list[target_connections.Connection] = []
+        made = target_connections.Connection.connectionMade
+
+        def cancel_once_made(self: target_connections.Connection) -> None:
+            made(self)
+            opened.append(self)
+            asyncio.get_running_loop().call_soon(calling.cancel)
+
+        async with FakeTarget(RESPONSE) as target:
+            pool = target_connections.ConnectionPool(headers.HeaderCodec())
+            with mock.patch.object(
+                target_connections.Connection,
+                'connectionMade',
+                cancel_once_made,
+            ):
+                calling = asyncio.ensure_future(pool.connect(target.address))
+                await asyncio.wait((calling,))
+            case.assertTrue(calling.cancelled())
+            await asyncio.sleep(WAIT_SECONDS)
+            transport: typing.Any = opened[0].transport
+            case.assertFalse(transport.connected)
+
+    run(work)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
