Callers: send one 413 for a body beyond four times the limit

refuse() stopped the parser of lines but not the decoder of chunks, so each further chunk of the same read wrote another 413 and armed another abort timer, of which only the last was cancelled with the connection. A refused connection now refuses nothing more.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/caller_channels.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/caller_channels.py
@@ -323,7 +323,12 @@
             transport.abortConnection()
 
     def refuse(self, response: bytes) -> None:
-        """Refuse a request that has not fully arrived; close."""
+        """Refuse a request that has not fully arrived; close.
+
+        A decoder may deliver more of its body afterwards.
+        """
+        if self._is_turned_away:
+            return
         self._stop_parsing()
         transport: typing.Any = self.transport
         transport.write(response)
--- a/tests/entry/test_caller_channels.py
+++ b/tests/entry/test_caller_channels.py
@@ -327,6 +327,22 @@
     case.assertEqual({}, root.pending[0].args)
 
 
+def test_refused_body_gets_one_response(case: support.Case) -> None:
+    """Guards against a 413 for each chunk behind the one that is refused."""
+    connection = connect()
+    chunk = b'%x\r\n%b\r\n' % (MAX_BYTES, bytes(MAX_BYTES))
+    connection.send(CHUNKED_HEAD + chunk * 4)
+    connection.send(SMALL_CHUNK * 20)
+    case.assertEqual(1, connection.transport.value().count(b'HTTP/1.1 413'))
+    connection.protocol.connectionLost(failure.Failure(error.ConnectionDone()))
+    aborts = [
+        call
+        for call in connection.clock.getDelayedCalls()
+        if 'forceAbortClient' in repr(call)
+    ]
+    case.assertEqual([], aborts)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
