Callers: close idle connections before those with unread responses

Over the limit of connections, candidates were ordered by their rate alone. An event stream of 50 bytes/s, whose last event had just been written, counts as sending and was reset while an idle connection with a higher recent rate stayed. Connections with unread responses now come after idle ones.

The new test fails before (the stream is chosen) and passes now; test_caller_budgets: 13 passed.

--- a/packages/pistachioseam/src/pistachioseam/caller_budgets.py
+++ b/packages/pistachioseam/src/pistachioseam/caller_budgets.py
@@ -146,8 +146,9 @@
     """Return the connections to close because there are too many.
 
     Those that have never brought a request go first, the slowest of them
-    before the others; new connections go last. None is chosen whose request
-    is being served.
+    before the others; then idle ones, then those with an unread response, as
+    it may still be in progress; new connections go last. None is chosen whose
+    request is being served.
     """
     excess = len(holdings) - budget.connections
     if excess <= 0:
@@ -157,6 +158,7 @@
         key=lambda h: (
             h.age_seconds < NEW_SECONDS,
             h.served > 0,
+            h.stage is Stage.SENDING,
             h.rate,
             -h.still_seconds,
         )
--- a/tests/core/test_caller_budgets.py
+++ b/tests/core/test_caller_budgets.py
@@ -200,6 +200,19 @@
     case.assertAlmostEqual(0.1, pacer.take(100, 9.0))
 
 
+def test_idle_connections_are_closed_before_a_response_ends(
+    case: support.Case,
+) -> None:
+    """A slow event stream was reset while connections were idle."""
+    holdings = [
+        change('stream', stage=Stage.SENDING, served=1, rate=50.0),
+        change('idle', stage=Stage.IDLE, served=1, rate=5000.0),
+    ]
+    budget = attrs.evolve(BUDGET, connections=1)
+    chosen = caller_budgets.choose_connections(holdings, budget)
+    case.assertEqual(['idle'], [holding.key for holding in chosen])
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
