Callers: serve the only large body beside small calls

A body counts twice while it is served. At the smallest budget, 8 MiB, a body of 4 MiB and its headers exceed it, so it got 503 whenever any other call was in progress, such as one event stream on a calm host. The only large body is now served beside ordinary ones; a second one still needs room. The most that is held grows from 1.25 budgets to that and one body with its copy.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/caller_holdings.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/caller_holdings.py
@@ -71,6 +71,7 @@
         self.pacer = caller_budgets.ChunkPacer()
         self.channel_bytes = 0
         self.served_bytes = 0
+        self._large_count = 0
         self.turned_away: collections.Counter[str] = collections.Counter()
         self.on_turned_away: abc.Callable[[dict[str, int]], None] = lambda _: (
             None
@@ -125,12 +126,17 @@
 
         Its bytes count until `release` is called.
         """
+        is_large = body_bytes > caller_budgets.ORDINARY_BYTES
         if not caller_budgets.can_serve(
-            body_bytes, self.served_bytes, self.budget
+            body_bytes,
+            self.served_bytes,
+            self.budget,
+            is_only_large=is_large and not self._large_count,
         ):
             self.turned_away['serving'] += 1
             return False
         self.served_bytes += body_bytes
+        self._large_count += is_large
         if self.count_bytes() > self.budget.bytes:
             self._relieve()
         return True
@@ -138,6 +144,7 @@
     def release(self, body_bytes: int) -> None:
         """End the count of a body that has been served."""
         self.served_bytes -= body_bytes
+        self._large_count -= body_bytes > caller_budgets.ORDINARY_BYTES
 
     def _describe_all(self) -> list[caller_budgets.Holding]:
         now = self.read_clock()
--- a/packages/pistachioseam/src/pistachioseam/caller_budgets.py
+++ b/packages/pistachioseam/src/pistachioseam/caller_budgets.py
@@ -166,12 +166,20 @@
     return candidates[:excess]
 
 
-def can_serve(body_bytes: int, served_bytes: int, budget: Budget) -> bool:
+def can_serve(
+    body_bytes: int,
+    served_bytes: int,
+    budget: Budget,
+    is_only_large: bool = False,
+) -> bool:
     """Return whether a body may be held while its request is served.
 
-    `served_bytes` is what the requests being served hold. One that is alone
-    is always served; ordinary ones may use the reserve.
+    `served_bytes` is what the requests being served hold. One that is alone,
+    or beside ordinary ones only, is always served; ordinary ones may use the
+    reserve.
     """
+    if is_only_large:
+        return True
     limit_bytes = float(budget.bytes)
     if body_bytes <= ORDINARY_BYTES:
         limit_bytes *= 1 + ORDINARY_RESERVE
--- a/tests/core/test_caller_budgets.py
+++ b/tests/core/test_caller_budgets.py
@@ -200,6 +200,17 @@
     case.assertAlmostEqual(0.1, pacer.take(100, 9.0))
 
 
+def test_large_body_is_served_beside_ordinary_ones(
+    case: support.Case,
+) -> None:
+    """One small call in progress refused the largest body on a small host."""
+    weight = 8 * MIB + 400
+    case.assertFalse(caller_budgets.can_serve(weight, 1000, BUDGET))
+    case.assertTrue(
+        caller_budgets.can_serve(weight, 1000, BUDGET, is_only_large=True)
+    )
+
+
 def test_idle_connections_are_closed_before_a_response_ends(
     case: support.Case,
 ) -> None:
--- a/tests/entry/test_caller_channels.py
+++ b/tests/entry/test_caller_channels.py
@@ -343,6 +343,21 @@
     case.assertEqual([], aborts)
 
 
+def test_one_large_body_at_a_time_is_served_beside_small_ones(
+    case: support.Case,
+) -> None:
+    """Guards against a count of large bodies that does not return to 0."""
+    size = 8 * caller_budgets.MEBIBYTE
+    budget = caller_budgets.Budget(bytes=size, connections=10)
+    holdings = caller_holdings.CallerHoldings(budget)
+    case.assertTrue(holdings.serve(1000))
+    for _ in range(2):
+        case.assertTrue(holdings.serve(size + 400))
+        case.assertFalse(holdings.serve(size + 400))
+        holdings.release(size + 400)
+    case.assertEqual(1000, holdings.served_bytes)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
