Callers: reset a closing connection that nobody reads

A connection that was to close after a response, or after one that broke off, waited for its caller to read what was written, without a limit. A caller that stayed and read nothing kept it, its descriptor and its buffer for ever. Such a connection is now reset after 15 s in which its caller read nothing.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/caller_channels.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/caller_channels.py
@@ -184,6 +184,30 @@
             self._get_network().pauseProducing()
         super().requestDone(request)
 
+    def loseConnection(self) -> None:  # noqa: N802
+        """Close the connection once the caller has read what was written."""
+        super().loseConnection()
+        if self._abortingCall is None and self._count_buffered_bytes():
+            self._watch_end()
+
+    def _watch_end(self) -> None:
+        """Reset the connection if it does not end and nothing is read."""
+        left_bytes = self._count_left_bytes()
+        self._abortingCall = self.callLater(
+            self.abortTimeout, lambda: self._abort_stalled(left_bytes)
+        )
+
+    def _abort_stalled(self, former_bytes: int) -> None:
+        self._abortingCall = None
+        if self._count_left_bytes() < former_bytes:
+            self._watch_end()
+        else:
+            self.forceAbortClient()
+
+    def _count_left_bytes(self) -> int:
+        """Return the unsent bytes, 0 if this process holds none."""
+        return self.count_unsent_bytes() if self._count_buffered_bytes() else 0
+
     def resumeProducing(self) -> None:  # noqa: N802
         """Go on writing, and reading unless small chunks are to wait."""
         super().resumeProducing()
--- a/tests/entry/test_caller_channels.py
+++ b/tests/entry/test_caller_channels.py
@@ -51,12 +51,29 @@
         return server.NOT_DONE_YET
 
 
+class Transport(testing.StringTransport):
+    """Transport with the buffer of one that is connected by TCP."""
+
+    dataBuffer = b''  # noqa: N815
+    offset = 0
+    _tempDataLen = 0  # noqa: N815
+    is_write_ended = False
+
+    def fileno(self) -> int:
+        """Return a descriptor that is no socket and has no send queue."""
+        return 0
+
+    def loseWriteConnection(self) -> None:  # noqa: N802
+        """Record the end of what is sent."""
+        self.is_write_ended = True
+
+
 @attrs.define
 class Connection:
     """Connection of a caller; `timeouts` has the times of 408 responses."""
 
     clock: task.Clock
-    transport: testing.StringTransport
+    transport: Transport
     protocol: typing.Any
     timeouts: list[float]
     holdings: caller_holdings.CallerHoldings
@@ -96,7 +113,7 @@
 
     def open_connection() -> Connection:
         protocol: typing.Any = site.buildProtocol(None)
-        transport = testing.StringTransport()
+        transport = Transport()
         protocol.makeConnection(transport)
         return Connection(clock, transport, protocol, timeouts, holdings)
 
@@ -343,6 +360,27 @@
     case.assertEqual([], aborts)
 
 
+def test_unread_response_does_not_keep_a_closing_connection(
+    case: support.Case,
+) -> None:
+    """Guards against connections that stay open for ever after their end."""
+    root = LateResponse()
+    connection = listen(root)()
+    connection.send(
+        b'POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n'
+    )
+    transport = connection.transport
+    transport.dataBuffer = bytes(1000)
+    root.pending[0].finish()
+    case.assertTrue(transport.disconnecting)
+    for left_bytes in (900, 800):
+        transport.dataBuffer = bytes(left_bytes)
+        connection.clock.advance(IDLE_SECONDS)
+    case.assertFalse(transport.disconnected)
+    connection.clock.advance(IDLE_SECONDS)
+    case.assertTrue(transport.disconnected)
+
+
 def test_one_large_body_at_a_time_is_served_beside_small_ones(
     case: support.Case,
 ) -> None:
