Callers: serve nothing behind a response that announces the close

While a host stops, and after a body that is too large, a response says 'Connection: close', but the connection stayed open and pipelined requests behind it were served. A caller drops what follows such a response, takes those requests for not run, and may send them again. The host now sends the end of the connection behind that response and discards what still arrives: closing at once with unread bytes would reset it, and with it the response.

Trial over TCP, four pipelined requests of 100 kB, responses of 3 MB: before, four served; now one, and its response of 3,000,171 bytes arrives whole. The new test fails before; test_caller_channels: 20 passed.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/caller_channels.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/caller_channels.py
@@ -82,6 +82,7 @@
         self._body_began_at: float | None = None
         self._paced_seconds = 0.0
         self._is_turned_away = False
+        self._is_sending_ended = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Start the account of the connection."""
@@ -177,13 +178,35 @@
     def requestDone(self, request: typing.Any) -> None:  # noqa: N802
         """Begin the next request once the caller reads the responses.
 
-        Twisted begins it at once, and the response to it is not paused.
+        Twisted begins it at once, and the response to it is not paused. After
+        a response that announces the end of the connection no request is
+        served: its caller takes it for not run.
         """
+        if self.persistent and _announces_close(request):
+            self._end_sending()
+            return
         if self._waitingForTransport:
             self.paused = True
             self._get_network().pauseProducing()
         super().requestDone(request)
 
+    def _end_sending(self) -> None:
+        """Send the end of the connection; discard what still arrives.
+
+        Closing the socket with unread bytes would reset the connection, and
+        the caller might lose the response.
+        """
+        del self.requests[0]
+        self._handlingRequest = False
+        self._is_sending_ended = True
+        self._stop_parsing()
+        self.paused = False
+        network = self._get_network()
+        network.unregisterProducer()
+        network.resumeProducing()
+        network.loseWriteConnection()
+        self._watch_end()
+
     def loseConnection(self) -> None:  # noqa: N802
         """Close the connection once the caller has read what was written."""
         super().loseConnection()
@@ -303,7 +326,7 @@
 
     def _get_stage(self) -> caller_budgets.Stage:
         stage = caller_budgets.Stage
-        if self._is_turned_away:
+        if self._is_turned_away and not self._is_sending_ended:
             return stage.IDLE
         if self._count_buffered_bytes():
             return stage.SENDING
@@ -333,7 +356,7 @@
 
         A response that the caller does not read is broken off.
         """
-        if self._is_turned_away:
+        if self._is_turned_away and not self._is_sending_ended:
             return
         transport: typing.Any = self.transport
         stage = self._get_stage()
@@ -412,6 +435,13 @@
         self.time_out_request()
 
 
+def _announces_close(request: typing.Any) -> bool:
+    """Return whether a response says that its connection ends with it."""
+    values = request.responseHeaders.getRawHeaders(b'connection', [])
+    tokens = b','.join(values).lower().split(b',')
+    return b'close' in [token.strip() for token in tokens]
+
+
 def _count_unacknowledged_bytes(descriptor: int) -> int:
     """Return the bytes in a socket's send queue, 0 where it is not known."""
     try:
--- a/tests/entry/test_caller_channels.py
+++ b/tests/entry/test_caller_channels.py
@@ -360,6 +360,34 @@
     case.assertEqual([], aborts)
 
 
+class ClosingResponse(LateResponse):
+    """Resource whose responses announce the end of their connection."""
+
+    def render(self, request: typing.Any) -> typing.Any:
+        """Keep the request."""
+        request.setHeader('connection', 'close')
+        return super().render(request)
+
+
+def test_request_behind_an_announced_close_is_not_served(
+    case: support.Case,
+) -> None:
+    """Its caller takes it for not run, and sends it again elsewhere."""
+    root = ClosingResponse()
+    connection = listen(root)()
+    connection.send(BODY_HEAD % 3 + b'abc' + BODY_HEAD % 3 + b'def')
+    root.pending[0].finish()
+    connection.send(BODY_HEAD % 3 + b'ghi')
+    case.assertEqual([b'abc'], root.bodies)
+    # Closing the socket with unread bytes would reset it, and the response
+    # might be lost.
+    case.assertTrue(connection.transport.is_write_ended)
+    case.assertFalse(connection.transport.disconnecting)
+    case.assertEqual('producing', connection.transport.producerState)
+    connection.clock.advance(IDLE_SECONDS)
+    case.assertTrue(connection.transport.disconnecting)
+
+
 def test_unread_response_does_not_keep_a_closing_connection(
     case: support.Case,
 ) -> None:
