Callers: deliver a complete response to a caller that reads slowly

The idle timeout begins when a response has been written to the buffer. A caller that took more than 30 s (15 s, then 15 s to the forced reset) to read the rest was reset in the middle of a complete response. The idle timeout now closes the connection behind the response, and resets it only after 15 s in which nothing was read.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/caller_channels.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/caller_channels.py
@@ -404,11 +404,14 @@
         return self.callLater(seconds, work)
 
     def timeoutConnection(self) -> None:  # noqa: N802
-        """Close an idle connection, after a 408 for an incomplete request."""
+        """Close an idle connection, after a 408 for an incomplete request.
+
+        A caller that still reads a response gets the rest of it.
+        """
         if self._is_receiving() and not self._is_turned_away:
             self.time_out_request()
         else:
-            super().timeoutConnection()
+            self.loseConnection()
 
     def _is_in_header(self) -> bool:
         """Return whether only a part of a request's header has arrived.
--- a/tests/entry/test_caller_channels.py
+++ b/tests/entry/test_caller_channels.py
@@ -424,6 +424,25 @@
     case.assertEqual(1000, holdings.served_bytes)
 
 
+def test_response_that_is_read_slowly_is_delivered(
+    case: support.Case,
+) -> None:
+    """The idle timeout reset a caller that was still reading."""
+    root = LateResponse()
+    connection = listen(root)()
+    connection.send(BODY_HEAD % 3 + b'abc')
+    transport = connection.transport
+    transport.dataBuffer = bytes(1000)
+    root.pending[0].finish()
+    for left_bytes in (900, 800, 700, 600):
+        transport.dataBuffer = bytes(left_bytes)
+        connection.clock.advance(IDLE_SECONDS)
+    case.assertFalse(transport.disconnected)
+    for _ in range(2):
+        connection.clock.advance(IDLE_SECONDS)
+    case.assertTrue(transport.disconnected)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
