Routed connections: close one that opens as its call is cancelled

The connect runs in a task of its own. When the caller left between the end of that task and the return of the wait for it, its connection was neither used nor added to the idle ones, and stayed open until the target closed it.

The new test fails before and passes now; test_routed_connections: 4 passed.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/routed_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/routed_connections.py
@@ -92,6 +92,9 @@
             return result.Failure(
                 interfaces.CallFailure(Kind.NOT_SENT, 'no path to targets')
             )
+        except asyncio.CancelledError:
+            connecting.add_done_callback(_drop_opened)
+            raise
         finally:
             lost.cancel()
             connecting.cancel()
@@ -165,3 +168,14 @@
         if not await self._pool.is_connection_refused(address):
             return False
         return not await self._paths.check(max_age_seconds=0.0)
+
+
+def _drop_opened(
+    connecting: asyncio.Future[target_connections.OpenResult],
+) -> None:
+    """Close a connection that opened as its call was cancelled."""
+    if connecting.cancelled() or connecting.exception() is not None:
+        return
+    opened = connecting.result()
+    if pipeline.is_successful(opened):
+        opened.unwrap().drop()
--- a/tests/entry/test_routed_connections.py
+++ b/tests/entry/test_routed_connections.py
@@ -136,6 +136,40 @@
     clocks.run(run())
 
 
+def test_call_cancelled_as_its_connection_opens_leaves_none(
+    case: support.Case,
+) -> None:
+    """Guards against a connection that nobody knows and nobody closes."""
+
+    class Pool(SlowPool):
+        """Pool that cancels the call once its connection is open."""
+
+        async def connect(
+            self, address: str, seconds: float = 1.0
+        ) -> result.Result[
+            partitioned_hosts.Connection, interfaces.CallFailure
+        ]:
+            """Open a connection."""
+            opened = await super().connect(address, seconds)
+            connections.append(opened.unwrap())
+            asyncio.get_running_loop().call_soon(calling.cancel)
+            return opened
+
+    connections: list[partitioned_hosts.Connection] = []
+
+    calling: asyncio.Future[float]
+
+    async def run() -> None:
+        nonlocal calling
+        calling = asyncio.ensure_future(send(Pool(), Relay()))
+        await asyncio.wait((calling,))
+        case.assertTrue(calling.cancelled())
+        await asyncio.sleep(0.1)
+        case.assertTrue(connections[0].broken.is_set())
+
+    clocks.run(run())
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
