--- a/packages/pistachioseam-entry/src/pistachioseam_entry/caller_channels.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/caller_channels.py
@@ -82,6 +82,7 @@
         self._body_began_at: float | None = None
         self._paced_seconds = 0.0
         self._is_turned_away = False
+        self._is_sending_ended = False
 
     def connectionMade(self) -> None:  # noqa: N802
         """Start the account of the connection."""
@@ -177,13 +178,59 @@
     def requestDone(self, request: typing.Any) -> None:  # noqa: N802
         """Begin the next request once the caller reads the responses.
 
-        Twisted begins it at once, and the response to it is not paused.
+        Twisted begins it at once, and the response to it is not paused. After
+        a response that announces the end of the connection no request is
+        served: its caller takes it for not run.
         """
+        if self.persistent and _announces_close(request):
+            self._end_sending()
+            return
         if self._waitingForTransport:
             self.paused = True
             self._get_network().pauseProducing()
         super().requestDone(request)
 
+    def _end_sending(self) -> None:
+        """Send the end of the connection; discard what still arrives.
+
+        Closing the socket with unread bytes would reset the connection, and
+        the caller might lose the response.
+        """
+        del self.requests[0]
+        self._handlingRequest = False
+        self._is_sending_ended = True
+        self._stop_parsing()
+        self.paused = False
+        network = self._get_network()
+        network.unregisterProducer()
+        network.resumeProducing()
+        network.loseWriteConnection()
+        self._watch_end()
+
+    def loseConnection(self) -> None:  # noqa: N802
+        """Close the connection once the caller has read what was written."""
+        super().loseConnection()
+        if self._abortingCall is None and self._count_buffered_bytes():
+            self._watch_end()
+
+    def _watch_end(self) -> None:
+        """Reset the connection if it does not end and nothing is read."""
+        left_bytes = self._count_left_bytes()
+        self._abortingCall = self.callLater(
+            self.abortTimeout, lambda: self._abort_stalled(left_bytes)
+        )
+
+    def _abort_stalled(self, former_bytes: int) -> None:
+        self._abortingCall = None
+        if self._count_left_bytes() < former_bytes:
+            self._watch_end()
+        else:
+            self.forceAbortClient()
+
+    def _count_left_bytes(self) -> int:
+        """Return the unsent bytes, 0 if this process holds none."""
+        return self.count_unsent_bytes() if self._count_buffered_bytes() else 0
+
     def resumeProducing(self) -> None:  # noqa: N802
         """Go on writing, and reading unless small chunks are to wait."""
         super().resumeProducing()
@@ -279,7 +326,7 @@
 
     def _get_stage(self) -> caller_budgets.Stage:
         stage = caller_budgets.Stage
-        if self._is_turned_away:
+        if self._is_turned_away and not self._is_sending_ended:
             return stage.IDLE
         if self._count_buffered_bytes():
             return stage.SENDING
@@ -309,7 +356,7 @@
 
         A response that the caller does not read is broken off.
         """
-        if self._is_turned_away:
+        if self._is_turned_away and not self._is_sending_ended:
             return
         transport: typing.Any = self.transport
         stage = self._get_stage()
@@ -323,7 +370,12 @@
             transport.abortConnection()
 
     def refuse(self, response: bytes) -> None:
-        """Refuse a request that has not fully arrived; close."""
+        """Refuse a request that has not fully arrived; close.
+
+        A decoder may deliver more of its body afterwards.
+        """
+        if self._is_turned_away:
+            return
         self._stop_parsing()
         transport: typing.Any = self.transport
         transport.write(response)
@@ -352,11 +404,14 @@
         return self.callLater(seconds, work)
 
     def timeoutConnection(self) -> None:  # noqa: N802
-        """Close an idle connection, after a 408 for an incomplete request."""
+        """Close an idle connection, after a 408 for an incomplete request.
+
+        A caller that still reads a response gets the rest of it.
+        """
         if self._is_receiving() and not self._is_turned_away:
             self.time_out_request()
         else:
-            super().timeoutConnection()
+            self.loseConnection()
 
     def _is_in_header(self) -> bool:
         """Return whether only a part of a request's header has arrived.
@@ -383,6 +438,13 @@
         self.time_out_request()
 
 
+def _announces_close(request: typing.Any) -> bool:
+    """Return whether a response says that its connection ends with it."""
+    values = request.responseHeaders.getRawHeaders(b'connection', [])
+    tokens = b','.join(values).lower().split(b',')
+    return b'close' in [token.strip() for token in tokens]
+
+
 def _count_unacknowledged_bytes(descriptor: int) -> int:
     """Return the bytes in a socket's send queue, 0 where it is not known."""
     try:
--- a/packages/pistachioseam/src/pistachioseam/caller_budgets.py
+++ b/packages/pistachioseam/src/pistachioseam/caller_budgets.py
@@ -146,8 +146,9 @@
     """Return the connections to close because there are too many.
 
     Those that have never brought a request go first, the slowest of them
-    before the others; new connections go last. None is chosen whose request
-    is being served.
+    before the others; then idle ones, then those with an unread response, as
+    it may still be in progress; new connections go last. None is chosen whose
+    request is being served.
     """
     excess = len(holdings) - budget.connections
     if excess <= 0:
@@ -157,6 +158,7 @@
         key=lambda h: (
             h.age_seconds < NEW_SECONDS,
             h.served > 0,
+            h.stage is Stage.SENDING,
             h.rate,
             -h.still_seconds,
         )
@@ -164,12 +166,20 @@
     return candidates[:excess]
 
 
-def can_serve(body_bytes: int, served_bytes: int, budget: Budget) -> bool:
+def can_serve(
+    body_bytes: int,
+    served_bytes: int,
+    budget: Budget,
+    is_only_large: bool = False,
+) -> bool:
     """Return whether a body may be held while its request is served.
 
-    `served_bytes` is what the requests being served hold. One that is alone
-    is always served; ordinary ones may use the reserve.
+    `served_bytes` is what the requests being served hold. One that is alone,
+    or beside ordinary ones only, is always served; ordinary ones may use the
+    reserve.
     """
+    if is_only_large:
+        return True
     limit_bytes = float(budget.bytes)
     if body_bytes <= ORDINARY_BYTES:
         limit_bytes *= 1 + ORDINARY_RESERVE
--- a/tests/entry/test_caller_channels.py
+++ b/tests/entry/test_caller_channels.py
@@ -51,12 +51,29 @@
         return server.NOT_DONE_YET
 
 
+class Transport(testing.StringTransport):
+    """Transport with the buffer of one that is connected by TCP."""
+
+    dataBuffer = b''  # noqa: N815
+    offset = 0
+    _tempDataLen = 0  # noqa: N815
+    is_write_ended = False
+
+    def fileno(self) -> int:
+        """Return a descriptor that is no socket and has no send queue."""
+        return 0
+
+    def loseWriteConnection(self) -> None:  # noqa: N802
+        """Record the end of what is sent."""
+        self.is_write_ended = True
+
+
 @attrs.define
 class Connection:
     """Connection of a caller; `timeouts` has the times of 408 responses."""
 
     clock: task.Clock
-    transport: testing.StringTransport
+    transport: Transport
     protocol: typing.Any
     timeouts: list[float]
     holdings: caller_holdings.CallerHoldings
@@ -96,7 +113,7 @@
 
     def open_connection() -> Connection:
         protocol: typing.Any = site.buildProtocol(None)
-        transport = testing.StringTransport()
+        transport = Transport()
         protocol.makeConnection(transport)
         return Connection(clock, transport, protocol, timeouts, holdings)
 
@@ -327,6 +344,105 @@
     case.assertEqual({}, root.pending[0].args)
 
 
+def test_refused_body_gets_one_response(case: support.Case) -> None:
+    """Guards against a 413 for each chunk behind the one that is refused."""
+    connection = connect()
+    chunk = b'%x\r\n%b\r\n' % (MAX_BYTES, bytes(MAX_BYTES))
+    connection.send(CHUNKED_HEAD + chunk * 4)
+    connection.send(SMALL_CHUNK * 20)
+    case.assertEqual(1, connection.transport.value().count(b'HTTP/1.1 413'))
+    connection.protocol.connectionLost(failure.Failure(error.ConnectionDone()))
+    aborts = [
+        call
+        for call in connection.clock.getDelayedCalls()
+        if 'forceAbortClient' in repr(call)
+    ]
+    case.assertEqual([], aborts)
+
+
+class ClosingResponse(LateResponse):
+    """Resource whose responses announce the end of their connection."""
+
+    def render(self, request: typing.Any) -> typing.Any:
+        """Keep the request."""
+        request.setHeader('connection', 'close')
+        return super().render(request)
+
+
+def test_request_behind_an_announced_close_is_not_served(
+    case: support.Case,
+) -> None:
+    """Its caller takes it for not run, and sends it again elsewhere."""
+    root = ClosingResponse()
+    connection = listen(root)()
+    connection.send(BODY_HEAD % 3 + b'abc' + BODY_HEAD % 3 + b'def')
+    root.pending[0].finish()
+    connection.send(BODY_HEAD % 3 + b'ghi')
+    case.assertEqual([b'abc'], root.bodies)
+    # Closing the socket with unread bytes would reset it, and the response
+    # might be lost.
+    case.assertTrue(connection.transport.is_write_ended)
+    case.assertFalse(connection.transport.disconnecting)
+    case.assertEqual('producing', connection.transport.producerState)
+    connection.clock.advance(IDLE_SECONDS)
+    case.assertTrue(connection.transport.disconnecting)
+
+
+def test_unread_response_does_not_keep_a_closing_connection(
+    case: support.Case,
+) -> None:
+    """Guards against connections that stay open for ever after their end."""
+    root = LateResponse()
+    connection = listen(root)()
+    connection.send(
+        b'POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n'
+    )
+    transport = connection.transport
+    transport.dataBuffer = bytes(1000)
+    root.pending[0].finish()
+    case.assertTrue(transport.disconnecting)
+    for left_bytes in (900, 800):
+        transport.dataBuffer = bytes(left_bytes)
+        connection.clock.advance(IDLE_SECONDS)
+    case.assertFalse(transport.disconnected)
+    connection.clock.advance(IDLE_SECONDS)
+    case.assertTrue(transport.disconnected)
+
+
+def test_one_large_body_at_a_time_is_served_beside_small_ones(
+    case: support.Case,
+) -> None:
+    """Guards against a count of large bodies that does not return to 0."""
+    size = 8 * caller_budgets.MEBIBYTE
+    budget = caller_budgets.Budget(bytes=size, connections=10)
+    holdings = caller_holdings.CallerHoldings(budget)
+    case.assertTrue(holdings.serve(1000))
+    for _ in range(2):
+        case.assertTrue(holdings.serve(size + 400))
+        case.assertFalse(holdings.serve(size + 400))
+        holdings.release(size + 400)
+    case.assertEqual(1000, holdings.served_bytes)
+
+
+def test_response_that_is_read_slowly_is_delivered(
+    case: support.Case,
+) -> None:
+    """The idle timeout reset a caller that was still reading."""
+    root = LateResponse()
+    connection = listen(root)()
+    connection.send(BODY_HEAD % 3 + b'abc')
+    transport = connection.transport
+    transport.dataBuffer = bytes(1000)
+    root.pending[0].finish()
+    for left_bytes in (900, 800, 700, 600):
+        transport.dataBuffer = bytes(left_bytes)
+        connection.clock.advance(IDLE_SECONDS)
+    case.assertFalse(transport.disconnected)
+    for _ in range(2):
+        connection.clock.advance(IDLE_SECONDS)
+    case.assertTrue(transport.disconnected)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
