--- a/packages/pistachioseam/src/pistachioseam/forwarding/selection.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/selection.py
@@ -160,6 +160,7 @@
     load: loads.Load,
     plan: plans.RunPlan,
     output_tokens: int,
+    is_urgent: bool,
     backlog_seconds: float | None,
     slowdown: float,
     objective_seconds: float,
@@ -169,14 +170,14 @@
 ) -> Candidate:
     """Return an engine as a candidate with the cost of a planned run.
 
-    Engines prefill in the order of arrival, whatever the priority.
-    `backlog_seconds` is the prefill work that the engine's coordinator has
-    told of, None if it is not known. `slowdown` is the engine's recent time to
-    first byte relative to the expected one. `other_cost` is added to the cost
-    of its warm-up.
+    Only the urgent work of others counts if `is_urgent`. `backlog_seconds` is
+    the prefill work that the engine's coordinator has told of, None if it is
+    not known. `slowdown` is the engine's recent time to first byte relative to
+    the expected one. `other_cost` is added to the cost of its warm-up.
     """
     tokens_per_second = transfers.PREFILL_TOKENS_PER_SECOND / slowdown
-    queue_seconds = load.prefill_tokens / tokens_per_second
+    queued_tokens = load.urgent_tokens if is_urgent else load.prefill_tokens
+    queue_seconds = queued_tokens / tokens_per_second
     if backlog_seconds is not None:
         queue_seconds = backlog_seconds
     if plan.source.tokens:
