Soak: check account quotas; prompts of two priorities

Cause: the soak had no account with a quota, and all prompts had the same priority, so neither quotas nor the coordinators of engines (24 hosts and more) met its faults.

Change: account-3 of the stand-in fleet has a quota of 140 tokens/s; four more callers exceed it. QUOTA is a window of quotas.window_seconds in which more ran than (rate x window + burst) x (1 + overage) + slack. Plain servers log the times of runs too. A call counts in a window if its caller sent it and a server got it within, as blocked links deliver late what hosts have sent in time. It counts once, as its quota covers all attempts. That 429 means "not run" was checked before; a test on every route holds it. Streams that may be resumed have priority 2, other routes 1; the accounts have none, as it would precede the route's.

A fleet of 24 hosts or more was not run.

--- a/packages/pistachioseam-standins/src/pistachioseam_standins/fleet.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/fleet.py
@@ -19,9 +19,24 @@
 MODEL = 'model-1'
 ENGINE_SERVICE = 'engines'
 PLAIN_SERVICE = 'plain'
-ACCOUNT_KEYS = {'account-1': 'key-1', 'account-2': 'key-2'}
+ACCOUNT_KEYS = {
+    'account-1': 'key-1',
+    'account-2': 'key-2',
+    'account-3': 'key-3',
+}
+QUOTAS: dict[str, dict[str, typing.Any]] = {
+    'account-3': {
+        'ratePerS': 140,
+        'burst': 140,
+        'unit': 'tokens',
+        'uncachedTokens': 20,
+    },
+}
+"""Fields of an account's quota by its name; other accounts have none."""
 SETTINGS_VARIABLE = 'PISTACHIOSEAM_BOOT'
 """Environment variable that holds the path of a host's settings file."""
+MIN_RUN_FIELDS = 3
+"""Number of fields of a plain server's log line of a run."""
 ROUTES: dict[str, dict[str, typing.Any]] = {
     '/safe/': {'kind': 'safe', 'service': PLAIN_SERVICE, 'attempts': 2},
     '/once/': {'kind': 'unsafe', 'service': PLAIN_SERVICE, 'attempts': 1},
@@ -35,9 +50,13 @@
         'service': ENGINE_SERVICE,
         'attempts': 2,
         'resumable': True,
+        'priority': 2,
     },
 }
-"""Fields of a route by its path prefix."""
+"""Fields of a route by its path prefix.
+
+Prompts have two priorities: large fleets coordinate the engines only then.
+"""
 
 
 @attrs.frozen(kw_only=True)
@@ -47,7 +66,8 @@
     The engines get the software versions in turn, and so `lingers`, for how
     many seconds they go on with a request whose caller has left; without it
     they do as their stand-in does. `engine_options` are on the command line of
-    all of them. `weights_ms` is the setting of the hosts.
+    all of them. `weights_ms` and `quotas` are settings of the hosts; `quotas`
+    is left out when empty, as earlier builds reject unknown settings.
     """
 
     hosts: int = 2
@@ -57,6 +77,7 @@
     engine_options: tuple[str, ...] = ()
     lingers: tuple[float, ...] = ()
     weights_ms: int = 8000
+    quotas: dict[str, float] = attrs.field(factory=dict)
 
     def get_software(self, engine: int) -> str:
         """Return the software version of an engine, counted from 0."""
@@ -163,6 +184,7 @@
         self, number: int, address: str, admin_address: str
     ) -> dict[str, typing.Any]:
         """Return the settings of one host."""
+        spec = self.fleet_spec
         return {
             'host': {
                 'name': f'host-{number + 1}',
@@ -176,10 +198,11 @@
             'regions': [{'name': 'region-1', 'domains': ['zone-1']}],
             'bounds': {
                 'revocation_ms': 5000,
-                'weights_ms': self.fleet_spec.weights_ms,
+                'weights_ms': spec.weights_ms,
                 'lease_ms': 1000,
                 'shutdown_seconds': 8,
             },
+            **({'quotas': spec.quotas} if spec.quotas else {}),
         }
 
     def get_store_address(self, number: int) -> str:
@@ -263,6 +286,14 @@
         """Return what the servers' logs say of each execution."""
         return self._list_logged(fleet_server.RUN_LOG_PREFIX)
 
+    def list_logged_arrivals(self) -> list[tuple[str, float]]:
+        """Return the sending and the monotonic time of arrival of each run."""
+        return [
+            (fields[0], float(fields[-2]))
+            for fields in self.list_logged_runs()
+            if len(fields) >= MIN_RUN_FIELDS
+        ]
+
     def list_logged_repeats(self) -> list[str]:
         """Return the ids that came again on their connections to servers."""
         return [
@@ -322,7 +353,13 @@
         'models': [{'name': MODEL}],
     }
     accounts = [
-        {'name': name, 'apiKeys': [key], 'priority': 1, 'isolated': False}
+        # Without a priority of the account, that of the route counts.
+        {
+            'name': name,
+            'apiKeys': [key],
+            'isolated': False,
+            **QUOTAS.get(name, {}),
+        }
         for name, key in ACCOUNT_KEYS.items()
     ]
     return {
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
@@ -69,9 +69,9 @@
 or go on."""
 MS_PER_SECOND = 1000.0
 RUN_LOG_PREFIX = 'ran '
-"""Prefix of the log line of each execution, before the name of the sending;
-engines add the weights version, and the monotonic times, in seconds, at which
-the request arrived and began."""
+"""Prefix of the log line of each execution, before the name of the sending
+and the monotonic times, in seconds, at which the request arrived and began;
+engines add the weights version before the times."""
 REPEAT_LOG_PREFIX = 'repeated '
 """Prefix of the log line of each request that comes on a connection that has
 carried its id before."""
@@ -393,11 +393,8 @@
         self.executed_request_ids.append(request_id)
         line = RUN_LOG_PREFIX + request_id
         if self._model:
-            line += (
-                f' {self.weights_version} {arrived_at:.3f}'
-                f' {time.monotonic():.3f}'
-            )
-        _log(line)
+            line += f' {self.weights_version}'
+        _log(f'{line} {arrived_at:.3f} {time.monotonic():.3f}')
 
     def record_work(self, request_id: str, run: run_queues.Run) -> None:
         """Log the run of an engine at its end."""
--- a/tests/failures/test_builds.py
+++ b/tests/failures/test_builds.py
@@ -15,7 +15,14 @@
 from tests.soak import faults
 from tests import support
 
-EARLIER_BUILDS = ('385b8a8', 'a5f422d', '1c093af', 'df0f13b', 'e7a9c85')
+EARLIER_BUILDS = (
+    '385b8a8',
+    'a5f422d',
+    '1c093af',
+    'df0f13b',
+    'e7a9c85',
+    '9a7b9aa',
+)
 """Commits of the builds that hosts are upgraded from."""
 HOST_COUNT = 3
 CALLER_COUNT = 4
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -32,6 +32,14 @@
 }
 """Behaviours of the server stand-in by route; repeated ones are likelier."""
 CALL_INTERVAL_SECONDS = 0.05
+QUICK_BEHAVIOURS = dict.fromkeys(
+    BEHAVIOURS, ('whole', 'shed', 'again', 'fail')
+)
+"""Behaviours without delays, for callers that exceed a quota."""
+ACCOUNT = 'account-1'
+LIMITED_ACCOUNT = 'account-3'
+"""Account with a quota."""
+PROMPT_TOKENS, OUTPUT_TOKENS = 20, 8
 STREAMS = ('/stream/', '/resumable/')
 """Routes of calls with a prompt."""
 MAX_TAKE_UPS = 20
@@ -86,6 +94,7 @@
     is_reset: bool = False
     work: str = ''
     repeat: int = 0
+    account: str = ACCOUNT
 
     def get_name(self) -> str:
         """Return the name under which servers log the runs of this sending."""
@@ -97,6 +106,12 @@
         """Return whether the host has shown that the call never runs."""
         return self.is_reset or self.status in NOT_RUN_STATUSES
 
+    def get_cost(self) -> int:
+        """Return what the call costs of the quota of `LIMITED_ACCOUNT`."""
+        if self.prefix in STREAMS:
+            return PROMPT_TOKENS + OUTPUT_TOKENS
+        return int(fleet.QUOTAS[LIMITED_ACCOUNT]['uncachedTokens'])
+
     def list_whole_events(self) -> bytes:
         """Return the whole events that the caller has of a stream."""
         whole, end, _ = (self.received + self.body).rpartition(EVENT_END)
@@ -110,8 +125,9 @@
     response; it is never opened again.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, account: str = ACCOUNT) -> None:
         self.address = address
+        self._account = account
         host, _, port = address.rpartition(':')
         self._connection = client.HTTPConnection(
             host, int(port), timeout=deployments.TIMEOUT_SECONDS
@@ -155,7 +171,7 @@
                 request_id, repeat = refused.request_id, refused.repeat + 1
         headers = {
             'host': fleet.ROUTE_HOST,
-            'authorization': 'Bearer key-1',
+            'authorization': f'Bearer {fleet.ACCOUNT_KEYS[self._account]}',
             'x-pistachioseam-request-id': request_id,
             'x-pistachioseam-deadline-ms': '3000',
             **(create_prompt(request_id) if prefix in STREAMS else {}),
@@ -170,6 +186,7 @@
             sent_at=time.monotonic(),
             work=work,
             repeat=repeat,
+            account=self._account,
         )
         if resumed is not None:
             received = resumed.list_whole_events()
@@ -222,8 +239,8 @@
     """Return the headers of a short prompt of a call's own."""
     return {
         'x-pistachioseam-model': fleet.MODEL,
-        'x-pistachioseam-token-count': '20,8',
-        'x-pistachioseam-prompt-prefix': f'{request_id[:8]}:20',
+        'x-pistachioseam-token-count': f'{PROMPT_TOKENS},{OUTPUT_TOKENS}',
+        'x-pistachioseam-prompt-prefix': f'{request_id[:8]}:{PROMPT_TOKENS}',
     }
 
 
@@ -247,9 +264,11 @@
         running: fleet.Fleet,
         seed: int,
         behaviours: abc.Mapping[str, abc.Sequence[str]] = BEHAVIOURS,
+        account: str = ACCOUNT,
     ) -> None:
         self.results: list[CallResult] = []
         self._behaviours = behaviours
+        self._account = account
         self._fleet = running
         self._random = random.Random(seed)
         self._should_stop = threading.Event()
@@ -272,7 +291,7 @@
     def _run(self) -> None:
         while not self._should_stop.is_set():
             host = self._random.choice(self._fleet.entries)
-            with HostConnection(host.address) as connection:
+            with HostConnection(host.address, self._account) as connection:
                 self._use(connection)
             time.sleep(CALL_INTERVAL_SECONDS)
 
@@ -301,7 +320,9 @@
             with contextlib.ExitStack() as stack:
                 if way != 'same connection' or not connection.is_open():
                     address = self._choose_address(way, result.address)
-                    connection = stack.enter_context(HostConnection(address))
+                    connection = stack.enter_context(
+                        HostConnection(address, self._account)
+                    )
                 result = connection.call(
                     result.prefix,
                     result.behaviour,
@@ -331,7 +352,7 @@
             if result.status or self._should_stop.is_set():
                 return
             host = self._random.choice(self._fleet.entries)
-            with HostConnection(host.address) as connection:
+            with HostConnection(host.address, self._account) as connection:
                 result = connection.call(
                     broken.prefix,
                     broken.behaviour,
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -78,14 +78,24 @@
     stable_seconds: float = STABLE_SECONDS
 
 
+@attrs.frozen
+class QuotaBound:
+    """Most that an account's calls may cost in any window, in tokens."""
+
+    account: str
+    window_seconds: float
+    max_cost: float
+
+
 @attrs.frozen
 class Violation:
     """Broken promise about one call.
 
     `rule` is the users' name of it; AGAIN (work that ran as several calls),
     UNREAD (a call that ran after a reset), REPEATED (an id that came again
-    on its connection to a server) and OVERLAP (a call that ran at two engines
-    at once, a part of the users' TWICE) are names of our own.
+    on its connection to a server), OVERLAP (a call that ran at two engines
+    at once, a part of the users' TWICE) and QUOTA (more than the quota of an
+    account ran) are names of our own.
     """
 
     rule: str
@@ -138,6 +148,52 @@
     return [Violation('REPEATED', message, name) for name in request_ids]
 
 
+def find_quota_excess(
+    results: abc.Iterable[callers.CallResult],
+    arrivals: abc.Iterable[tuple[str, float]],
+    bound: QuotaBound,
+) -> list[Violation]:
+    """Return the window in which most was run if that exceeds the bound."""
+    cost, names = find_busiest_window(results, arrivals, bound)
+    if cost <= bound.max_cost:
+        return []
+    message = f'{cost} tokens of {bound} ran in one window: {names}'
+    return [Violation('QUOTA', message, names[-1])]
+
+
+def find_busiest_window(
+    results: abc.Iterable[callers.CallResult],
+    arrivals: abc.Iterable[tuple[str, float]],
+    bound: QuotaBound,
+) -> tuple[int, list[str]]:
+    """Return the highest cost of a window, and the names of its sendings.
+
+    `arrivals` holds for each run the name of its sending and when it arrived
+    at a server. Hosts bound what they send, which a blocked link delivers
+    later: a call is in a window if its caller sent it and a server got it
+    within. It counts once, as its quota covers all of its attempts.
+    """
+    # The earliest arrival of a sending replaces its later ones.
+    arrived = dict(sorted(arrivals, key=lambda run: run[1], reverse=True))
+    ran = [
+        (result, arrived[result.get_name()])
+        for result in results
+        if result.account == bound.account and result.get_name() in arrived
+    ]
+    busiest: tuple[int, list[str]] = (0, [])
+    for first, _ in ran:
+        window = [
+            result
+            for result, arrived_at in ran
+            if first.sent_at <= result.sent_at
+            and arrived_at <= first.sent_at + bound.window_seconds
+        ]
+        names = [result.get_name() for result in window]
+        cost = sum(result.get_cost() for result in window)
+        busiest = max(busiest, (cost, names))
+    return busiest
+
+
 def find_overlaps(
     works: abc.Iterable[Work],
     disturbances: abc.Collection[Disturbance],
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -173,6 +173,18 @@
             if len(fields) == BEGIN_FIELDS
         ]
 
+    def create_quota_bound(self) -> checks.QuotaBound:
+        """Return the bound of `LIMITED_ACCOUNT` by the hosts' settings."""
+        quota = fleet.QUOTAS[callers.LIMITED_ACCOUNT]
+        terms = self.fleet_spec.quotas
+        seconds = terms['window_seconds']
+        cost = quota['ratePerS'] * seconds + quota['burst']
+        return checks.QuotaBound(
+            callers.LIMITED_ACCOUNT,
+            seconds,
+            cost * (1 + terms['overage']) + terms['slack'],
+        )
+
     def list_works(self) -> list[checks.Work]:
         """Return the runs of engines that have ended, from their logs."""
         return [
@@ -191,6 +203,10 @@
             results, self.list_logged_request_ids(), self.kills
         )
         broken += checks.find_repeats(self.list_logged_repeats())
+        if self.fleet_spec.quotas:
+            bound = self.create_quota_bound()
+            arrivals = self.list_logged_arrivals()
+            broken += checks.find_quota_excess(results, arrivals, bound)
         hosts = {result.get_name(): result.address for result in results}
         broken += checks.find_overlaps(
             self.list_works(), self.disturbances, hosts
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -66,6 +66,46 @@
     case.assertEqual(['incomplete or foreign response'], _find(swapped, 1))
 
 
+def test_call_over_the_quota_that_ran_is_found(case: support.Case) -> None:
+    """On every route, a host that answers 429 must not have sent the call."""
+    for prefix in fleet.ROUTES:
+        rejected = attrs.evolve(REFUSED, status=429, prefix=prefix)
+        case.assertEqual([], _find(rejected, 0))
+        case.assertEqual(['refused as not run but ran'], _find(rejected, 1))
+
+
+def _find_excess(times: list[tuple[float, float]], **fields: str) -> list[str]:
+    """Return the rules that prompts break, sent and arrived at times.
+
+    They cost 28 tokens each; 112 may run in 8 s.
+    """
+    bound = checks.QuotaBound(callers.LIMITED_ACCOUNT, 8.0, 112.0)
+    prompt = attrs.evolve(RESULT, prefix='/stream/', account=bound.account)
+    prompt = attrs.evolve(prompt, **fields)
+    results, arrivals = [], []
+    for number, (sent_at, arrived_at) in enumerate(times):
+        name = f'id-{number}'
+        results.append(attrs.evolve(prompt, request_id=name, sent_at=sent_at))
+        # The quota covers the second attempt; the first one counts.
+        arrivals += [(name, arrived_at), (name, arrived_at + 0.2)]
+    found = checks.find_quota_excess(results, arrivals, bound)
+    return [violation.rule for violation in found]
+
+
+def test_runs_over_the_quota_in_a_sliding_window_are_found(
+    case: support.Case,
+) -> None:
+    """Guards against hosts that together send more than a quota allows."""
+    full = [(14.0, 14.1), (15.0, 15.1), (16.0, 16.1), (21.8, 21.9)]
+    excess = [*full, (14.5, 14.6)]
+    case.assertEqual(['QUOTA'], _find_excess(excess))
+    case.assertEqual([], _find_excess(excess, prefix='/once/'))
+    case.assertEqual([], _find_excess(excess, account=callers.ACCOUNT))
+    # Sent before the window of the others, or arrived after it.
+    for times in ((13.8, 13.9), (13.0, 14.6), (14.5, 22.1)):
+        case.assertEqual([], _find_excess([*full, times]))
+
+
 def test_work_that_runs_under_two_ids_is_found(case: support.Case) -> None:
     """A call that is sent again after a broken promise runs again."""
     again = attrs.evolve(
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -21,6 +21,7 @@
 from pistachioseam_standins import deployment
 from pistachioseam_standins import fleet
 from tests.soak import callers
+from tests.soak import checks
 from tests.soak import faults
 from tests import support
 
@@ -32,8 +33,12 @@
     engines=int(os.environ.get('SOAK_ENGINES', '4')),
     software_versions=callers.SOFTWARE_VERSIONS,
     weights_ms=int(os.environ.get('SOAK_WEIGHTS_MS', '8000')),
+    # The slack is to the rate as in the users' larger deployment.
+    quotas={'window_seconds': 8.0, 'overage': 0.1, 'slack': 122.0},
 )
 CALLER_COUNT = max(4, FLEET_SPEC.hosts)
+LIMITED_CALLER_COUNT = 4
+"""Callers of the account with a quota, which they exceed."""
 INJECTOR_COUNT = 3
 """Threads that inject faults, so that faults overlap."""
 MAX_SERIES_LENGTH = 3
@@ -88,6 +93,14 @@
         f' {len(running.kills)} kills; {gone_on_count} of {len(taken_up)}'
         ' take-ups went on'
     )
+    bound = running.create_quota_bound()
+    arrivals = running.list_logged_arrivals()
+    cost, names = checks.find_busiest_window(results, arrivals, bound)
+    rejected_count = sum(each.status == 429 for each in results)
+    print(
+        f'seed {seed}: {len(names)} runs for {cost} of {bound.max_cost:.0f}'
+        f' tokens in a window, {rejected_count} calls over the quota'
+    )
 
 
 def _call_under_faults(
@@ -95,9 +108,12 @@
 ) -> list[callers.CallResult]:
     """Inject faults while callers send calls; return the results."""
     with contextlib.ExitStack() as stack:
+        kinds = [(callers.BEHAVIOURS, callers.ACCOUNT)] * CALLER_COUNT
+        limited = (callers.QUICK_BEHAVIOURS, callers.LIMITED_ACCOUNT)
+        kinds += [limited] * LIMITED_CALLER_COUNT
         running_callers = [
-            stack.enter_context(callers.Caller(running, seed * 100 + n))
-            for n in range(CALLER_COUNT)
+            stack.enter_context(callers.Caller(running, seed * 100 + n, *kind))
+            for n, kind in enumerate(kinds)
         ]
         deadline = time.monotonic() + DURATION_SECONDS
         if seed in REGRESSIONS:
