--- a/packages/pistachioseam/src/pistachioseam/forwarding/affinity_engines.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/affinity_engines.py
@@ -22,8 +22,7 @@
 """Cost per rank, so that all hosts send a new part to the same target."""
 AFFINITY_HIT_PROBABILITY = 0.8
 """Assumed probability that a part which no host has told of is cached at its
-first engine or in the cache store near it. With 0.5, shared by rank, nine of
-ten repeated parts went to another engine under load."""
+first engine or in the cache store near it."""
 
 
 @attrs.frozen
--- a/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/placement.py
@@ -286,9 +286,8 @@
         router.loads.get(target.name, now),
         plan,
         call.prompt.output_tokens,
-        # Engines prefill in the order of arrival. Small fleets, whose reports
-        # of loads are recent, count urgent work alone, so that urgent calls
-        # stay where their prefixes are cached.
+        # Small fleets estimate the queue of an urgent call by urgent work
+        # alone, although engines prefill in the order of arrival.
         call.is_urgent() and not router.has_many_hosts(),
         router.coordinators.get_backlog_seconds(target.name, now)
         if router.coordinators is not None
