--- a/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/fleet_server.py
@@ -25,6 +25,9 @@
 `silent`: the response begins after SILENT_SECONDS;
 `foreign`: the response carries the id of another request;
 `large`: a complete response of LARGE_BYTES;
+`length-N`, `chunks-N` or `close-N`: a complete response of N bytes, with a
+length, with chunks, or with neither, which ends with its connection;
+`fail-N`: status 500 after execution, with a body of N bytes and their length;
 `crash`: the process aborts after execution;
 `whole` or any other: a complete response.
 
@@ -60,6 +63,8 @@
 REQUESTS_PER_SECOND = 2.0
 EVENT_INTERVAL_SECONDS = 0.01
 LARGE_BYTES = 8_000_000
+PART_BYTES = 65_536
+"""Part of a long response that is written at once."""
 DRAG_SECONDS = 0.15
 EVENTS_PER_STREAM = 8
 FIRST_SOFTWARE = 'v1'
@@ -371,8 +376,11 @@
             await self._stream_events(request, behaviour, run)
             return b''
         if behaviour == 'large':
-            request.setHeader('content-length', str(LARGE_BYTES))
-            return bytes(LARGE_BYTES)
+            behaviour = f'length-{LARGE_BYTES}'
+        framing, _, size = behaviour.partition('-')
+        if size.isdecimal():
+            await _write_long(request, framing, int(size))
+            return b''
         return request.content.read() or request.uri
 
     def record_arrival(self, connection: typing.Any, request_id: str) -> None:
@@ -453,6 +461,25 @@
     sys.stdout.flush()
 
 
+async def _write_long(request: typing.Any, framing: str, size: int) -> None:
+    """Write a body of some bytes as fast as the caller reads it."""
+    if framing == 'fail':
+        request.setResponseCode(500)
+    if framing in ('length', 'fail'):
+        request.setHeader('content-length', str(size))
+    elif framing == 'close':
+        # Without chunks the body ends with its connection.
+        request.clientproto = b'HTTP/1.0'
+        request.setHeader('connection', 'close')
+        request.channel.persistent = False
+    part = bytes(PART_BYTES)
+    with serving.PacedWriter(request) as writer:
+        for sent in range(0, size, PART_BYTES):
+            await writer.write(part[: size - sent])
+            if writer.is_stopped:
+                break
+
+
 def _reject(request: typing.Any) -> bytes:
     """Reject a request as not executed; return the empty body."""
     request.setResponseCode(503)
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/service.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/service.py
@@ -51,6 +51,11 @@
         content = {'bookings': len(self.executions)}
         return serving.encode_json(request, content)
 
+    @app.route('/booking/long/<int:size>', methods=['GET'])
+    def print_bookings(self, request: typing.Any, size: int) -> bytes:
+        """Return a long response with a length."""
+        return bytes(size)
+
     @app.route('/executions', methods=['GET'])
     def list_executions(self, request: typing.Any) -> bytes:
         """Return all executions in order."""
