Responses: pass long ones on in parts, within a budget of the host

What callers saw: hosts that ended. 40 callers that read responses of 4 MB at 1 kB/s made a host hold 340 to 355 MB, responses of targets that failed 360 to 388 MB; a relayed response was held whole too. A single response above 1 MiB without a length, or above 8 MiB with one, got 502 in calm.

Cause: a body that is no event stream was read whole before its caller got the first byte, and it counted as held only from then on. It was read whole as a truncated response must not count as complete.

Change: all that is held of responses has one budget, a quarter of that of the callers, and counts towards the latter. While it has room, a body is held until it is complete, as before, so that one that breaks can be tried again. Else its head and parts are passed on as fast as the caller reads; one that breaks then is truncated for the caller as well (a missing end of chunks, a short length, a reset for HTTP/1.0) and is not sent again. A complete body is delivered also after the deadline. A 5xx response that is too long to be held is tried again while attempts are left, then passed on. Connections to targets have a receive buffer of 64 KiB, which counts while it is not read.

Found on the way: a reader that paused its transport inside `deliverBody` was resumed by Twisted and never paused again.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_admin.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_admin.py
@@ -90,7 +90,7 @@
             process.holdings.count_bytes(),
             process.holdings.budget.bytes,
             process.holdings.count_connections(),
-            process.connections.buffers.held_bytes,
+            process.connections.response_budget.held_bytes,
         )
         for name, value in zip(STATE_NAMES, values, strict=True):
             process.metrics.set_state(name, value)
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_bodies.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_bodies.py
@@ -16,35 +16,19 @@
 from zope import interface
 
 from pistachioseam import interfaces
+from pistachioseam import response_budgets
 
-MAX_BUFFERED_BYTES = 262_144
-"""Buffered bytes of one response beyond which reading from its target pauses,
-as backpressure from a slow caller. Targets cut off a response that stays
-unread for some seconds, so a response is not paused before."""
-MIN_BUFFERED_BYTES = 16_384
-"""The same while the buffers of all responses together are full."""
-DEFAULT_BUFFERS_BYTES = 8_388_608
-"""Limit on the buffers of all responses together, unless it is set."""
+MAX_READ_BYTES = 65_536
+"""Most bytes of a body that are passed on at once."""
+RECEIVE_BUFFER_BYTES = 65_536
+"""Receive buffer of a connection to a target, in the kernel. It counts towards
+the memory of the machine while nothing is read."""
 MAX_QUOTED_CHARACTERS = 60
 """Characters of malformed data in a log line."""
 
 ReadResult: typing.TypeAlias = result.Result[bytes, interfaces.CallFailure]
 
 
-class ResponseBuffers:
-    """Bytes of targets' responses that a host holds for slow callers."""
-
-    def __init__(self) -> None:
-        self.held_bytes = 0
-        self.limit_bytes = DEFAULT_BUFFERS_BYTES
-
-    def is_full_for(self, own_bytes: int) -> bool:
-        """Return whether a response with these bytes must be paused."""
-        if self.held_bytes > self.limit_bytes:
-            return own_bytes > MIN_BUFFERED_BYTES
-        return own_bytes > MAX_BUFFERED_BYTES
-
-
 @interface.implementer(iweb.IBodyProducer)
 class BytesBody:
     """Producer of a request body that is held in memory."""
@@ -76,16 +60,17 @@
     A body without a length ends with its connection. It is complete only if
     `is_reset` returns False: the connection was closed without a reset.
     `is_end_marked` is set at the end of a body with a length or chunks.
-    `buffers` counts what this reader holds.
+    `budget` counts what this reader holds, and what the kernel may hold while
+    it does not read.
     """
 
     def __init__(
         self,
         is_reset: abc.Callable[[], bool],
-        buffers: ResponseBuffers | None = None,
+        budget: response_budgets.ResponseBudget | None = None,
     ) -> None:
         self._is_reset = is_reset
-        self._buffers = buffers or ResponseBuffers()
+        self._budget = budget or response_budgets.ResponseBudget()
         self._chunks: collections.deque[bytes] = collections.deque()
         self._buffered_bytes = 0
         self._is_paused = False
@@ -103,14 +88,38 @@
         if self._is_abandoned:
             return
         self._chunks.append(data)
-        self._buffered_bytes += len(data)
-        self._buffers.held_bytes += len(data)
-        is_full = self._buffers.is_full_for(self._buffered_bytes)
-        if is_full and not self._is_paused:
-            self._is_paused = True
-            self._get_transport().pauseProducing()
+        self._count(len(data))
+        if self._is_full():
+            self._pause()
         self._changed.set()
 
+    def _is_full(self) -> bool:
+        return self._budget.is_full_for(self._buffered_bytes)
+
+    def _count(self, change: int) -> None:
+        self._buffered_bytes += change
+        self._budget.held_bytes += change
+
+    def _pause(self) -> None:
+        """Stop reading from the target.
+
+        `deliverBody` resumes the transport after the first data, so this is
+        repeated for each part that arrives nevertheless.
+        """
+        if not self._is_paused:
+            self._is_paused = True
+            self._budget.held_bytes += RECEIVE_BUFFER_BYTES
+        self._get_transport().pauseProducing()
+
+    def _resume(self) -> None:
+        """Read from the target again."""
+        if not self._is_paused:
+            return
+        self._is_paused = False
+        self._budget.held_bytes -= RECEIVE_BUFFER_BYTES
+        if self._end is None and not self._is_abandoned:
+            self._get_transport().resumeProducing()
+
     def connectionLost(  # noqa: N802
         self, reason: failure.Failure = protocol.connectionDone
     ) -> None:
@@ -134,12 +143,9 @@
     def abandon(self) -> None:
         """Discard what is buffered and all that is still to come."""
         self._is_abandoned = True
-        self._release()
-
-    def _release(self) -> None:
         self._chunks.clear()
-        self._buffers.held_bytes -= self._buffered_bytes
-        self._buffered_bytes = 0
+        self._count(-self._buffered_bytes)
+        self._resume()
 
     async def read(self) -> ReadResult:
         """Return the next bytes, empty at the end of a complete body."""
@@ -148,12 +154,15 @@
                 return self._end
             self._changed.clear()
             await self._changed.wait()
-        data = b''.join(self._chunks)
-        self._release()
-        if self._is_paused:
-            self._is_paused = False
-            self._get_transport().resumeProducing()
-        return result.Success(data)
+        parts = [self._chunks.popleft()]
+        size = len(parts[0])
+        while self._chunks and size + len(self._chunks[0]) <= MAX_READ_BYTES:
+            parts.append(self._chunks.popleft())
+            size += len(parts[-1])
+        self._count(-size)
+        if not self._is_full():
+            self._resume()
+        return result.Success(b''.join(parts))
 
 
 def describe_failure(reason: failure.Failure) -> str:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -88,9 +88,8 @@
 when it arrives."""
 
 
-RESPONSE_BUFFER_DIVISOR = 4
-"""Part of the callers' budget that buffers of targets' responses may use in
-addition."""
+RESPONSE_BUDGET_DIVISOR = 4
+"""Part of the callers' budget that responses of targets may use."""
 
 
 class Codec(
@@ -187,9 +186,10 @@
         self.paths.add_listener(self._handle_paths_change)
         set_weights_limits(self.router, options.bounds)
         self.holdings = create_holdings(options.capacity)
-        self.connections.buffers.limit_bytes = (
-            self.holdings.budget.bytes // RESPONSE_BUFFER_DIVISOR
+        self.connections.response_budget.limit_bytes = (
+            self.holdings.budget.bytes // RESPONSE_BUDGET_DIVISOR
         )
+        self.holdings.responses = self.connections.response_budget
         self.listener = call_listener.CallListener(
             self.router, adapter.codec, self.metrics, self.holdings
         )
@@ -265,6 +265,7 @@
                 self._create_relay_client(own, codec),
                 self.runtime,
             ),
+            response_budget=self.connections.response_budget,
             is_cut_off=self.paths.is_lost,
             topology=links.Topology(
                 domain=options.host.domain, regions=options.regions
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/caller_holdings.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/caller_holdings.py
@@ -6,6 +6,7 @@
 import typing
 
 from pistachioseam import caller_budgets
+from pistachioseam import response_budgets
 
 SWEEP_SECONDS = 1.0
 """Time between two checks of the rates of all connections."""
@@ -54,6 +55,7 @@
 class CallerHoldings:
     """What all callers of a host hold, within one budget.
 
+    `responses` are the parts of targets' responses that wait for callers.
     `turned_away` counts connections by cause since the start.
     `on_turned_away` is called at most once in SWEEP_SECONDS with the counts
     since the last call.
@@ -69,6 +71,7 @@
         self.body_rate = body_rate
         self.read_clock = read_clock
         self.pacer = caller_budgets.ChunkPacer()
+        self.responses = response_budgets.ResponseBudget()
         self.channel_bytes = 0
         self.served_bytes = 0
         self._large_count = 0
@@ -88,7 +91,9 @@
 
     def count_bytes(self) -> int:
         """Return what all callers hold together."""
-        return self.channel_bytes + self.served_bytes
+        return (
+            self.channel_bytes + self.served_bytes + self.responses.held_bytes
+        )
 
     def add(self, channel: Channel) -> None:
         """Take a new connection into account; close others if too many."""
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/reply.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/reply.py
@@ -68,6 +68,10 @@
         await self._is_writable.wait()
         self._request.write(data)
 
+    def write_late(self, data: bytes) -> None:
+        """Send a part of the body without waiting."""
+        self._request.write(data)
+
     async def end(self, exchange: 'exchanges.Exchange') -> None:
         """Send the response or refusal unless the filters have streamed it.
 
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -28,9 +28,10 @@
 from twisted.web import http_headers
 from zope import interface
 
-from pistachioseam.forwarding import delivery
 from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import response_bodies
 from pistachioseam import interfaces
+from pistachioseam import response_budgets
 from pistachioseam_entry import call_bodies
 from pistachioseam_entry import reactors
 from pistachioseam_entry import response_parsers
@@ -367,6 +368,9 @@
     transport.setTcpNoDelay(True)
     handle = transport.getHandle()
     handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    handle.setsockopt(
+        socket.SOL_SOCKET, socket.SO_RCVBUF, call_bodies.RECEIVE_BUFFER_BYTES
+    )
     for option, value in (
         (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
         (socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS),
@@ -405,7 +409,7 @@
         self._open: set[Connection] = set()
         self._listeners: list[ports.ResponseListener] = []
         self.opened_count = 0
-        self.buffers = call_bodies.ResponseBuffers()
+        self.response_budget = response_budgets.ResponseBudget()
 
     def __enter__(self) -> 'ConnectionPool':
         """Return the pool; connections are opened on demand."""
@@ -510,7 +514,7 @@
             return result.Failure(sent.failure())
         response = sent.unwrap()
         try:
-            body = await delivery.read_body(response)
+            body = await response_bodies.read_body(response)
         finally:
             response.abort()
         return body.map(lambda content: (response.head.status, content))
@@ -667,7 +671,7 @@
             connection.drop()
             return _break(connection, 'response without a request id')
         return result.Success(
-            TargetResponse(connection, response, head, self.buffers)
+            TargetResponse(connection, response, head, self.response_budget)
         )
 
     def _report_on(
@@ -776,7 +780,7 @@
         connection: Connection,
         response: typing.Any,
         head: ports.ResponseHead,
-        buffers: call_bodies.ResponseBuffers | None = None,
+        budget: response_budgets.ResponseBudget | None = None,
     ) -> None:
         self.head = head
         self.connection = connection.get_use().describe()
@@ -784,7 +788,7 @@
         has_length = isinstance(response.length, int)
         self.declared_bytes = response.length if has_length else None
         self._reader = call_bodies.BodyReader(
-            lambda: connection.is_reset, buffers
+            lambda: connection.is_reset, budget
         )
         response.deliverBody(self._reader)
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
@@ -69,6 +69,7 @@
     affinity_domain: str = ''
     may_have_run: bool = False
     is_served: bool = False
+    has_partial_body: bool = False
     status: int = 0
     origin: stream_origins.StreamOrigin | None = None
     first_byte_at: float | None = None
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -1,10 +1,10 @@
 """Delivery of targets' responses to the caller, complete and in order."""
 
 import math
+import typing
 
 import attrs
 from returns import pipeline as returns_pipeline
-from returns import result
 
 from pistachioseam import events
 from pistachioseam.forwarding import begin_limits
@@ -16,16 +16,13 @@
 from pistachioseam.forwarding import loads
 from pistachioseam.forwarding import plans
 from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import response_bodies
 from pistachioseam.forwarding import router as routers
 from pistachioseam.forwarding import stream_origins
 from pistachioseam import interfaces
 from pistachioseam import proofs
+from pistachioseam import response_budgets
 
-MAX_RESPONSE_BYTES = 8_388_608
-"""Maximum body of a response that is not an event stream; such a body is
-buffered in memory until complete."""
-MAX_UNDECLARED_BYTES = 1_048_576
-"""The same for a body whose target has not declared the length."""
 NON_RETRYABLE_MAX_IDLE_SECONDS = 2.0
 """Maximum idle time of a connection on which a call that may run only once is
 sent. The target may have closed an older one without notice, and the outcome
@@ -48,25 +45,27 @@
 Kind = interfaces.FailureKind
 
 
-@attrs.frozen
-class BufferedResponse:
-    """Complete response of a target."""
+@attrs.define
+class HeldBody:
+    """Body of a response of a target, or its first parts."""
 
     head: ports.ResponseHead
-    body: bytes = attrs.field(repr=False)
+    parts: response_budgets.HeldParts
+    is_complete: bool = False
 
 
 class Delivery:
     """Response to one call, from one target or from several in succession.
 
     If a resumable event stream breaks at one target, it is resumed at the
-    next.
+    next. On exit what it holds of a response is released.
     """
 
     def __init__(self, call: calls.Call, router: routers.CallRouter) -> None:
         self._call = call
         self._router = router
-        self._error_response: BufferedResponse | None = None
+        self._body: HeldBody | None = None
+        self._error_body: HeldBody | None = None
         self._event_sequence = event_streams.EventSequence(
             event_streams.parse_id(call.head.after_event)
         )
@@ -78,6 +77,16 @@
         self._begin_limit = begin_limits.BeginLimit(lambda: float('inf'))
         self._run_ends_at = float('inf')
 
+    def __enter__(self) -> typing.Self:
+        """Return the delivery."""
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Release what is held of responses."""
+        for body in (self._body, self._error_body):
+            if body is not None:
+                body.parts.clear()
+
     async def forward_to(
         self, target: catalog.LiveTarget
     ) -> interfaces.CallFailure | None:
@@ -279,25 +288,88 @@
         if is_stream and head.status == 200:
             return await self._deliver_events(response)
         self._begin_limit.end()
-        read = await read_body(response)
-        if not returns_pipeline.is_successful(read):
-            return read.failure()
-        if self._is_stopped(response):
+        return await self._deliver_body(response)
+
+    async def _deliver_body(
+        self, response: ports.OpenResponse
+    ) -> interfaces.CallFailure | None:
+        """Deliver a body once it is complete, or in parts if it is large.
+
+        Until its first part is sent, another target may be tried.
+        """
+        head = response.head
+        parts = response_budgets.HeldParts(self._router.response_budget)
+        body = self._body = HeldBody(head, parts)
+        held = await response_bodies.hold_body(response, parts)
+        if not returns_pipeline.is_successful(held):
+            return held.failure()
+        body.is_complete = held.unwrap()
+        failure = self._check_body(body, response)
+        if failure is not None:
+            if body is not self._error_body:
+                parts.clear()
+            return failure
+        if body.is_complete:
+            await self._write_body(body)
+            return None
+        return await self._pass_on(body, response)
+
+    def _check_body(
+        self, body: HeldBody, response: ports.OpenResponse
+    ) -> interfaces.CallFailure | None:
+        """Return the failure if a body must not be delivered now.
+
+        A complete 5xx response is kept, in case no other attempt succeeds.
+        """
+        status = body.head.status
+        if body.is_complete and self._is_stopped(response):
             return _stop_outdated()
-        if head.status == TIMED_OUT_STATUS and self._has_run_limit():
+        if status == TIMED_OUT_STATUS and self._has_run_limit():
             return _stop_outdated()
-        buffered = BufferedResponse(head, read.unwrap())
-        if head.status >= 500 and self._call.is_retryable():
-            self._error_response = buffered
-            return interfaces.CallFailure(Kind.FAILED, f'status {head.status}')
+        if (
+            status >= 500
+            and self._call.is_retryable()
+            and (body.is_complete or self._has_further_attempts())
+        ):
+            if body.is_complete:
+                self._keep_error(body)
+            return interfaces.CallFailure(Kind.FAILED, f'status {status}')
         if self._call.reply.is_begun():
             return interfaces.CallFailure(
                 Kind.BROKEN,
-                f'status {head.status} instead of the rest of the stream',
+                f'status {status} instead of the rest of the stream',
             )
-        await self._write_response(buffered)
         return None
 
+    def _keep_error(self, body: HeldBody) -> None:
+        if self._error_body is not None:
+            self._error_body.parts.clear()
+        self._error_body = body
+
+    def _has_further_attempts(self) -> bool:
+        assert self._call.route is not None
+        return len(self._call.attempts) < self._call.route.max_targets
+
+    async def _pass_on(
+        self, body: HeldBody, response: ports.OpenResponse
+    ) -> interfaces.CallFailure | None:
+        """Deliver a body in parts, as fast as the caller reads.
+
+        A body that breaks is truncated for the caller too.
+        """
+        self._call.has_partial_body = True
+        await self._begin_body(body.head, response.declared_bytes)
+        while True:
+            for part in body.parts:
+                await self._call.reply.write(part)
+            read = await response.read()
+            if not returns_pipeline.is_successful(read):
+                return read.failure()
+            if not read.unwrap():
+                break
+            body.parts.add(read.unwrap())
+        return _stop_outdated() if self._is_stopped(response) else None
+
     def _log_doubts(self, head: ports.ResponseHead) -> None:
         """Log a response that does not prove what its status says."""
         doubts = []
@@ -336,22 +408,48 @@
             )
             self._router.weights.assume(target, prompt.model, newest_version)
 
-    async def _write_response(self, buffered: BufferedResponse) -> None:
-        self._call.status = buffered.head.status
+    async def _begin_body(
+        self, head: ports.ResponseHead, length: int | None
+    ) -> None:
+        self._call.status = head.status
         self._record_first_byte()
-        length = (b'Content-Length', b'%d' % len(buffered.body))
-        headers = (*buffered.head.headers, length)
-        await self._call.reply.begin(buffered.head.status, headers)
-        await self._call.reply.write(buffered.body)
+        headers = head.headers
+        if length is not None:
+            headers = (*headers, (b'Content-Length', b'%d' % length))
+        await self._call.reply.begin(head.status, headers)
+
+    async def _write_body(self, body: HeldBody) -> None:
+        """Deliver a complete response; its target is done with the call."""
+        await self._begin_body(body.head, body.parts.held_bytes)
+        self._finish_work()
+        for part in body.parts:
+            await self._call.reply.write(part)
 
     async def deliver_error_response(self) -> bool:
         """Deliver the last 5xx response; return whether it was delivered.
 
         Nothing is sent when the caller has already received a status.
         """
-        if self._error_response is None or self._call.reply.is_begun():
+        if self._error_body is None or self._call.reply.is_begun():
+            return False
+        self._body = self._error_body
+        await self._write_body(self._error_body)
+        return True
+
+    def deliver_late(self) -> bool:
+        """Send the rest of a complete response once the deadline has passed.
+
+        Return whether its delivery had begun.
+        """
+        body = self._body
+        if (
+            body is None
+            or not body.is_complete
+            or not self._call.reply.is_begun()
+        ):
             return False
-        await self._write_response(self._error_response)
+        for part in body.parts:
+            self._call.reply.write_late(part)
         return True
 
     def _record_first_byte(self) -> None:
@@ -514,27 +612,6 @@
     return None
 
 
-async def read_body(
-    response: ports.OpenResponse,
-) -> result.Result[bytes, interfaces.CallFailure]:
-    """Return the whole body, or a failure if it is larger than accepted."""
-    is_declared = response.declared_bytes is not None
-    limit = MAX_RESPONSE_BYTES if is_declared else MAX_UNDECLARED_BYTES
-    parts: list[bytes] = []
-    size = 0
-    while True:
-        read = await response.read()
-        if not returns_pipeline.is_successful(read):
-            return read
-        data = read.unwrap()
-        if not data:
-            return result.Success(b''.join(parts))
-        parts.append(data)
-        size += len(data)
-        if max(size, response.declared_bytes or 0) > limit:
-            return result.Failure(_give_up('response body too large'))
-
-
 def create_outgoing(
     call: calls.Call,
     router: routers.CallRouter,
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -258,6 +258,9 @@
     async def write(self, data: bytes) -> None:
         """Send a part of the body, waiting while the send buffer is full."""
 
+    def write_late(self, data: bytes) -> None:
+        """Send a part of the body without waiting."""
+
     def is_begun(self) -> bool:
         """Return whether a status has been sent."""
 
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -33,6 +33,7 @@
 from pistachioseam import links
 from pistachioseam.placement import rendezvous
 from pistachioseam import quarantine
+from pistachioseam import response_budgets
 
 
 Target: typing.TypeAlias = catalog.LiveTarget
@@ -52,6 +53,7 @@
     name, the monotonic time until which other targets are preferred because
     this one rejected a call as busy. `restore_listeners` are called once when
     the platform's store has been restored from an older copy, in `store_era`.
+    `response_budget` bounds what is held of targets' responses.
     `is_cut_off` returns whether this host reaches no target. `coordinators`
     admit model calls to engines, None if this host has no peers.
     `prefill_listeners` are called when a call makes
@@ -96,6 +98,9 @@
     slowdown_tracker: paces.SlowdownTracker = attrs.field(
         factory=paces.SlowdownTracker
     )
+    response_budget: response_budgets.ResponseBudget = attrs.field(
+        factory=response_budgets.ResponseBudget
+    )
     is_cut_off: abc.Callable[[], bool] = lambda: False
     coordinators: coordinator_clients.CoordinatorClient | None = None
     prefill_listeners: list[abc.Callable[[], None]] = attrs.field(factory=list)
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -62,19 +62,22 @@
     """Send the call and deliver the response before its deadline."""
     assert call.service is not None
     router.budget.record_call(call.service.name, router.runtime.now())
-    delivery_ = delivery.Delivery(call, router)
     call.grant = router.quotas.create_grant(
         call.account, call.head.token_count, call.request_id
     )
-    try:
-        async with asyncio.timeout(call.deadline - router.runtime.now()):
-            return await _send_until_served(call, router, delivery_)
-    except TimeoutError:
-        record_deadline_exceeded(call, router)
-        return result.Failure(call_refusals.refuse_deadline_exceeded(call))
-    finally:
-        call.grant.end(call.may_have_run)
-        _release_admission(call, router)
+    with delivery.Delivery(call, router) as delivery_:
+        try:
+            async with asyncio.timeout(call.deadline - router.runtime.now()):
+                return await _send_until_served(call, router, delivery_)
+        except TimeoutError:
+            if delivery_.deliver_late():
+                call.is_served = True
+                return filter_chains.CONTINUE
+            record_deadline_exceeded(call, router)
+            return result.Failure(call_refusals.refuse_deadline_exceeded(call))
+        finally:
+            call.grant.end(call.may_have_run)
+            _release_admission(call, router)
 
 
 def _release_admission(call: calls.Call, router: routers.CallRouter) -> None:
@@ -442,6 +445,8 @@
     """
     assert call.route is not None and call.service is not None
     now = router.runtime.now()
+    if call.has_partial_body:
+        return call_refusals.refuse_failed(call, failure)
     if call.may_have_run and not call.is_retryable():
         return call_refusals.refuse_failed(call, failure)
     if call.deadline - now < MIN_RETRY_SECONDS_LEFT:
--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -100,6 +100,10 @@
         """Send a part of the body."""
         self.body += data
 
+    def write_late(self, data: bytes) -> None:
+        """Send a part of the body without waiting."""
+        self.body += data
+
     def is_begun(self) -> bool:
         """Return whether a status has been sent."""
         return bool(self.status)
@@ -119,7 +123,7 @@
         self, head: ports.ResponseHead, chunks: abc.Sequence[Chunk]
     ) -> None:
         self.head = head
-        self.declared_bytes = None
+        self.declared_bytes: int | None = None
         self.is_end_marked = False
         self.connection = ''
         self.is_aborted = False
@@ -480,6 +484,7 @@
         body: bytes = b'body',
         request_id: str = REQUEST_ID,
         resumed_request_id: str = '',
+        reply: Reply | None = None,
     ) -> calls.Call:
         """Return a call that has just been received."""
         head = ports.CallHead(
@@ -498,7 +503,7 @@
             uri=prefix.encode() + b'x',
             body=body,
             received_at=self.runtime.now(),
-            reply=Reply(),
+            reply=reply or Reply(),
         )
 
     async def serve(
--- a/tests/entry/test_carried_ids.py
+++ b/tests/entry/test_carried_ids.py
@@ -3,8 +3,8 @@
 import asyncio
 import typing
 
-from pistachioseam.forwarding import delivery
 from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import response_bodies
 from pistachioseam_entry import target_connections
 from pistachioseam_platform import headers
 from tests.entry import test_target_connections
@@ -31,7 +31,7 @@
 ) -> typing.Any:
     """Send a call; return its body."""
     response = (await pool.send(address, call)).unwrap()
-    read = await delivery.read_body(response)
+    read = await response_bodies.read_body(response)
     response.abort()
     return read.unwrap()
 
--- a/tests/entry/test_endless_bytes.py
+++ b/tests/entry/test_endless_bytes.py
@@ -9,9 +9,9 @@
 import attrs
 from returns import pipeline
 
-from pistachioseam.forwarding import delivery
 from pistachioseam.forwarding import event_streams
 from pistachioseam import interfaces
+from pistachioseam import response_budgets
 from pistachioseam_entry import reactors
 from pistachioseam_entry import target_connections
 from pistachioseam_platform import headers
@@ -194,7 +194,7 @@
     """A long body is accepted if its target has declared the length."""
 
     async def work() -> None:
-        length = 2 * delivery.MAX_UNDECLARED_BYTES
+        length = 2 * response_budgets.MAX_UNDECLARED_BYTES
         body = b'x' * length
         declared = HEAD + b'Content-Length: %d\r\n\r\n' % length + body
         async with connections.FakeTarget(declared) as target:
--- a/tests/entry/test_target_connections.py
+++ b/tests/entry/test_target_connections.py
@@ -12,8 +12,8 @@
 import attrs
 from returns import pipeline
 
-from pistachioseam.forwarding import delivery
 from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import response_bodies
 from pistachioseam import interfaces
 from pistachioseam_entry import reactors
 from pistachioseam_entry import target_connections
@@ -149,7 +149,7 @@
     if not pipeline.is_successful(sent):
         return sent.failure().kind
     response = sent.unwrap()
-    read = await delivery.read_body(response)
+    read = await response_bodies.read_body(response)
     response.abort()
     if not pipeline.is_successful(read):
         return read.failure().kind
@@ -194,7 +194,7 @@
                     sent = await pool.send(target.address, call)
                     response = sent.unwrap()
                     described.append(response.connection)
-                    await delivery.read_body(response)
+                    await response_bodies.read_body(response)
                 case.assertEqual(['1/1/0', '1/2/1', '2/1/0'], described)
 
     run(work)
@@ -215,7 +215,7 @@
                     if pipeline.is_successful(sent):
                         response = sent.unwrap()
                         connections.append(response.connection)
-                        await delivery.read_body(response)
+                        await response_bodies.read_body(response)
                 case.assertEqual(
                     ['1/1/0', '1/2/0', '2/1/0', '2/2/0', '2/3/0'],
                     connections[:5],
@@ -340,7 +340,7 @@
                 ) as pool:
                     sent = await pool.send(target.address, create_call())
                     response = sent.unwrap()
-                    body = await delivery.read_body(response)
+                    body = await response_bodies.read_body(response)
                     case.assertEqual(b'ok', body.unwrap())
                     case.assertIs(is_end_marked, response.is_end_marked)
 
