Callers: return freed bodies to the system; bound receive buffers

What callers saw: hosts near their end under whole bodies of 4 MB. 240 callers that come back after a refusal made a host of 96 MB use 96 to 109 MB with what its sockets had received and not read, 120 callers up to 96 MB resident, with a budget of 8 MiB; at a relayed host 107 to 111 MB, at echoed bodies 114 MB. 300 at 128 MB: 149 MB.

Cause: glibc raises the size from which a block is mapped by itself to that of the largest freed one, up to 32 MiB. From then on bodies came from the heap, which shrinks at its end only. What was unread in the kernel (up to 39 MB) had no bound but tcp_rmem.

Change: the size is fixed at start by `mallopt`. Callers' ports and connections to targets have receive buffers of 64 KiB; Linux doubles what is set. A paused connection counts its receive buffer, a call in progress its objects and its connection to a target (36 KiB together, measured with 100, 400 and 800 calls that wait).

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_bodies.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_bodies.py
@@ -17,12 +17,10 @@
 
 from pistachioseam import interfaces
 from pistachioseam import response_budgets
+from pistachioseam_entry import sockets
 
 MAX_READ_BYTES = 65_536
 """Most bytes of a body that are passed on at once."""
-RECEIVE_BUFFER_BYTES = 65_536
-"""Receive buffer of a connection to a target, in the kernel. It counts towards
-the memory of the machine while nothing is read."""
 MAX_QUOTED_CHARACTERS = 60
 """Characters of malformed data in a log line."""
 
@@ -108,7 +106,7 @@
         """
         if not self._is_paused:
             self._is_paused = True
-            self._budget.held_bytes += RECEIVE_BUFFER_BYTES
+            self._budget.held_bytes += sockets.RECEIVE_BUFFER_BYTES
         self._get_transport().pauseProducing()
 
     def _resume(self) -> None:
@@ -116,7 +114,7 @@
         if not self._is_paused:
             return
         self._is_paused = False
-        self._budget.held_bytes -= RECEIVE_BUFFER_BYTES
+        self._budget.held_bytes -= sockets.RECEIVE_BUFFER_BYTES
         if self._end is None and not self._is_abandoned:
             self._get_transport().resumeProducing()
 
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -48,11 +48,11 @@
 from pistachioseam_entry import logs
 from pistachioseam_entry import measured_store
 from pistachioseam_entry import metrics
-from pistachioseam_entry import reactors
 from pistachioseam_entry import relay_client
 from pistachioseam_entry import relay_service
 from pistachioseam_entry import routed_connections
 from pistachioseam_entry import runtime
+from pistachioseam_entry import sockets
 from pistachioseam_entry import target_connections
 
 BALANCER_REACTION_SECONDS = 2.5
@@ -442,12 +442,8 @@
         )
 
     def _listen(self, site: typing.Any, address: str) -> None:
-        host, _, port = address.rpartition(':')
         site.displayTracebacks = False
-        listening_port = reactors.get_reactor().listenTCP(
-            int(port), site, interface=host.strip('[]')
-        )
-        self._ports.append(listening_port)
+        self._ports.append(sockets.listen(site, address))
 
     def _forget_target(self, target: catalog.LiveTarget) -> None:
         """Discard the state of a target's incarnation that has ended."""
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/caller_channels.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/caller_channels.py
@@ -12,9 +12,12 @@
 
 from pistachioseam import caller_budgets
 from pistachioseam_entry import caller_holdings
+from pistachioseam_entry import sockets
 
 CONNECTION_BYTES = 8192
 """Memory of the objects of one connection."""
+CALL_BYTES = 28_672
+"""Memory of the objects of one call and of its connection to a target."""
 HEADER_FACTOR = 4
 """Memory of a header line's objects in relation to its bytes."""
 CHUNK_SLICE_BYTES = 4096
@@ -295,6 +298,10 @@
             + self._receivedHeaderSize * HEADER_FACTOR
             + self._count_buffered_bytes()
         )
+        if self._handlingRequest:
+            held_bytes += CALL_BYTES
+        if self._has_unread_bytes():
+            held_bytes += sockets.RECEIVE_BUFFER_BYTES
         if self._body_began_at is not None and self.requests:
             held_bytes += self.requests[-1].held_bytes
             if self.length is None:
@@ -305,6 +312,10 @@
                 )
         return held_bytes
 
+    def _has_unread_bytes(self) -> bool:
+        """Return whether bytes of a request wait in the kernel's buffer."""
+        return self.paused or (self._handlingRequest and any(self._dataBuffer))
+
     def count_moved_bytes(self) -> int:
         """Return the bytes received and sent since it was opened."""
         sent_bytes = self._written_bytes - self._count_buffered_bytes()
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/command.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/command.py
@@ -6,6 +6,7 @@
 import fire
 from returns import pipeline
 
+from pistachioseam_entry import allocators
 from pistachioseam_entry import logs
 from pistachioseam_entry import reactors
 from pistachioseam_entry import settings
@@ -27,6 +28,7 @@
         sys.exit(EXIT_BAD_SETTINGS)
     options = loaded.unwrap()
     logs.configure_logs(options.logs)
+    allocators.return_large_blocks()
     reactors.install_reactor()
     _run_process(options)
 
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/process.py
@@ -28,9 +28,9 @@
 from pistachioseam_entry import metrics
 from pistachioseam_entry import peers
 from pistachioseam_entry import platform
-from pistachioseam_entry import reactors
 from pistachioseam_entry import runtime
 from pistachioseam_entry import settings
+from pistachioseam_entry import sockets
 from pistachioseam_entry import targets
 
 STARTUP_POLL_SECONDS = 0.1
@@ -142,11 +142,7 @@
         self.runtime.__exit__()
 
     def _listen(self, site: typing.Any, address: str) -> None:
-        host, _, port = address.rpartition(':')
-        listening_port = reactors.get_reactor().listenTCP(
-            int(port), site, interface=host.strip('[]')
-        )
-        self._ports.append(listening_port)
+        self._ports.append(sockets.listen(site, address))
 
     async def _poll_configuration(self) -> None:
         """Fetch state from the peers, then poll the tables for new edits."""
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -35,6 +35,7 @@
 from pistachioseam_entry import call_bodies
 from pistachioseam_entry import reactors
 from pistachioseam_entry import response_parsers
+from pistachioseam_entry import sockets
 
 CONNECT_TIMEOUT_SECONDS = 1.0
 """A target that does not accept a connection within this time is skipped."""
@@ -368,9 +369,7 @@
     transport.setTcpNoDelay(True)
     handle = transport.getHandle()
     handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    handle.setsockopt(
-        socket.SOL_SOCKET, socket.SO_RCVBUF, call_bodies.RECEIVE_BUFFER_BYTES
-    )
+    sockets.limit_receive_buffer(handle)
     for option, value in (
         (socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS),
         (socket.TCP_KEEPIDLE, KEEPALIVE_SECONDS),
--- a/tests/entry/test_response_buffers.py
+++ b/tests/entry/test_response_buffers.py
@@ -9,6 +9,7 @@
 from pistachioseam import response_budgets
 from pistachioseam_entry import call_bodies
 from pistachioseam_entry import reactors
+from pistachioseam_entry import sockets
 from tests import support
 
 PART_BYTES = 8192
@@ -70,7 +71,7 @@
         + response_budgets.MAX_BUFFERED_BYTES
         + len(readers) * floor,
     )
-    unread_bytes = len(readers) * call_bodies.RECEIVE_BUFFER_BYTES
+    unread_bytes = len(readers) * sockets.RECEIVE_BUFFER_BYTES
     case.assertEqual(sum(buffered) + unread_bytes, budget.held_bytes)
     for reader, size in zip(readers, buffered, strict=True):
         read(reader, size)
