Tests: routes of the crowds have a time limit of 30 s

A call of a crowd then ends by its own deadline, and one test goes on past the calls of others: calls are relayed while unread responses wait on the same connection between two hosts.

--- a/tests/failures/crowds.py
+++ b/tests/failures/crowds.py
@@ -34,6 +34,8 @@
 may still be in the kernel's buffers."""
 POLL_SECONDS = 0.05
 SEND_BYTES = 65_536
+DEADLINE_MS = 3000
+"""Time that the callers of a crowd allow for a call."""
 MAX_EXTRA_DESCRIPTORS = 16
 """Bound on descriptors beyond those at rest and those of the calls."""
 LISTED_INODE = 9
@@ -252,7 +254,10 @@
 
 
 def create_head(
-    name: str, length: int | None, path: str = '/safe/whole'
+    name: str,
+    length: int | None,
+    path: str = '/safe/whole',
+    deadline_ms: int = DEADLINE_MS,
 ) -> bytes:
     """Return the head of a request with a length, or with chunks."""
     framing = 'Transfer-Encoding: chunked'
@@ -262,7 +267,8 @@
         f'POST {path} HTTP/1.1\r\nHost: {fleet.ROUTE_HOST}\r\n'
         'Authorization: Bearer key-1\r\n'
         f'X-Pistachioseam-Request-Id: {name}\r\n'
-        f'X-Pistachioseam-Deadline-Ms: 3000\r\n{framing}\r\n\r\n'
+        f'X-Pistachioseam-Deadline-Ms: {deadline_ms}\r\n'
+        f'{framing}\r\n\r\n'
     ).encode()
 
 
@@ -278,6 +284,7 @@
     callers: list[Caller],
     max_bytes: int,
     send_ordinary: abc.Callable[[], None],
+    hold_seconds: float = HOLD_SECONDS,
 ) -> None:
     """Check hosts during a crowd of the first one, and a call afterwards.
 
@@ -290,7 +297,7 @@
     rests = {host.name: measure(host.process.pid) for host in hosts}
     figures = []
     with Crowd(hosts[0], callers, hosts[1:]) as crowd:
-        crowd.hold()
+        crowd.hold(hold_seconds)
         for host in hosts:
             rest, peak = rests[host.name], crowd.peaks[host.name]
             extra = peak.descriptors - rest.descriptors - 2 * len(callers)
--- a/tests/failures/test_relay_crowds.py
+++ b/tests/failures/test_relay_crowds.py
@@ -18,6 +18,7 @@
 from tests import support
 
 CALLERS = test_response_crowds.CALLERS
+LATE_DEADLINE_MS = 30_000
 MESSAGE_BODY_BYTES = 800_000
 """Body that still fits into one message between hosts."""
 
@@ -52,7 +53,11 @@
         )
 
 
-def check_crowd(case: support.Case, callers: list[crowds.Caller]) -> None:
+def check_crowd(
+    case: support.Case,
+    callers: list[crowds.Caller],
+    hold_seconds: float = crowds.HOLD_SECONDS,
+) -> None:
     """Check both hosts under a crowd at the one without a path."""
     hosts = case.useFixture(RelayedHost()).hosts
 
@@ -64,7 +69,12 @@
             )
 
     crowds.check_usage(
-        case, hosts, callers, test_response_crowds.MAX_BYTES, send_ordinary
+        case,
+        hosts,
+        callers,
+        test_response_crowds.MAX_BYTES,
+        send_ordinary,
+        hold_seconds,
     )
 
 
@@ -74,6 +84,20 @@
     check_crowd(case, test_response_crowds.create_readers(path, CALLERS))
 
 
+def test_slow_readers_do_not_stop_other_relayed_calls(
+    case: support.Case,
+) -> None:
+    """A call is served while unread responses wait on the same connection.
+
+    The crowd's own calls have not reached their deadline yet.
+    """
+    path = f'/safe/length-{test_response_crowds.LONG_BYTES}'
+    callers = test_response_crowds.create_readers(
+        path, CALLERS, LATE_DEADLINE_MS
+    )
+    check_crowd(case, callers, hold_seconds=1.0)
+
+
 def test_relayed_whole_bodies_wait_for_a_silent_target(
     case: support.Case,
 ) -> None:
--- a/tests/failures/test_response_crowds.py
+++ b/tests/failures/test_response_crowds.py
@@ -18,6 +18,7 @@
 """Capacity of the machine, below that of any deployment."""
 MAX_BYTES = MEMORY_MB * crowds.MEBIBYTE
 MAX_BODY_BYTES = 4_194_304
+ROUTE_TIMEOUT_MS = 30_000
 CALLERS = 40
 LONG_BYTES = 4_000_000
 CHUNKED_BYTES = 900_000
@@ -49,7 +50,12 @@
             'headerTimeoutMs': 1000,
             'idleTimeoutMs': 15_000,
         }
-        super().write_desired_state(limits=limits, **changes)
+        state = fleet.create_desired_state(self.desired_version)
+        routes = [
+            {**route, 'timeoutMs': ROUTE_TIMEOUT_MS}
+            for route in state['routes']
+        ]
+        super().write_desired_state(limits=limits, routes=routes, **changes)
 
 
 class SmallHost(fixtures.Fixture):
@@ -66,11 +72,13 @@
         self.host = running.entries[0]
 
 
-def create_readers(path: str, count: int = CALLERS) -> list[crowds.Caller]:
+def create_readers(
+    path: str, count: int = CALLERS, deadline_ms: int = crowds.DEADLINE_MS
+) -> list[crowds.Caller]:
     """Return callers that read the response to one request slowly."""
     return [
         crowds.Caller(
-            crowds.create_head(f'reader-{number}', 0, path),
+            crowds.create_head(f'reader-{number}', 0, path, deadline_ms),
             SLOW_BYTES_PER_SECOND,
         )
         for number in range(count)
