Relays: bound relayed calls by the memory of the host

What callers saw: with 250 callers that read relayed responses of 4 MB slowly, the host that relays used 184 MB and the one without a path 140 to 176 MB, of 128 MB each. Calls through a host timed out after 0.4 s once 100 relayed calls waited there.

Cause: each relayed part of 64 KiB has some six copies while it waits for the other host (about 490 KB a call); 256 calls were relayed at a time on any host. The window of a connection (4 MiB) had room for 16 of its streams, and HTTP/2 servers take 100 streams of a connection: the next calls waited for those.

Change: parts have 16 KiB. A host relays as many calls as its budget has room for, at 192 KiB each; beyond it the call whose part has waited longest, 0.5 s or more, is ended, else the new one is refused as before. A stream has a window of 64 KiB, a connection 64 streams and the window of all; more calls open another. What is unread of relayed responses counts in the budget of responses.

Tests of relays, partitions and peers pass.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_bodies.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_bodies.py
@@ -19,8 +19,9 @@
 from pistachioseam import response_budgets
 from pistachioseam_entry import sockets
 
-MAX_READ_BYTES = 65_536
-"""Most bytes of a body that are passed on at once."""
+MAX_READ_BYTES = 16_384
+"""Most bytes of a body that are passed on at once. A relayed part has several
+copies while it waits for the other host."""
 MAX_QUOTED_CHARACTERS = 60
 """Characters of malformed data in a log line."""
 
@@ -152,15 +153,23 @@
                 return self._end
             self._changed.clear()
             await self._changed.wait()
-        parts = [self._chunks.popleft()]
-        size = len(parts[0])
-        while self._chunks and size + len(self._chunks[0]) <= MAX_READ_BYTES:
-            parts.append(self._chunks.popleft())
-            size += len(parts[-1])
-        self._count(-size)
+        part = self._take_part()
+        self._count(-len(part))
         if not self._is_full():
             self._resume()
-        return result.Success(b''.join(parts))
+        return result.Success(part)
+
+    def _take_part(self) -> bytes:
+        """Remove and return the first bytes, short chunks joined."""
+        parts: list[bytes] = []
+        room = MAX_READ_BYTES
+        while self._chunks and room:
+            chunk = self._chunks.popleft()
+            if len(chunk) > room:
+                self._chunks.appendleft(chunk[room:])
+            parts.append(chunk[:room])
+            room -= len(parts[-1])
+        return b''.join(parts)
 
 
 def describe_failure(reason: failure.Failure) -> str:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -194,7 +194,10 @@
             self.router, adapter.codec, self.metrics, self.holdings
         )
         self.relay_service = relay_service.RelayService(
-            self.router, self.paths, self.connections
+            self.router,
+            self.paths,
+            self.connections,
+            self.holdings.budget.bytes // relay_service.RELAYED_CALL_BYTES,
         )
         self.desired_watch = watches.DesiredWatch(self.router, store)
         self.targets_watch = watches.TargetsWatch(self.router, store)
@@ -338,6 +341,7 @@
                     or self.router.freshness.can_verify_keys(read_boot_clock())
                 )
             ),
+            self.connections.response_budget,
         )
 
     def _handle_paths_change(self) -> None:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
@@ -13,8 +13,10 @@
 from pistachioseam.forwarding import relays
 from pistachioseam import interfaces
 from pistachioseam import membership
+from pistachioseam import response_budgets
 from pistachioseam import statuses
 from pistachioseam_entry import relay_messages
+from pistachioseam_peer import clients
 from pistachioseam_peer.generated import messages_pb2
 from pistachioseam_peer import servers
 
@@ -73,8 +75,10 @@
         decoder: HeadDecoder,
         get_link: abc.Callable[[], RelayLink | None],
         may_send: abc.Callable[[ports.OutgoingCall], bool],
+        budget: response_budgets.ResponseBudget | None = None,
     ) -> None:
         self._own = own
+        self._budget = budget or response_budgets.ResponseBudget()
         self._get_peers = get_peers
         self._runtime = runtime
         self._sink = sink
@@ -92,7 +96,9 @@
             return _fail(Kind.NOT_SENT, 'no path to targets')
         started_at = self._runtime.now()
         for peer in self._get_peers().choose(started_at):
-            relayed = RelayedCall(link.open_relay(peer.address), self._own)
+            relayed = RelayedCall(
+                link.open_relay(peer.address), self._own, self._budget
+            )
             asked_at = self._runtime.now()
             answer = await relayed.request_relay(
                 call.spend(asked_at - started_at)
@@ -182,8 +188,15 @@
     is_end_marked = False
     connection = ''
 
-    def __init__(self, stream: ClosableStream, own: membership.Peer) -> None:
+    def __init__(
+        self,
+        stream: ClosableStream,
+        own: membership.Peer,
+        budget: response_budgets.ResponseBudget | None = None,
+    ) -> None:
         self.on_closed: abc.Callable[[], None] | None = None
+        self._budget = budget or response_budgets.ResponseBudget()
+        self._counted_bytes = 0
         self._stream = stream
         self._own = own
         self._is_ended = False
@@ -253,6 +266,8 @@
         )
         if head.HasField('declared_bytes'):
             self.declared_bytes = head.declared_bytes
+        self._counted_bytes = clients.RELAY_WINDOW_BYTES
+        self._budget.held_bytes += self._counted_bytes
         return result.Success(self)
 
     def _break(self, detail: str) -> ports.SendResult:
@@ -317,6 +332,7 @@
         if self._is_closed:
             return
         self._is_closed = True
+        self._budget.held_bytes -= self._counted_bytes
         with contextlib.suppress(RuntimeError):
             self._stream.close()
         if self.on_closed is not None:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_service.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_service.py
@@ -4,6 +4,8 @@
 import secrets
 import typing
 
+import grpclib
+from grpclib import const
 from returns import pipeline
 
 from pistachioseam import events
@@ -16,8 +18,13 @@
 from pistachioseam_peer import servers
 
 MAX_RELAYED_CALLS = 256
-"""Calls that this host relays at a time; it refuses further ones. Each may
-buffer as much as a call of its own."""
+"""Calls that this host relays at a time; it refuses further ones."""
+RELAYED_CALL_BYTES = 196_608
+"""Memory of one relayed call: its objects, the least buffers of its response,
+and the copies of the part that is sent."""
+STALL_SECONDS = 0.5
+"""Time after which a part that the other host does not take makes way for
+other calls."""
 WORD_INTERVAL_SECONDS = 0.5
 """Time without news of a relayed call after which the other host gets a word,
 so that it can tell a slow target from a lost host."""
@@ -29,8 +36,8 @@
 class RelayService:
     """Relays calls of other hosts, always by this host's own connections.
 
-    So a call is relayed once at most. `active` counts the calls in progress;
-    while `is_refusing`, no further ones are accepted.
+    So a call is relayed once at most. `active` counts the calls in progress,
+    `max_calls` bounds them; while `is_refusing`, no further ones are accepted.
     """
 
     def __init__(
@@ -38,9 +45,12 @@
         router: routers.CallRouter,
         target_paths: paths.TargetPaths,
         connections: ports.TargetConnections,
+        max_calls: int = MAX_RELAYED_CALLS,
     ) -> None:
         self.active = 0
         self.is_refusing = False
+        self.max_calls = min(MAX_RELAYED_CALLS, max_calls)
+        self._waiting_parts: dict[asyncio.Task[None], float] = {}
         self._router = router
         self._paths = target_paths
         self._connections = connections
@@ -76,12 +86,45 @@
         """Return why this host relays no call, empty if it does."""
         if self.is_refusing:
             return 'this host stops'
-        if self.active >= MAX_RELAYED_CALLS:
+        if self.active >= self.max_calls and not self._end_stalled():
             return 'too many relayed calls'
         if self._paths.is_lost():
             return 'this host reaches no target'
         return ''
 
+    def _end_stalled(self) -> bool:
+        """End the call whose caller has not read for longest, if any."""
+        before = self._router.runtime.now() - STALL_SECONDS
+        stalled = [
+            (since, task)
+            for task, since in self._waiting_parts.items()
+            if since <= before
+        ]
+        if not stalled:
+            return False
+        _, task = min(stalled, key=lambda pair: pair[0])
+        del self._waiting_parts[task]
+        task.cancel()
+        return True
+
+    async def _tell_part(
+        self, stream: servers.RelayStream, part: bytes
+    ) -> None:
+        """Send a part of a body; the call may be ended while it waits."""
+        sending = asyncio.ensure_future(_tell(stream, data=part))
+        self._waiting_parts[sending] = self._router.runtime.now()
+        try:
+            await asyncio.wait((sending,))
+            if sending.cancelled():
+                raise grpclib.GRPCError(
+                    const.Status.RESOURCE_EXHAUSTED,
+                    'the caller does not read the response',
+                )
+            sending.result()
+        finally:
+            self._waiting_parts.pop(sending, None)
+            sending.cancel()
+
     def _find_target_refusal(self, request: messages_pb2.RelayRequest) -> str:
         """Return why a target gets no calls from this host, empty if it does.
 
@@ -180,7 +223,7 @@
                         is_end_marked=response.is_end_marked,
                     )
                     return
-                await _tell(stream, data=data)
+                await self._tell_part(stream, data)
         finally:
             response.abort()
 
--- a/packages/pistachioseam-peer/src/pistachioseam_peer/clients.py
+++ b/packages/pistachioseam-peer/src/pistachioseam_peer/clients.py
@@ -23,11 +23,17 @@
 RETIRED_SECONDS = 60.0
 """Time after which a connection that takes no further relayed calls is closed;
 longer than callers wait."""
+RELAY_WINDOW_BYTES = 65_536
+"""Bytes that a host buffers of one relayed response."""
+MAX_RELAY_STREAMS = 64
+"""Relayed calls of one connection; further ones get another. HTTP/2 servers
+accept 100 streams of a connection by default."""
 RELAY_CONFIGURATION = config.Configuration(
-    http2_connection_window_size=4_194_304, http2_stream_window_size=262_144
+    http2_connection_window_size=MAX_RELAY_STREAMS * RELAY_WINDOW_BYTES,
+    http2_stream_window_size=RELAY_WINDOW_BYTES,
 )
-"""Bytes that a host buffers of one relayed response, and of all through one
-other host."""
+"""The window of a connection has room for those of all its streams: responses
+that their callers do not read leave room for the others."""
 
 
 def _open_connection(
@@ -89,15 +95,25 @@
             return
 
 
+@attrs.define
+class RelayConnection:
+    """Connection of relayed calls to one host; `streams` are open."""
+
+    channel: client.Channel
+    streams: int = 0
+
+
 class ClientRelayStream:
     """Client's end of the stream of a relayed call.
 
     `close` ends it; the other host then cancels the call unless it has ended.
     """
 
-    def __init__(self, connection: client.Channel, secret: bytes) -> None:
+    def __init__(self, connection: RelayConnection, secret: bytes) -> None:
+        connection.streams += 1
         self._secret = secret
-        self._stream = messages_grpc.PeerStub(connection).Relay.open()
+        self._connection = connection
+        self._stream = messages_grpc.PeerStub(connection.channel).Relay.open()
         self._is_entered = False
         self._closing: asyncio.Future[None] | None = None
 
@@ -110,8 +126,8 @@
 
     async def _send(self, envelope: messages_pb2.Envelope) -> None:
         if not self._is_entered:
-            await self._stream.__aenter__()
             self._is_entered = True
+            await self._stream.__aenter__()
         await self._stream.send_message(envelope)
 
     async def receive(self) -> messages_pb2.Message | None:
@@ -131,10 +147,13 @@
 
     def close(self) -> None:
         """End the stream in the background."""
-        if self._is_entered and self._closing is None:
+        if self._closing is None:
             self._closing = asyncio.ensure_future(self._close())
 
     async def _close(self) -> None:
+        self._connection.streams -= 1
+        if not self._is_entered:
+            return
         # The stream may have ended or broken before; then nothing is left to
         # cancel.
         with contextlib.suppress(Exception):
@@ -155,7 +174,7 @@
         self._traffic = Traffic()
         self._connections: dict[str, client.Channel] = {}
         self._streams: dict[str, _MessageStream] = {}
-        self._relay_connections: dict[str, client.Channel] = {}
+        self._relay_connections: dict[str, list[RelayConnection]] = {}
 
     def take_traffic(self) -> Traffic:
         """Return the one-way messages since the last call."""
@@ -173,27 +192,30 @@
         """Close all connections."""
         for address in list(self._connections):
             self.disconnect(address)
-        for connection in self._relay_connections.values():
-            connection.close()
+        for connections in self._relay_connections.values():
+            for connection in connections:
+                connection.channel.close()
 
     def open_relay(self, address: str) -> ClientRelayStream:
         """Return a new stream to relay a call through a host."""
-        connection = self._relay_connections.get(address)
-        if connection is None:
-            connection = self._relay_connections[address] = _open_connection(
-                address, RELAY_CONFIGURATION
-            )
+        connections = self._relay_connections.setdefault(address, [])
+        for connection in connections:
+            if connection.streams < MAX_RELAY_STREAMS:
+                return ClientRelayStream(connection, self.secret)
+        connection = RelayConnection(
+            _open_connection(address, RELAY_CONFIGURATION)
+        )
+        connections.append(connection)
         return ClientRelayStream(connection, self.secret)
 
     def disconnect_relay(self, address: str) -> None:
-        """Relay no further calls on the connection to an address.
+        """Relay no further calls on the connections to an address.
 
-        Calls that it carries may still end, so it is closed later.
+        Calls that they carry may still end, so they are closed later.
         """
-        connection = self._relay_connections.pop(address, None)
-        if connection is not None:
-            loop = asyncio.get_running_loop()
-            loop.call_later(RETIRED_SECONDS, connection.close)
+        loop = asyncio.get_running_loop()
+        for connection in self._relay_connections.pop(address, ()):
+            loop.call_later(RETIRED_SECONDS, connection.channel.close)
 
     def disconnect(self, address: str) -> None:
         """Close the connection to an address; the next message reopens it."""
