Hosts with tables: one budget for callers, responses and the admin port

What callers saw: hosts of `pistachioseamd` that ended. 40 whole bodies of 4 MB that wait for a slow target made one use 153 MB, 40 responses of 3.9 MB that are read slowly 227 to 258 MB, 40 bodies at the admin port 217 MB.

Cause: only incomplete requests were counted, with the default budget of one port. Bodies being served were not; responses were read whole, up to `max_answer_bytes` each, without a total, and appended by copying; the admin port had a plain site without any bound.

Change: the settings have `capacity`, as hosts that forward calls have, and all HTTP ports share its budget. A request whose body has no room gets 503 with Retry-After and has not run. Responses are needed whole here, as they are recorded under their key: while the budget of responses is used up, only the one that was opened first is read on.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/admin.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/admin.py
@@ -4,10 +4,10 @@
 import typing
 
 import klein
-from twisted.web import server
 
 from pistachioseam import conversion
 from pistachioseam import snapshots
+from pistachioseam_entry import bounded_requests
 
 if typing.TYPE_CHECKING:
     from pistachioseam_entry import process
@@ -24,11 +24,11 @@
     def __init__(self, entry_process: 'process.Process') -> None:
         self._process = entry_process
 
-    def create_site(self) -> server.Site:
+    def create_site(self) -> bounded_requests.BoundedSite:
         """Return the protocol factory of the admin port."""
-        site = server.Site(self.app.resource())
-        site.displayTracebacks = False
-        return site
+        return bounded_requests.create_small_site(
+            self.app.resource(), self._process.holdings
+        )
 
     @app.route('/healthz')
     def check_health(self, request: typing.Any) -> bytes:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/bounded_requests.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/bounded_requests.py
@@ -15,6 +15,7 @@
 """Twisted buffers headers up to this multiple of their limit, so that requests
 above the limit get status 431. Beyond the multiple it closes the
 connection."""
+BODY_COPIES = 2
 SMALL_BODY_BYTES = 65_536
 """Limit on the bodies of operators and probes."""
 SMALL_HEADER_BYTES = 16_384
@@ -158,3 +159,13 @@
         len(name) + sum(len(value) for value in values)
         for name, values in request.requestHeaders.getAllRawHeaders()
     )
+
+
+def weigh_request(request: typing.Any, body: bytes) -> int:
+    """Return the memory of a request while it is served.
+
+    Its body is copied once on the way to the target.
+    """
+    return BODY_COPIES * len(
+        body
+    ) + caller_channels.HEADER_FACTOR * measure_headers(request)
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import functools
 import typing
 
 from twisted.web import resource
@@ -22,16 +23,11 @@
 from pistachioseam import refusals
 from pistachioseam_entry import bounded_requests
 from pistachioseam_entry import call_replies
-from pistachioseam_entry import caller_channels
 from pistachioseam_entry import caller_holdings
+from pistachioseam_entry import caller_reports
 from pistachioseam_entry import metrics
 
 
-BODY_COPIES = 2
-FULL_RETRY_AFTER_SECONDS = 1.0
-"""Most calls that hold a body end within a second."""
-
-
 class CallDecoder(typing.Protocol):
     """Wire format of callers' requests."""
 
@@ -70,7 +66,12 @@
         self._decoder = decoder
         self._metrics = process_metrics
         self.holdings = holdings or caller_holdings.CallerHoldings()
-        self.holdings.on_turned_away = self._record_turned_away
+        self.holdings.on_turned_away = functools.partial(
+            caller_reports.report_turned_away,
+            self.holdings,
+            process_metrics,
+            router.sink,
+        )
         self._site: bounded_requests.BoundedSite | None = None
         router.desired.add_listener(self._apply_limits)
 
@@ -113,18 +114,6 @@
         """Log and count a request that got a 408 response."""
         self._router.sink.emit(events.Event.CALLER_SLOW)
 
-    def _record_turned_away(self, counts: dict[str, int]) -> None:
-        """Log and count connections that were turned away, by cause."""
-        for cause, count in counts.items():
-            self._metrics.count_turned_away(cause, count)
-        self._router.sink.emit(
-            events.Event.CALLERS_TURNED_AWAY,
-            causes=counts,
-            held_bytes=self.holdings.count_bytes(),
-            budget_bytes=self.holdings.budget.bytes,
-            connections=self.holdings.count_connections(),
-        )
-
     def render(self, request: typing.Any) -> int:
         """Start to serve a request; the response is sent asynchronously."""
         self.active_requests += 1
@@ -140,7 +129,7 @@
     async def _handle(self, request: typing.Any) -> None:
         with call_replies.ForwardedReply(request) as reply:
             call = self._create_call(request, reply)
-            weight = _weigh_call(request, call)
+            weight = bounded_requests.weigh_request(request, call.body)
             is_held = self.holdings.serve(weight)
             task = asyncio.ensure_future(
                 self._serve(request, call, reply, is_held)
@@ -210,7 +199,7 @@
     ) -> None:
         call.refusal = self._check_request(request, call)
         if call.refusal is None and not is_held:
-            call.refusal = _refuse_full()
+            call.refusal = caller_reports.refuse_full()
         if call.refusal is not None:
             return
         try:
@@ -298,26 +287,5 @@
             )
 
 
-def _weigh_call(request: typing.Any, call: calls.Call) -> int:
-    """Return the memory of a call while it is served.
-
-    Its body is copied once on the way to the target.
-    """
-    header_bytes = bounded_requests.measure_headers(request)
-    return (
-        BODY_COPIES * len(call.body)
-        + caller_channels.HEADER_FACTOR * header_bytes
-    )
-
-
-def _refuse_full() -> refusals.Refusal:
-    return refusals.Refusal(
-        503,
-        refusals.Reason.OVERLOADED,
-        'this host holds too many bodies',
-        retry_after_seconds=FULL_RETRY_AFTER_SECONDS,
-    )
-
-
 _TASKS: set[asyncio.Future[None]] = set()
 """Keeps running tasks referenced; asyncio holds only weak references."""
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -10,7 +10,6 @@
 from twisted.internet import defer
 from twisted.web import resource
 
-from pistachioseam import caller_budgets
 from pistachioseam import events
 from pistachioseam.forwarding import brittleness
 from pistachioseam.forwarding import budgets
@@ -42,7 +41,7 @@
 from pistachioseam_entry import call_listener
 from pistachioseam_entry import call_peers
 from pistachioseam_entry import call_settings
-from pistachioseam_entry import caller_holdings
+from pistachioseam_entry import capacities
 from pistachioseam_entry import lifecycle
 from pistachioseam_entry import log_writer
 from pistachioseam_entry import logs
@@ -88,10 +87,6 @@
 when it arrives."""
 
 
-RESPONSE_BUDGET_DIVISOR = 4
-"""Part of the callers' budget that responses of targets may use."""
-
-
 class Codec(
     call_listener.CallDecoder, relay_client.HeadDecoder, typing.Protocol
 ):
@@ -185,11 +180,9 @@
         self.router = self._create_router(store, own_peer, adapter.codec)
         self.paths.add_listener(self._handle_paths_change)
         set_weights_limits(self.router, options.bounds)
-        self.holdings = create_holdings(options.capacity)
-        self.connections.response_budget.limit_bytes = (
-            self.holdings.budget.bytes // RESPONSE_BUDGET_DIVISOR
+        self.holdings = capacities.create_holdings(
+            options.capacity, self.connections.response_budget
         )
-        self.holdings.responses = self.connections.response_budget
         self.listener = call_listener.CallListener(
             self.router, adapter.codec, self.metrics, self.holdings
         )
@@ -539,18 +532,6 @@
         self.lifecycle.stop()
 
 
-def create_holdings(
-    capacity: call_settings.Capacity,
-) -> caller_holdings.CallerHoldings:
-    """Return the accounts of callers, with the budget of a host."""
-    return caller_holdings.CallerHoldings(
-        caller_budgets.derive_budget(
-            capacity.memory_mb, capacity.max_descriptors
-        ),
-        body_rate=capacity.min_body_bytes_per_second,
-    )
-
-
 def set_weights_limits(
     router: routers.CallRouter, bounds: call_settings.Bounds
 ) -> None:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_settings.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_settings.py
@@ -10,6 +10,7 @@
 from pistachioseam.forwarding import quotas as account_quotas
 from pistachioseam import links
 from pistachioseam import validators
+from pistachioseam_entry import capacities
 from pistachioseam_entry import setting_files
 
 
@@ -50,26 +51,6 @@
     )
 
 
-@attrs.frozen(kw_only=True)
-class Capacity:
-    """Limits of the machine on this process.
-
-    `memory_mb` includes temporary files, `max_descriptors` counts open files
-    and connections. The defaults are those of the smallest hosts. A body must
-    bring `min_body_bytes_per_second` on average, after twice the idle timeout.
-    """
-
-    memory_mb: float = attrs.field(
-        default=128.0, validator=validators.check_positive
-    )
-    max_descriptors: int = attrs.field(
-        default=4100, validator=validators.check_positive
-    )
-    min_body_bytes_per_second: float = attrs.field(
-        default=1024.0, validator=validators.check_positive
-    )
-
-
 @attrs.frozen(kw_only=True)
 class CallSettings:
     """All settings of a host that forwards calls."""
@@ -83,7 +64,7 @@
         factory=account_quotas.QuotaTerms
     )
     logs: setting_files.Logs = attrs.field(factory=setting_files.Logs)
-    capacity: Capacity = attrs.field(factory=Capacity)
+    capacity: capacities.Capacity = attrs.field(factory=capacities.Capacity)
 
 
 def load_call_settings(
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/listener.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/listener.py
@@ -1,6 +1,7 @@
 """HTTP listener for callers; runs each request through the filter chain."""
 
 import asyncio
+import functools
 import json
 import typing
 
@@ -17,6 +18,8 @@
 from pistachioseam import refusals
 from pistachioseam import router as routers
 from pistachioseam_entry import bounded_requests
+from pistachioseam_entry import caller_holdings
+from pistachioseam_entry import caller_reports
 from pistachioseam_entry import metrics
 from pistachioseam_entry import reply as replies
 from pistachioseam_entry import settings
@@ -40,8 +43,16 @@
         router: routers.Router,
         process_metrics: metrics.Metrics,
         options: settings.Requests,
+        holdings: caller_holdings.CallerHoldings | None = None,
     ) -> None:
         self.active_requests = 0
+        self.holdings = holdings or caller_holdings.CallerHoldings()
+        self.holdings.on_turned_away = functools.partial(
+            caller_reports.report_turned_away,
+            self.holdings,
+            process_metrics,
+            router.sink,
+        )
         self.is_draining = False
         self._router = router
         self._metrics = process_metrics
@@ -55,6 +66,7 @@
 
         site = bounded_requests.BoundedSite(
             self.app.resource(),
+            holdings=self.holdings,
             timeout=self._options.idle_timeout_seconds,
             requestFactory=_Request,
         )
@@ -82,9 +94,14 @@
             exchange = self._create_exchange(request, reply)
             if self.is_draining:
                 request.setHeader('connection', 'close')
+            weight = bounded_requests.weigh_request(request, exchange.body)
+            if not self.holdings.serve(weight):
+                exchange.refusal = caller_reports.refuse_full()
+                weight = 0
             task = asyncio.ensure_future(
                 self._serve(request, exchange, finished)
             )
+            task.add_done_callback(lambda _: self.holdings.release(weight))
             try:
                 await asyncio.shield(task)
             except asyncio.CancelledError:
@@ -146,7 +163,7 @@
     async def _process_request(
         self, request: typing.Any, exchange: exchanges.Exchange
     ) -> None:
-        exchange.refusal = self._check_limits(request)
+        exchange.refusal = self._check_limits(request) or exchange.refusal
         if exchange.refusal is not None:
             return
         if exchange.path == chats.MODELS_PATH:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/process.py
@@ -18,10 +18,12 @@
 from pistachioseam import membership
 from pistachioseam.placement import placer
 from pistachioseam import quarantine
+from pistachioseam import response_budgets
 from pistachioseam import retries
 from pistachioseam import router as routers
 from pistachioseam import snapshots
 from pistachioseam_entry import admin
+from pistachioseam_entry import capacities
 from pistachioseam_entry import lifecycle
 from pistachioseam_entry import listener
 from pistachioseam_entry import logs
@@ -68,9 +70,13 @@
         random = runtime.SystemRandom()
         self._incarnation = f'{options.host.name}:{random.token()}'
         self.peers = self._create_peers()
+        self.responses = response_budgets.ResponseBudget()
+        self.holdings = capacities.create_holdings(
+            options.capacity, self.responses
+        )
         self.router = self._create_router(random)
         self.listener = listener.Listener(
-            self.router, self.metrics, options.requests
+            self.router, self.metrics, options.requests, self.holdings
         )
         self._site = self.listener.create_site()
         self._admin = admin.Admin(self)
@@ -105,7 +111,7 @@
             runtime=self.runtime,
             random=random,
             sink=self.sink,
-            client=targets.HttpTargetClient(options.requests),
+            client=targets.HttpTargetClient(options.requests, self.responses),
             callers=options.callers,
             topology=topology,
             acceptor=acceptance.Acceptor(self.platform, self.sink, self.peers),
@@ -191,6 +197,18 @@
             'tracked_prefixes', router.placer.prefix_index.count_prefixes()
         )
         self.metrics.set_state('journal_entries', router.journal.count())
+        self.metrics.set_state(
+            'caller_held_bytes', self.holdings.count_bytes()
+        )
+        self.metrics.set_state(
+            'caller_budget_bytes', self.holdings.budget.bytes
+        )
+        self.metrics.set_state(
+            'caller_connections', self.holdings.count_connections()
+        )
+        self.metrics.set_state(
+            'response_buffer_bytes', self.responses.held_bytes
+        )
         self.metrics.set_state(
             'configuration_number', router.acceptor.snapshot.number
         )
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/response_parsers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/response_parsers.py
@@ -15,6 +15,7 @@
 from twisted.web import http_headers
 
 from pistachioseam import statuses
+from pistachioseam_entry import sockets
 
 VERSION_PATTERN = re.compile(rb'HTTP/1\.[0-9]')
 """Twisted takes any text before the version for the name of the protocol, so
@@ -86,6 +87,12 @@
 class StrictProtocol(_newclient.HTTP11ClientProtocol):
     """Connection of an `Agent` that parses responses strictly."""
 
+    def connectionMade(self) -> None:  # noqa: N802
+        """Bound what the kernel holds of a response."""
+        super().connectionMade()
+        transport: typing.Any = self.transport
+        sockets.limit_receive_buffer(transport.getHandle())
+
     def request(
         self, request: _newclient.Request
     ) -> defer.Deferred[typing.Any]:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/settings.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/settings.py
@@ -15,6 +15,7 @@
 from pistachioseam import links
 from pistachioseam.placement import placer
 from pistachioseam import validators
+from pistachioseam_entry import capacities
 from pistachioseam_entry import setting_files
 
 AccountLimits: typing.TypeAlias = limits.Settings
@@ -130,6 +131,7 @@
     link: Link = attrs.field(factory=Link)
     peers: Peers | None = None
     shutdown: Shutdown = attrs.field(factory=Shutdown)
+    capacity: capacities.Capacity = attrs.field(factory=capacities.Capacity)
     logs: setting_files.Logs = attrs.field(factory=setting_files.Logs)
 
 
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/targets.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/targets.py
@@ -11,10 +11,12 @@
 from twisted.web import http
 
 from pistachioseam import interfaces
+from pistachioseam import response_budgets
 from pistachioseam_entry import bodies
 from pistachioseam_entry import reactors
 from pistachioseam_entry import response_parsers
 from pistachioseam_entry import settings
+from pistachioseam_entry import whole_bodies
 
 CANCEL_TIMEOUT_SECONDS = 2.0
 
@@ -35,8 +37,15 @@
     call has run.
     """
 
-    def __init__(self, options: settings.Requests) -> None:
+    def __init__(
+        self,
+        options: settings.Requests,
+        budget: response_budgets.ResponseBudget | None = None,
+    ) -> None:
         self._options = options
+        self._order = response_budgets.ReadingOrder(
+            budget or response_budgets.ResponseBudget()
+        )
         self._agent = client.Agent(
             reactors.get_reactor(),
             connectTimeout=options.connect_timeout_seconds,
@@ -128,9 +137,10 @@
 
     async def _read_response(self, response: typing.Any) -> CallResult:
         max_bytes = self._options.max_answer_bytes
-        body = bodies.BodyReader(max_bytes)
-        response.deliverBody(body)
-        read = await body.read_all(self._options.piece_timeout_seconds)
+        reader = whole_bodies.WholeBodyReader(max_bytes, self._order)
+        with self._order.open(reader) as body:
+            response.deliverBody(body)
+            read = await body.read_all(self._options.piece_timeout_seconds)
         return read.map(lambda content: _create_response(response, content))
 
     async def cancel(self, address: str, request_id: str) -> None:
