--- a/tests/entry/test_caller_channels.py
+++ b/tests/entry/test_caller_channels.py
@@ -443,6 +443,26 @@
     case.assertTrue(transport.disconnected)
 
 
+def test_lost_connection_holds_no_unsent_bytes(case: support.Case) -> None:
+    """Guards against responses that live until the garbage collector runs."""
+    connection = connect()
+    transport: typing.Any = connection.transport
+    transport.dataBuffer = bytes(100)
+    transport.offset = 10
+    transport._tempDataBuffer = [bytes(100)]
+    transport._tempDataLen = 100
+    connection.protocol.connectionLost(failure.Failure(error.ConnectionDone()))
+    case.assertEqual(
+        (b'', 0, [], 0),
+        (
+            transport.dataBuffer,
+            transport.offset,
+            transport._tempDataBuffer,
+            transport._tempDataLen,
+        ),
+    )
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
--- a/tests/entry/test_relay_service.py
+++ b/tests/entry/test_relay_service.py
@@ -4,6 +4,7 @@
 import typing
 
 import attrs
+import grpclib
 
 from pistachioseam.forwarding import paths
 from pistachioseam_entry import relay_messages
@@ -104,6 +105,49 @@
     clocks.run(run())
 
 
+class UnreadStream(Stream):
+    """Stream of a host that takes no part of a body."""
+
+    async def send(self, message: messages_pb2.Message) -> None:
+        """Keep a word; wait without an end with a part."""
+        await super().send(message)
+        if message.relay_word.data:
+            await asyncio.Event().wait()
+
+
+def test_stalled_call_makes_way_for_another(case: support.Case) -> None:
+    """Guards against unread responses that use up all relayed calls.
+
+    A call whose part has just been sent is not ended for another.
+    """
+
+    async def run() -> None:
+        target = call_fakes.create_target(1)
+        fixture = call_fakes.RouterFixture([target])
+        service = relay_service.RelayService(
+            fixture.router,
+            typing.cast(paths.TargetPaths, OpenPaths()),
+            fixture.targets,
+            max_calls=1,
+        )
+        call = attrs.evolve(test_relay_messages.CALL, incarnation=target.name)
+        request = relay_messages.encode_request(call)
+        fixture.targets.script = [[call_fakes.respond()] for _ in range(2)]
+        unread = asyncio.ensure_future(service.serve(UnreadStream(request)))
+        await asyncio.sleep(WAITED_SECONDS)
+        early, late = Stream(request), Stream(request)
+        await service.serve(early)
+        case.assertEqual('too many relayed calls', early.words[0].refused)
+        case.assertFalse(unread.done())
+        await asyncio.sleep(relay_service.STALL_SECONDS)
+        await service.serve(late)
+        case.assertTrue(late.words[-1].has_ended)
+        case.assertIsInstance(unread.exception(), grpclib.GRPCError)
+        case.assertEqual(0, service.active)
+
+    clocks.run(run())
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
--- a/tests/failures/test_builds.py
+++ b/tests/failures/test_builds.py
@@ -22,6 +22,7 @@
     'df0f13b',
     'e7a9c85',
     '9a7b9aa',
+    '7866fca',
 )
 """Commits of the builds that hosts are upgraded from."""
 HOST_COUNT = 3
--- a/tests/peer/test_servers.py
+++ b/tests/peer/test_servers.py
@@ -185,6 +185,36 @@
     run(work)
 
 
+def test_many_waiting_calls_leave_room_for_another(
+    case: support.Case,
+) -> None:
+    """Guards against calls that wait for a stream of a full connection.
+
+    HTTP/2 servers accept 100 streams of a connection by default.
+    """
+
+    async def work(relay: Relay, address: str) -> None:
+        with clients.PeerClient(SECRET) as client:
+            streams = [
+                client.open_relay(address)
+                for _ in range(2 * clients.MAX_RELAY_STREAMS + 1)
+            ]
+            for stream in streams:
+                await stream.send(create_message(b'1'))
+                case.assertIsNotNone(await stream.receive())
+            case.assertEqual(3, len(client._relay_connections[address]))
+            for stream in streams:
+                stream.close()
+            await asyncio.sleep(0)
+            open_streams = [
+                connection.streams
+                for connection in client._relay_connections[address]
+            ]
+            case.assertEqual([0, 0, 0], open_streams)
+
+    run(work)
+
+
 @contextlib.asynccontextmanager
 async def open_dying_host() -> abc.AsyncIterator[str]:
     """Yield the address of a host that is killed once it has been sent to."""
