Whole responses: the reader owns its place in the order

A class that is a context manager instead of a generator function, as elsewhere. A relayed call that is ended for others is logged at the host that ends it, as other failures of relayed calls are.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/bounded_requests.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/bounded_requests.py
@@ -16,6 +16,7 @@
 above the limit get status 431. Beyond the multiple it closes the
 connection."""
 BODY_COPIES = 2
+"""Copies of a body that is served: its own and that of the transport."""
 SMALL_BODY_BYTES = 65_536
 """Limit on the bodies of operators and probes."""
 SMALL_HEADER_BYTES = 16_384
@@ -162,10 +163,8 @@
 
 
 def weigh_request(request: typing.Any, body: bytes) -> int:
-    """Return the memory of a request while it is served.
-
-    Its body is copied once on the way to the target.
-    """
-    return BODY_COPIES * len(
-        body
-    ) + caller_channels.HEADER_FACTOR * measure_headers(request)
+    """Return the memory of a request with a body while it is served."""
+    header_bytes = measure_headers(request)
+    return (
+        BODY_COPIES * len(body) + caller_channels.HEADER_FACTOR * header_bytes
+    )
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_service.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_service.py
@@ -224,6 +224,9 @@
                     )
                     return
                 await self._tell_part(stream, data)
+        except grpclib.GRPCError as error:
+            self._log_response(call, str(error.message), response.connection)
+            raise
         finally:
             response.abort()
 
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/targets.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/targets.py
@@ -137,8 +137,7 @@
 
     async def _read_response(self, response: typing.Any) -> CallResult:
         max_bytes = self._options.max_answer_bytes
-        reader = whole_bodies.WholeBodyReader(max_bytes, self._order)
-        with self._order.open(reader) as body:
+        with whole_bodies.WholeBodyReader(max_bytes, self._order) as body:
             response.deliverBody(body)
             read = await body.read_all(self._options.piece_timeout_seconds)
         return read.map(lambda content: _create_response(response, content))
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/whole_bodies.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/whole_bodies.py
@@ -1,5 +1,7 @@
 """Readers of responses that are needed whole, within the host's budget."""
 
+import typing
+
 from returns import result
 
 from pistachioseam import response_budgets
@@ -10,7 +12,7 @@
     """Reader of one complete body of at most `max_bytes`.
 
     While the budget of responses is used up, it pauses unless it is the first
-    in `order`.
+    in `order`. On exit it gives up what it holds and reads no further.
     """
 
     def __init__(
@@ -21,6 +23,18 @@
         self._parts: list[bytes] = []
         self._held_bytes = 0
 
+    def __enter__(self) -> typing.Self:
+        """Take a place in the order."""
+        self._order.add(self)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """Release what is held, and the place."""
+        self.abort()
+        self._parts.clear()
+        self._count(-self._held_bytes)
+        self._order.remove(self)
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Hold data; pause reading while it is another response's turn."""
         if self._end_reason is not None:
@@ -42,12 +56,6 @@
             self._is_paused = False
             self._get_transport().resumeProducing()
 
-    def release(self) -> None:
-        """Give up what is held; it is read no further."""
-        self.abort()
-        self._parts.clear()
-        self._count(-self._held_bytes)
-
     def _count(self, change: int) -> None:
         self._held_bytes += change
         self._order.budget.held_bytes += change
--- a/packages/pistachioseam/src/pistachioseam/response_budgets.py
+++ b/packages/pistachioseam/src/pistachioseam/response_budgets.py
@@ -7,7 +7,6 @@
 """
 
 from collections import abc
-import contextlib
 import typing
 
 MAX_HELD_BYTES = 8_388_608
@@ -55,38 +54,30 @@
     """Reader of a response that is needed whole."""
 
     def resume(self) -> None:
-        """Go on reading if it has stopped."""
-
-    def release(self) -> None:
-        """Give up what is held; it is read no further."""
-
-
-Reader = typing.TypeVar('Reader', bound=WholeReader)
+        """Go on reading if it has paused."""
 
 
 class ReadingOrder:
     """Order in which responses that are needed whole are read.
 
-    While the budget is used up, only the one that was opened first goes on,
-    so that each is complete at some time.
+    While the budget is used up, only the one that was added first goes on, so
+    that each is complete at some time.
     """
 
     def __init__(self, budget: ResponseBudget) -> None:
         self.budget = budget
         self._readers: dict[WholeReader, None] = {}
 
-    @contextlib.contextmanager
-    def open(self, reader: Reader) -> abc.Iterator[Reader]:
-        """Give a reader its place until its response is complete."""
+    def add(self, reader: WholeReader) -> None:
+        """Give a reader its place."""
         self._readers[reader] = None
-        try:
-            yield reader
-        finally:
-            del self._readers[reader]
-            reader.release()
-            for other in list(self._readers):
-                if self.may_read(other):
-                    other.resume()
+
+    def remove(self, reader: WholeReader) -> None:
+        """Let others go on in place of a reader that has released its data."""
+        del self._readers[reader]
+        for other in list(self._readers):
+            if self.may_read(other):
+                other.resume()
 
     def may_read(self, reader: WholeReader) -> bool:
         """Return whether a reader may hold more."""
--- a/tests/core/test_response_budgets.py
+++ b/tests/core/test_response_budgets.py
@@ -7,46 +7,48 @@
 
 
 class Reader:
-    """Reader that records what it is told."""
+    """Reader that counts how often it may go on."""
 
     def __init__(self) -> None:
         self.resumed = 0
-        self.is_released = False
 
     def resume(self) -> None:
         """Count that it may go on."""
         self.resumed += 1
 
-    def release(self) -> None:
-        """Record that it has given up what it held."""
-        self.is_released = True
+
+def create_readers(
+    order: response_budgets.ReadingOrder, count: int
+) -> list[Reader]:
+    """Return readers that have been added to an order."""
+    readers = [Reader() for _ in range(count)]
+    for reader in readers:
+        order.add(reader)
+    return readers
 
 
 def test_first_reader_goes_on_without_room(case: support.Case) -> None:
     """Guards against responses that all wait for each other's memory."""
     budget = response_budgets.ResponseBudget()
     order = response_budgets.ReadingOrder(budget)
-    with order.open(Reader()) as first, order.open(Reader()) as second:
-        case.assertTrue(order.may_read(second))
-        budget.held_bytes = budget.limit_bytes + 1
-        case.assertTrue(order.may_read(first))
-        case.assertFalse(order.may_read(second))
+    first, second = create_readers(order, 2)
+    case.assertTrue(order.may_read(second))
+    budget.held_bytes = budget.limit_bytes + 1
+    case.assertTrue(order.may_read(first))
+    case.assertFalse(order.may_read(second))
 
 
 def test_next_reader_goes_on_when_one_ends(case: support.Case) -> None:
     """The one that was opened next goes on; others wait without room."""
     budget = response_budgets.ResponseBudget()
     order = response_budgets.ReadingOrder(budget)
-    with order.open(Reader()) as first, order.open(Reader()) as second:
-        budget.held_bytes = budget.limit_bytes + 1
-        with order.open(Reader()) as ended:
-            pass
-        case.assertTrue(ended.is_released)
-        case.assertEqual((1, 0), (first.resumed, second.resumed))
-        budget.held_bytes = 0
-        with order.open(Reader()):
-            pass
-        case.assertEqual((2, 1), (first.resumed, second.resumed))
+    first, second, third, fourth = create_readers(order, 4)
+    budget.held_bytes = budget.limit_bytes + 1
+    order.remove(first)
+    case.assertEqual([1, 0, 0], [r.resumed for r in (second, third, fourth)])
+    budget.held_bytes = 0
+    order.remove(second)
+    case.assertEqual([1, 1], [r.resumed for r in (third, fourth)])
 
 
 def test_cleared_parts_do_not_count(case: support.Case) -> None:
