--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -36,6 +36,12 @@
     BEHAVIOURS, ('whole', 'shed', 'again', 'fail')
 )
 """Behaviours without delays, for callers that exceed a quota."""
+LONG_BEHAVIOURS = {
+    '/safe/': ('chunks-300000', 'chunks-2000000'),
+    '/once/': ('chunks-300000', 'chunks-2000000'),
+}
+"""Behaviours with long responses. They have chunks, so that `http.client`
+raises an exception for a truncated one."""
 ACCOUNT = 'account-1'
 LIMITED_ACCOUNT = 'account-3'
 """Account with a quota."""
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -13,6 +13,8 @@
 STABLE_SECONDS = 4.0
 """Time after a disturbance for which a host counts as disturbed."""
 AT_MOST_ONCE_PREFIXES = ('/once/', '/stream/')
+LONG_PREFIX = 'chunks-'
+"""Prefix of behaviours with long responses, before their size."""
 
 
 @attrs.frozen
@@ -395,4 +397,7 @@
         return False
     if result.prefix in callers.STREAMS:
         return result.received + result.body in callers.WHOLE_STREAMS
+    if result.behaviour.startswith(LONG_PREFIX):
+        size = int(result.behaviour.removeprefix(LONG_PREFIX))
+        return result.body == bytes(size)
     return result.body == result.get_name().encode()
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -111,6 +111,7 @@
         kinds = [(callers.BEHAVIOURS, callers.ACCOUNT)] * CALLER_COUNT
         limited = (callers.QUICK_BEHAVIOURS, callers.LIMITED_ACCOUNT)
         kinds += [limited] * LIMITED_CALLER_COUNT
+        kinds.append((callers.LONG_BEHAVIOURS, callers.ACCOUNT))
         running_callers = [
             stack.enter_context(callers.Caller(running, seed * 100 + n, *kind))
             for n, kind in enumerate(kinds)
