Late delivery: only of a whole response whose delivery has begun

What callers could see: an event stream that broke off, ended as complete. Its call went on at another target, which responded with a whole body that was not delivered; when the deadline then passed, the call counted as served and the truncated stream was finished (MIXED).

Cause: `deliver_late` took a complete body and a begun reply for a delivery of that body. Change: the delivery of a whole body says so itself. Evidence: test_broken_stream_is_not_completed_at_the_deadline, True instead of False before.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -66,6 +66,7 @@
         self._router = router
         self._body: HeldBody | None = None
         self._error_body: HeldBody | None = None
+        self._is_writing_whole = False
         self._event_sequence = event_streams.EventSequence(
             event_streams.parse_id(call.head.after_event)
         )
@@ -420,6 +421,7 @@
 
     async def _write_body(self, body: HeldBody) -> None:
         """Deliver a complete response; its target is done with the call."""
+        self._is_writing_whole = True
         await self._begin_body(body.head, body.parts.held_bytes)
         self._finish_work()
         for part in body.parts:
@@ -441,14 +443,9 @@
 
         Return whether its delivery had begun.
         """
-        body = self._body
-        if (
-            body is None
-            or not body.is_complete
-            or not self._call.reply.is_begun()
-        ):
+        if self._body is None or not self._is_writing_whole:
             return False
-        for part in body.parts:
+        for part in self._body.parts:
             self._call.reply.write_late(part)
         return True
 
--- a/tests/core/forwarding/test_response_bodies.py
+++ b/tests/core/forwarding/test_response_bodies.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from pistachioseam.forwarding import delivery
 from pistachioseam import response_budgets
 from tests import call_fakes
 from tests import clocks
@@ -155,6 +156,32 @@
     clocks.run(run())
 
 
+def test_broken_stream_is_not_completed_at_the_deadline(
+    case: support.Case,
+) -> None:
+    """Guards against MIXED: a whole other response came in between.
+
+    The stream has begun and its next target responds 404; the deadline passes
+    while a further one is waited for.
+    """
+
+    async def run() -> None:
+        fixture = create_fixture()
+        call = fixture.create_call('/resumable/')
+        state = fixture.router.desired.state
+        assert state is not None
+        (call.route,) = [r for r in state.routes if r.name == 'resumable']
+        await call.reply.begin(200, ())
+        await call.reply.write(call_fakes.event(1))
+        with delivery.Delivery(call, fixture.router) as resumed:
+            failure = await resumed._deliver_body(call_fakes.respond(404))
+            assert failure is not None
+            case.assertIs(Kind.BROKEN, failure.kind)
+            case.assertFalse(resumed.deliver_late())
+
+    clocks.run(run())
+
+
 def test_long_error_is_tried_again_then_passed_on(case: support.Case) -> None:
     """A 5xx response of any length is delivered if no target succeeds."""
 
