Responses: go on with a body of known length after the deadline

Cause: a body beyond the budget is passed on inside the time limit of the call; before, it had been read whole and was delivered without a limit.

A body without a declared length may have no end and ends with the deadline.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -1,5 +1,6 @@
 """Delivery of targets' responses to the caller, complete and in order."""
 
+import asyncio
 import math
 import typing
 
@@ -39,6 +40,9 @@
 """Difference of two times that counts as none."""
 TIMED_OUT_STATUS = 504
 """Status of a call that its target stopped at the time limit it was given."""
+MAX_STALL_SECONDS = 2.0
+"""Time in which a part of a body must be read from its target, or accepted by
+the caller's side, once the deadline has passed."""
 MAX_PRIORITY = 9
 """Largest value, the least urgent, that engines accept."""
 
@@ -58,7 +62,8 @@
     """Response to one call, from one target or from several in succession.
 
     If a resumable event stream breaks at one target, it is resumed at the
-    next. On exit what it holds of a response is released.
+    next. On exit what it holds of a response is released. `time_limit` is that
+    of the call.
     """
 
     def __init__(self, call: calls.Call, router: routers.CallRouter) -> None:
@@ -67,6 +72,7 @@
         self._body: HeldBody | None = None
         self._error_body: HeldBody | None = None
         self._is_writing_whole = False
+        self.time_limit: asyncio.Timeout | None = None
         self._event_sequence = event_streams.EventSequence(
             event_streams.parse_id(call.head.after_event)
         )
@@ -360,10 +366,14 @@
         """
         self._call.has_partial_body = True
         await self._begin_body(body.head, response.declared_bytes)
+        if response.declared_bytes is not None and self.time_limit is not None:
+            self.time_limit.reschedule(None)
         while True:
             for part in body.parts:
-                await self._call.reply.write(part)
-            read = await response.read()
+                async with asyncio.timeout(self._get_part_seconds()):
+                    await self._call.reply.write(part)
+            async with asyncio.timeout(self._get_part_seconds()):
+                read = await response.read()
             if not returns_pipeline.is_successful(read):
                 return read.failure()
             if not read.unwrap():
@@ -371,6 +381,14 @@
             body.parts.add(read.unwrap())
         return _stop_outdated() if self._is_stopped(response) else None
 
+    def _get_part_seconds(self) -> float:
+        """Return the time limit of one part of a body.
+
+        A body of known length goes on after the deadline while it advances.
+        """
+        seconds_left = self._call.deadline - self._router.runtime.now()
+        return max(seconds_left, MAX_STALL_SECONDS)
+
     def _log_doubts(self, head: ports.ResponseHead) -> None:
         """Log a response that does not prove what its status says."""
         doubts = []
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -67,7 +67,9 @@
     )
     with delivery.Delivery(call, router) as delivery_:
         try:
-            async with asyncio.timeout(call.deadline - router.runtime.now()):
+            seconds = call.deadline - router.runtime.now()
+            async with asyncio.timeout(seconds) as time_limit:
+                delivery_.time_limit = time_limit
                 return await _send_until_served(call, router, delivery_)
         except TimeoutError:
             if delivery_.deliver_late():
--- a/tests/core/forwarding/test_response_bodies.py
+++ b/tests/core/forwarding/test_response_bodies.py
@@ -156,6 +156,72 @@
     clocks.run(run())
 
 
+class SlowReply(call_fakes.Reply):
+    """Response to a caller that takes a second for each part."""
+
+    async def write(self, data: bytes) -> None:
+        """Wait for the caller."""
+        await asyncio.sleep(1.0)
+        await super().write(data)
+
+
+def test_body_that_advances_is_delivered_after_the_deadline(
+    case: support.Case,
+) -> None:
+    """A caller that reads slowly gets a long response of known length."""
+
+    async def run() -> None:
+        fixture = create_fixture()
+        fixture.router.response_budget.limit_bytes = 0
+        parts = 2 * int(call_fakes.TIMEOUT_SECONDS)
+        response = call_fakes.respond(chunks=[PART] * parts)
+        response.declared_bytes = parts * len(PART)
+        call, reply = await fixture.serve(
+            '/safe/', [response], reply=SlowReply()
+        )
+        case.assertTrue(call.is_served)
+        case.assertEqual(parts * len(PART), len(reply.body))
+
+    clocks.run(run())
+
+
+def test_body_without_length_ends_with_the_deadline(
+    case: support.Case,
+) -> None:
+    """Guards against bodies without an end."""
+
+    async def run() -> None:
+        fixture = create_fixture()
+        fixture.router.response_budget.limit_bytes = 0
+        chunks = [PART, 1.0] * 2 * int(call_fakes.TIMEOUT_SECONDS)
+        call, reply = await fixture.serve(
+            '/safe/', [call_fakes.respond(chunks=chunks)]
+        )
+        case.assertFalse(call.is_served)
+        case.assertLessEqual(
+            len(reply.body), (call_fakes.TIMEOUT_SECONDS + 1) * len(PART)
+        )
+
+    clocks.run(run())
+
+
+def test_body_that_stalls_ends_after_the_deadline(case: support.Case) -> None:
+    """A caller that stops reading does not keep a call for ever."""
+
+    async def run() -> None:
+        fixture = create_fixture()
+        fixture.router.response_budget.limit_bytes = 0
+        response = call_fakes.respond(chunks=[PART] * 3)
+        response.declared_bytes = 3 * len(PART)
+        call, reply = await fixture.serve(
+            '/safe/', [response], reply=WaitingReply()
+        )
+        case.assertFalse(call.is_served)
+        case.assertEqual(len(PART), len(reply.body))
+
+    clocks.run(run())
+
+
 def test_broken_stream_is_not_completed_at_the_deadline(
     case: support.Case,
 ) -> None:
