Calls: count as sent from their first byte, not from the connect

What callers saw. A booking whose connect hangs was sent up to 2.2 s after its caller had closed the connection, and ran: nobody was told, and a caller that had booked again elsewhere had booked twice (GONE). A caller that waited got 504, which promises nothing, for a booking that had reached no server.

`Delivery.forward_to` set `may_have_run` before the connect. A call that may run only once is not cancelled on a disconnect once that is set; the listener asked at the moment of the disconnect only; after the failed connect the flag was reset, and up to three further attempts followed without a look at the caller. The deadline, too, met a call that "may have run". It is one cause for both: the flag stood for the decision to send, not for a byte sent.

Not kept connections: the server of the test was killed before, so none is left.

`OutgoingCall.begin_sending` is called by whoever carries the call, right before the first byte is written or another host is told to send it; it sets the flag. Until then a disconnect cancels the call and the deadline is told as not run; so is the begin limit of weights. A call that has been sent when its caller leaves goes on, is marked (`CallerPresence`), logged (326), and not sent again after a rejection. A request whose connection is lost before its task begins is not served. Attempts without an end are logged as `connecting` or `sent`, no longer as `ok`.

Why it works. Nothing is awaited between `begin_sending` and the write, so a disconnect comes either before it, and the call ends, or after it, and the target may have the call.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
@@ -127,6 +127,10 @@
         _TASKS.discard(task)
 
     async def _handle(self, request: typing.Any) -> None:
+        if request._disconnected:
+            # The caller left before this task began.
+            self._router.sink.emit(events.Event.CALLER_LEFT)
+            return
         with call_replies.ForwardedReply(request) as reply:
             call = self._create_call(request, reply)
             weight = bounded_requests.weigh_request(request, call.body)
@@ -153,8 +157,17 @@
         self, call: calls.Call, task: asyncio.Future[None]
     ) -> None:
         """Cancel the call of a disconnected caller unless it must complete."""
-        if not task.done() and call.is_cancelled_on_disconnect():
+        if task.done():
+            return
+        if call.is_cancelled_on_disconnect():
             task.cancel()
+            return
+        call.caller.leave()
+        self._router.sink.emit(
+            events.Event.CALL_GOES_ON,
+            request_id=call.request_id,
+            attempts=call.describe_attempts(),
+        )
 
     def _create_call(
         self, request: typing.Any, reply: call_replies.ForwardedReply
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -328,11 +328,8 @@
             codec,
             lambda: self.peers.get_relay_link(),
             lambda call: (
-                call.may_send()
-                and (
-                    not call.account
-                    or self.router.freshness.can_verify_keys(read_boot_clock())
-                )
+                not call.account
+                or self.router.freshness.can_verify_keys(read_boot_clock())
             ),
             self.connections.response_budget,
         )
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
@@ -62,8 +62,8 @@
     """Sends calls through other hosts.
 
     `may_send` says whether a call may still be sent, right before the other
-    host is told to do so. `get_link` returns None until the host has joined
-    the fleet.
+    host is told to do so and the call is marked as sent. `get_link` returns
+    None until the host has joined the fleet.
     """
 
     def __init__(
@@ -110,7 +110,7 @@
                 if answer.is_broken:
                     link.disconnect_relay(peer.address)
                 continue
-            if not self._may_send(call):
+            if not self._may_send(call) or not call.begin_sending():
                 relayed.close()
                 return _fail(Kind.NOT_SENT, 'it may no longer be sent')
             waited_seconds = self._runtime.now() - asked_at
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/routed_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/routed_connections.py
@@ -104,7 +104,7 @@
         connection: target_connections.Connection,
         call: ports.OutgoingCall,
     ) -> ports.SendResult:
-        if not call.may_send():
+        if not call.begin_sending():
             connection.drop()
             return result.Failure(
                 interfaces.CallFailure(
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -456,7 +456,7 @@
                 return result.Failure(connected.failure())
             connection = connected.unwrap()
             call = call.spend(reactors.get_reactor().seconds() - started_at)
-        if not may_send():
+        if not may_send() or not call.begin_sending():
             self._add_idle(connection)
             return _fail(Kind.NOT_SENT, 'it may no longer be sent')
         return await self.send_on(connection, call)
--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -179,6 +179,11 @@
         Level.WARNING,
         'callers turned away that hold too much or are too slow',
     )
+    CALL_GOES_ON = EventKind(
+        326,
+        Level.INFO,
+        'caller disconnected; its call goes on, as it may have run',
+    )
     CLAIM_DROPPED = EventKind(
         401,
         Level.WARNING,
--- a/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
@@ -5,6 +5,7 @@
 import attrs
 
 from pistachioseam import filter_notes
+from pistachioseam.forwarding import caller_presence
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import coordinator_clients
 from pistachioseam.forwarding import desired
@@ -19,6 +20,8 @@
 class CallAttempt:
     """One attempt at a target; `failure` is empty unless it failed.
 
+    `is_sent` is set right before the first byte is sent to the target, or to
+    the host that relays the call, `is_ended` when the attempt has ended.
     `expected_seconds` is the expected time to the first byte of the response;
     `tokens_by_source` holds the result of `RunPlan.count_tokens`: the prompt's
     tokens by label of `pistachioseam_prompt_tokens_total`. `first_event_at` is
@@ -30,19 +33,29 @@
     target: catalog.LiveTarget
     started_at: float
     expected_seconds: float = 0.0
+    is_sent: bool = False
+    is_ended: bool = False
     failure: str = ''
     is_given_up: bool = False
     first_event_at: float | None = None
     connection: str = ''
     tokens_by_source: abc.Mapping[str, int] = attrs.field(factory=dict)
 
+    def describe_end(self) -> str:
+        """Return the failure, `ok`, or how far it came without an end."""
+        if self.failure or self.is_ended:
+            return self.failure or 'ok'
+        return 'sent' if self.is_sent else 'connecting'
+
 
 @attrs.define(kw_only=True)
 class Call:
     """One forwarded call; times are monotonic seconds.
 
-    `may_have_run` is set before the call is sent to a target, and reset if
-    the failure of that attempt proves that the target has not run it.
+    `may_have_run` is set right before the first byte is sent to a target, and
+    reset if the failure of that attempt proves that the target has not run
+    it. `caller` tells whether the caller still waits; it is not told of a
+    caller whose call is cancelled.
     `is_served` is set once the caller has a target's whole response. `status`
     is the HTTP status of the target's response, 0 until it is sent to the
     caller; `origin` is what began the stream that the caller has events of,
@@ -78,6 +91,9 @@
     notes: list[filter_notes.Note] = attrs.field(factory=list)
     refusal: refusals.Refusal | None = None
     grant: quotas.Grant | None = None
+    caller: caller_presence.CallerPresence = attrs.field(
+        factory=caller_presence.CallerPresence
+    )
 
     def may_send(self) -> bool:
         """Return whether the quota of the account lets the call be sent now.
@@ -99,7 +115,8 @@
     def is_cancelled_on_disconnect(self) -> bool:
         """Return whether to cancel the call when its caller disconnects.
 
-        A call that may run only once, and may have started, runs to its end.
+        A call that may run only once, and may have reached a target, runs to
+        its end.
         """
         if self.route is None or not self.may_have_run:
             return True
@@ -113,6 +130,13 @@
         """
         self.body = b''
 
+    def describe_attempts(self) -> list[str]:
+        """Return `target:end` of each attempt, for the log."""
+        return [
+            f'{attempt.target.name}:{attempt.describe_end()}'
+            for attempt in self.attempts
+        ]
+
     def add_note(self, name: str, text: str) -> None:
         """Add a text of the filter `name` to the call's journal entry."""
         self.notes.append(filter_notes.Note(name, text))
--- a/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/delivery.py
@@ -83,6 +83,7 @@
         self._plan: plans.RunPlan | None = None
         self._begin_limit = begin_limits.BeginLimit(lambda: float('inf'))
         self._run_ends_at = float('inf')
+        self._is_sent = False
 
     def __enter__(self) -> typing.Self:
         """Return the delivery."""
@@ -105,8 +106,8 @@
         self._ticket = self._call.admission_ticket
         self._has_reported_begin = False
         self._call.admission_ticket = None
+        self._is_sent = False
         may_have_run_before = self._call.may_have_run
-        self._call.may_have_run = True
         self._run_ends_at = (
             self._router.runtime.now() + self._get_run_seconds()
         )
@@ -118,14 +119,27 @@
             if not self._begin_limit.is_exceeded():
                 raise
             failure = interfaces.CallFailure(
-                Kind.OUTDATED, 'not begun while its weights were in use'
+                Kind.OUTDATED if self._is_sent else Kind.NOT_SENT,
+                'not begun while its weights were in use',
             )
         finally:
             self._finish_work()
-        if failure is not None and not proofs.may_have_run(failure.kind):
+        if failure is None or proofs.may_have_run(failure.kind):
+            self._call.may_have_run = True
+        else:
             self._call.may_have_run = may_have_run_before
         return failure
 
+    def _begin_sending(self) -> bool:
+        """Return whether the call may be sent now; from then on it may run."""
+        if self._call.caller.has_left or not self._call.may_send():
+            return False
+        self._is_sent = True
+        self._call.may_have_run = True
+        if self._call.attempts:
+            self._call.attempts[-1].is_sent = True
+        return True
+
     def plan(self, target: catalog.LiveTarget) -> str:
         """Plan a model call at a target; return the plan's text for the log.
 
@@ -220,7 +234,12 @@
         if self._plan is not None:
             outgoing = add_plan(outgoing, self._call, self._plan)
         run_seconds = self._run_ends_at - self._router.runtime.now()
-        outgoing = attrs.evolve(outgoing, run_seconds_left=run_seconds)
+        outgoing = attrs.evolve(
+            outgoing,
+            run_seconds_left=run_seconds,
+            begin_sending=self._begin_sending,
+            caller=self._call.caller,
+        )
         sent = await self._router.connections.send(target.address, outgoing)
         if not returns_pipeline.is_successful(sent):
             self._record_connection(sent.failure().connection)
@@ -652,7 +671,6 @@
         else NON_RETRYABLE_MAX_IDLE_SECONDS,
         needs_new_connection=_was_tried(call, target.address),
         is_retryable=call.is_retryable(),
-        may_send=call.may_send,
         after_event=call.head.after_event
         if last_event_id is None
         else (str(last_event_id)),
@@ -712,10 +730,7 @@
         status=refusal.status if refusal else call.status,
         reason=refusal.reason.value if refusal else '',
         detail=refusal.message if refusal else '',
-        attempts=[
-            f'{attempt.target.name}:{attempt.failure or "ok"}'
-            for attempt in call.attempts
-        ],
+        attempts=call.describe_attempts(),
         connections=[attempt.connection for attempt in call.attempts],
         first_byte=None
         if first_byte_at is None
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -6,6 +6,7 @@
 import attrs
 from returns import result
 
+from pistachioseam.forwarding import caller_presence
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import drains
@@ -63,7 +64,9 @@
     with `needs_new_connection` none is reused.
     `is_retryable` is set if the call may run more than once. The target stops
     after `run_seconds_left` if that is shorter than `seconds_left`, the time
-    that the caller waits. `may_send` is called right before the call is sent.
+    that the caller waits. `begin_sending` is called right before the first
+    byte is sent, and returns whether it may be; from then on the call may run.
+    `caller` tells whether the caller still waits.
     """
 
     request_id: str
@@ -84,9 +87,12 @@
     max_idle_seconds: float = float('inf')
     needs_new_connection: bool = False
     is_retryable: bool = False
-    may_send: abc.Callable[[], bool] = attrs.field(
+    begin_sending: abc.Callable[[], bool] = attrs.field(
         default=allow_sending, repr=False, eq=False
     )
+    caller: caller_presence.CallerPresence = attrs.field(
+        factory=caller_presence.CallerPresence, repr=False, eq=False
+    )
 
     def get_target_seconds(self) -> float:
         """Return the time in seconds after which the target stops."""
@@ -237,7 +243,11 @@
     """Connections to targets; addresses are `IP:port`."""
 
     async def send(self, address: str, call: OutgoingCall) -> SendResult:
-        """Send once, without a retry; return when the head arrives."""
+        """Send once, without a retry; return when the head arrives.
+
+        `call.begin_sending` is called right before the first byte is sent. If
+        it returns False, the call fails with the kind `NOT_SENT`.
+        """
 
     async def is_connection_refused(self, address: str) -> bool:
         """Return whether an address refuses a new connection."""
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -335,6 +335,7 @@
     router.health.record_sent(target.name)
     router.brittleness.record_sent(target, now)
     failure = await delivery_.forward_to(target)
+    attempt.is_ended = True
     attempt.failure = failure.kind.value if failure else ''
     attempt.is_given_up = failure is not None and failure.is_given_up
     record_attempt_result(call, router, attempt, failure)
@@ -423,7 +424,8 @@
     attempt = call.attempts[-1]
     if attempt.failure:
         return
-    attempt.failure = Kind.TIMED_OUT.value
+    kind = Kind.TIMED_OUT if attempt.is_sent else Kind.NOT_SENT
+    attempt.failure = kind.value
     now = router.runtime.now()
     router.failure_tracker.record(attempt.target.name, True, now)
     router.sink.emit(
@@ -447,7 +449,7 @@
     """
     assert call.route is not None and call.service is not None
     now = router.runtime.now()
-    if call.has_partial_body:
+    if call.has_partial_body or call.caller.has_left:
         return call_refusals.refuse_failed(call, failure)
     if call.may_have_run and not call.is_retryable():
         return call_refusals.refuse_failed(call, failure)
--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -168,13 +168,21 @@
         self.sent: list[tuple[str, ports.OutgoingCall]] = []
         self.crashed_addresses: set[str] = set()
         self.prefill_seconds = 0.0
+        self.connect_seconds = 0.0
         self.listeners: list[ports.ResponseListener] = []
         self._free_at = 0.0
 
     async def send(
         self, address: str, call: ports.OutgoingCall
     ) -> ports.SendResult:
-        """Respond by the next part of the script."""
+        """Respond by the next part of the script.
+
+        The connection opens after `connect_seconds`.
+        """
+        if self.connect_seconds:
+            await asyncio.sleep(self.connect_seconds)
+        if not call.begin_sending():
+            return result.Failure(create_failure(Kind.NOT_SENT))
         self.sent.append((address, call))
         sent_at = asyncio.get_running_loop().time()
         if self.prefill_seconds:
--- a/tests/entry/test_admission_replay.py
+++ b/tests/entry/test_admission_replay.py
@@ -142,6 +142,7 @@
     ) -> ports.SendResult:
         """Return the response of an engine."""
         engine = self._engines[address]
+        call.begin_sending()
         kind = SHORT if call.uri.startswith(SHORT.prefix.encode()) else LONG
         delay = get_delay(self._domain, engine.domain)
         await asyncio.sleep(delay)
--- a/tests/entry/test_call_listener.py
+++ b/tests/entry/test_call_listener.py
@@ -6,7 +6,9 @@
 from unittest import mock
 
 import attrs
+from twisted.internet import error
 from twisted.internet import testing
+from twisted.python import failure
 
 from pistachioseam import events
 from pistachioseam.forwarding import calls
@@ -132,6 +134,78 @@
     case.assertEqual(served.content, served.ended)
 
 
+def leave(filters: Filters, is_early: bool = False) -> list[events.Event]:
+    """Return the events of a request whose caller leaves after a while.
+
+    If `is_early`, the caller leaves before the request's task has begun.
+    """
+
+    async def work() -> list[events.Event]:
+        fixture = call_fakes.RouterFixture([call_fakes.create_target(1)])
+        listener = call_listener.CallListener(
+            fixture.router, headers.HeaderCodec(), metrics.Metrics()
+        )
+        protocol: typing.Any = listener.create_site().buildProtocol(None)
+        protocol.makeConnection(testing.StringTransport())
+        fixture.sink.events.clear()
+        with mock.patch.object(routers, 'run_filters', filters):
+            protocol.dataReceived(REQUEST)
+            if not is_early:
+                await asyncio.sleep(0.01)
+            protocol.connectionLost(failure.Failure(error.ConnectionDone()))
+            while listener.active_requests:
+                await asyncio.sleep(0)
+        return fixture.sink.list_kinds()
+
+    loop = reactors.get_reactor()._asyncioEventloop
+    return loop.run_until_complete(asyncio.wait_for(work(), 10.0))
+
+
+def test_unsent_call_is_cancelled_as_its_caller_leaves(
+    case: support.Case,
+) -> None:
+    """Guards against GONE: a call that may run only once, not yet sent."""
+
+    async def connect(call: calls.Call, _: routers.CallRouter) -> None:
+        call.route = call_fakes.create_state().routes[1]
+        await asyncio.Event().wait()
+
+    case.assertEqual([events.Event.CALLER_LEFT], leave(connect))
+
+
+def test_sent_call_is_told_that_its_caller_has_left(
+    case: support.Case,
+) -> None:
+    """It goes on, is not sent again, and its outcome is logged."""
+    departed = []
+
+    async def send(call: calls.Call, _: routers.CallRouter) -> None:
+        call.route = call_fakes.create_state().routes[1]
+        call.may_have_run = True
+        while not call.caller.has_left:
+            await asyncio.sleep(0)
+        departed.append(call)
+
+    logged = leave(send)
+    case.assertEqual(
+        [events.Event.CALL_GOES_ON, events.Event.REQUEST_ENDED], logged
+    )
+    case.assertEqual(1, len(departed))
+
+
+def test_call_whose_caller_left_before_its_task_began_is_not_served(
+    case: support.Case,
+) -> None:
+    """Guards against GONE: nothing would tell it that the caller has left."""
+
+    async def serve(call: calls.Call, _: routers.CallRouter) -> None:
+        served.append(call)
+
+    served: list[calls.Call] = []
+    case.assertEqual([events.Event.CALLER_LEFT], leave(serve, is_early=True))
+    case.assertEqual([], served)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
--- a/tests/entry/test_fleet_brittle.py
+++ b/tests/entry/test_fleet_brittle.py
@@ -85,6 +85,7 @@
     ) -> ports.SendResult:
         """Run a call at a target."""
         target = self._targets[address]
+        call.begin_sending()
         sent_at = asyncio.get_running_loop().time()
         is_run = await target.run(sent_at)
         if is_run is None:
--- a/tests/entry/test_routed_connections.py
+++ b/tests/entry/test_routed_connections.py
@@ -111,7 +111,9 @@
         expires_at = asyncio.get_running_loop().time() + 0.5
         call = attrs.evolve(
             CALL,
-            may_send=lambda: asyncio.get_running_loop().time() < expires_at,
+            begin_sending=lambda: (
+                asyncio.get_running_loop().time() < expires_at
+            ),
         )
         await send(pool, Relay(), call)
         case.assertEqual([], pool.sent)
--- a/tests/partitioned_hosts.py
+++ b/tests/partitioned_hosts.py
@@ -140,6 +140,10 @@
             if not isinstance(connected, result.Success):
                 return result.Failure(connected.failure())
             connection = connected.unwrap()
+        if not call.begin_sending():
+            connection.drop()
+            failure = interfaces.CallFailure(Kind.NOT_SENT, 'not begun')
+            return result.Failure(failure)
         return await self.send_on(connection, call)
 
     async def send_on(
--- a/tests/queueing_engines.py
+++ b/tests/queueing_engines.py
@@ -51,6 +51,7 @@
         self, address: str, call: ports.OutgoingCall
     ) -> ports.SendResult:
         """Run a call, and go on for a while if the host gives it up."""
+        call.begin_sending()
         task = asyncio.ensure_future(self._run(address, call))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
