Relays: do not send a call whose caller has left in the meantime

What callers saw.

From its order on (RelayGo) a relayed call may have run, so the first host does not cancel it; but nothing told the relaying host of the caller. Resetting the stream is no way to tell: it cancels calls that the target works on too.

A new message, RelayCallerLeft: the relaying host reads it while it waits for the head of the response. What it has not sent it does not send any more, and says so (not-sent); what it has sent goes on. Only a field is added: relaying hosts of earlier builds do not read it and behave as before, hosts of earlier builds do not send it.

Why it works. The relaying host passes `CallerPresence` to its own connections, which ask it right before the first byte, as for a caller of its own.

Evidence (virtual time). test_fleet_partitions, two hosts, a connect that hangs for 0.6 s: the call ran with the former relay_service or the former relay_client, and does not with both. test_relay_service and test_relay_client failed before likewise; 40 tests of relays, partitions and peers pass.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_client.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from pistachioseam import events
+from pistachioseam.forwarding import caller_presence
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import relays
 from pistachioseam import interfaces
@@ -148,7 +149,9 @@
         )
         self._get_peers().start(peer.name)
         relayed.on_closed = lambda: self._get_peers().finish(peer.name)
-        return await relayed.send(nonce, self._decoder, waited_seconds)
+        return await relayed.send(
+            nonce, self._decoder, waited_seconds, call.caller
+        )
 
 
 @attrs.frozen(kw_only=True)
@@ -201,6 +204,7 @@
         self._own = own
         self._is_ended = False
         self._is_closed = False
+        self._reporting: asyncio.Future[None] | None = None
 
     async def request_relay(self, call: ports.OutgoingCall) -> RelayAnswer:
         """Ask the host to relay a call."""
@@ -232,10 +236,12 @@
         nonce: bytes,
         decoder: HeadDecoder,
         waited_seconds: float = 0.0,
+        caller: caller_presence.CallerPresence | None = None,
     ) -> ports.SendResult:
         """Let the host send the call; return when the head has arrived.
 
-        `waited_seconds` is the time since the host was asked.
+        `waited_seconds` is the time since the host was asked. The host is
+        told if `caller` leaves: it then does not send what it has not sent.
         From here on the call may run unless the host says that it was not
         sent.
         """
@@ -245,7 +251,9 @@
                 waited_ms=relay_messages.encode_waited_ms(waited_seconds),
             )
             await self._stream.send(self._create_message(relay_go=go))
-            word = await self._receive_news()
+            caller = caller or caller_presence.CallerPresence()
+            with caller.watch(self._start_reporting_left):
+                word = await self._receive_news()
         except asyncio.CancelledError:
             self.close()
             raise
@@ -270,6 +278,18 @@
         self._budget.held_bytes += self._counted_bytes
         return result.Success(self)
 
+    def _start_reporting_left(self) -> None:
+        """Tell the other host in the background that the caller has left."""
+        self._reporting = asyncio.ensure_future(self._report_left())
+
+    async def _report_left(self) -> None:
+        message = self._create_message(
+            relay_caller_left=messages_pb2.RelayCallerLeft()
+        )
+        # If the stream is broken, the call that waits on it fails too.
+        with contextlib.suppress(Exception):
+            await self._stream.send(message)
+
     def _break(self, detail: str) -> ports.SendResult:
         self.close()
         return result.Failure(_give_up(detail))
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/relay_service.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/relay_service.py
@@ -1,14 +1,17 @@
 """Calls that this host sends to targets for hosts that reach none."""
 
 import asyncio
+import contextlib
 import secrets
 import typing
 
+import attrs
 import grpclib
 from grpclib import const
 from returns import pipeline
 
 from pistachioseam import events
+from pistachioseam.forwarding import caller_presence
 from pistachioseam.forwarding import paths
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import router as routers
@@ -194,9 +197,13 @@
         call: ports.OutgoingCall,
     ) -> None:
         """Send a call and pass its response on, complete and in order."""
-        sent = await _wait_with_words(
-            stream, self._connections.send(address, call)
-        )
+        with _CallerWatch(stream) as caller:
+            call = attrs.evolve(
+                call, begin_sending=caller.is_present, caller=caller
+            )
+            sent = await _wait_with_words(
+                stream, self._connections.send(address, call)
+            )
         if not pipeline.is_successful(sent):
             failure = sent.failure()
             self._log_response(call, failure.kind.value, failure.connection)
@@ -231,6 +238,34 @@
             response.abort()
 
 
+class _CallerWatch:
+    """Presence of the caller of a relayed call, as the other host tells it.
+
+    Only until the block ends; the word is received in a task of its own.
+    """
+
+    def __init__(self, stream: servers.RelayStream) -> None:
+        self._stream = stream
+        self._caller = caller_presence.CallerPresence()
+
+    def __enter__(self) -> caller_presence.CallerPresence:
+        """Start to wait for the word that the caller has left."""
+        self._task = asyncio.ensure_future(self._receive())
+        return self._caller
+
+    def __exit__(self, *_: object) -> None:
+        """Wait no longer."""
+        self._task.cancel()
+
+    async def _receive(self) -> None:
+        # The handler of the stream ends with it, so its errors end this too.
+        with contextlib.suppress(Exception):
+            while message := await self._stream.receive():
+                if message.HasField('relay_caller_left'):
+                    self._caller.leave()
+                    return
+
+
 async def _tell(stream: servers.RelayStream, **word: typing.Any) -> None:
     await stream.send(
         messages_pb2.Message(relay_word=messages_pb2.RelayWord(**word))
--- a/tests/entry/test_fleet_partitions.py
+++ b/tests/entry/test_fleet_partitions.py
@@ -10,6 +10,7 @@
 from returns import result
 
 from pistachioseam.forwarding import delivery
+from pistachioseam.forwarding import router as routers
 from pistachioseam_entry import relay_client
 from pistachioseam_entry import relay_service
 from tests import clocks
@@ -322,6 +323,35 @@
     clocks.run(run())
 
 
+def test_relayed_call_whose_caller_left_is_not_sent(
+    case: support.Case,
+) -> None:
+    """Guards against GONE: the relaying host's connect hangs meanwhile."""
+
+    async def run() -> None:
+        fleet = partitioned_hosts.Fleet(2, 1)
+        await asyncio.sleep(3.0)
+        host, relay = fleet.hosts
+        host.pool.set_mode('cut')
+        await host.paths.check(max_age_seconds=0.0)
+        relay.pool.set_mode('hang')
+        call = host.fixture.create_call('/once/', timeout_seconds=3.0)
+        work = asyncio.ensure_future(routers.run_filters(call, host.router))
+        await asyncio.sleep(0.3)
+        case.assertEqual(1, relay.relay_service.active)
+        case.assertFalse(call.is_cancelled_on_disconnect())
+        call.caller.leave()
+        await asyncio.sleep(0.3)
+        relay.pool.set_mode('pass')
+        await work
+        case.assertEqual([], fleet.list_runs())
+        case.assertFalse(call.may_have_run)
+        case.assertEqual(1, len(call.attempts))
+        case.assertEqual(0, relay.relay_service.active)
+
+    clocks.run(run())
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
--- a/tests/entry/test_relay_client.py
+++ b/tests/entry/test_relay_client.py
@@ -4,8 +4,10 @@
 from collections import abc
 import typing
 
+import attrs
 from returns import pipeline
 
+from pistachioseam.forwarding import caller_presence
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import relays
 from pistachioseam import interfaces
@@ -122,8 +124,10 @@
     )
 
 
-async def send(link: Link) -> ports.SendResult:
-    """Send `CALL` through the hosts of a link; return the result."""
+async def send(
+    link: Link, call: ports.OutgoingCall = CALL
+) -> ports.SendResult:
+    """Send a call through the hosts of a link; return the result."""
     sink = call_fakes.Sink()
 
     def may_send(call: ports.OutgoingCall) -> bool:
@@ -138,7 +142,7 @@
         lambda: link,
         may_send,
     )
-    return await client.send(CALL)
+    return await client.send(call)
 
 
 def test_time_for_which_a_host_is_silent_is_taken_off_the_time_limit(
@@ -216,6 +220,45 @@
     clocks.run(run())
 
 
+def test_relaying_host_is_told_that_the_caller_has_left(
+    case: support.Case,
+) -> None:
+    """Guards against GONE: it may still connect to the target."""
+
+    async def run() -> None:
+        link = Link(MuteStream)
+        caller = caller_presence.CallerPresence()
+        sending = asyncio.ensure_future(
+            send(link, attrs.evolve(CALL, caller=caller))
+        )
+        await asyncio.sleep(2 * ANSWER_SECONDS)
+        caller.leave()
+        await sending
+        (stream,) = link.streams
+        told = [message.WhichOneof('content') for message in stream.sent]
+        case.assertEqual(
+            ['relay_request', 'relay_go', 'relay_caller_left'], told
+        )
+
+    clocks.run(run())
+
+
+def test_call_whose_caller_left_is_not_ordered_to_be_sent(
+    case: support.Case,
+) -> None:
+    """Guards against GONE: another host accepts it after the caller left."""
+
+    async def run() -> None:
+        link = Link(SlowStream)
+        call = attrs.evolve(CALL, begin_sending=lambda: False)
+        sent = await send(link, call)
+        case.assertIs(interfaces.FailureKind.NOT_SENT, sent.failure().kind)
+        (stream,) = link.streams
+        case.assertEqual(1, len(stream.sent))
+
+    clocks.run(run())
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
--- a/tests/entry/test_relay_service.py
+++ b/tests/entry/test_relay_service.py
@@ -19,6 +19,8 @@
 """Time that passed at the other host until it ordered the call to be sent."""
 GO_SECONDS = 0.1
 """Time that the order took."""
+LEFT_SECONDS = 0.2
+"""Time from the order to the word that the caller has left."""
 
 
 class Stream:
@@ -148,6 +150,71 @@
     clocks.run(run())
 
 
+class DepartingStream(Stream):
+    """Stream of a host whose caller leaves soon after the order."""
+
+    _has_ordered = False
+
+    async def receive(self) -> messages_pb2.Message | None:
+        """Return the request and the order, then that the caller has left."""
+        if self._has_ordered:
+            await asyncio.sleep(LEFT_SECONDS)
+            return messages_pb2.Message(
+                relay_caller_left=messages_pb2.RelayCallerLeft()
+            )
+        message = await super().receive()
+        self._has_ordered = message is not None and message.HasField(
+            'relay_go'
+        )
+        return message
+
+
+async def relay_until_caller_left(
+    fixture: call_fakes.RouterFixture,
+) -> messages_pb2.RelayWord:
+    """Relay a call whose caller leaves; return the last word."""
+    service = relay_service.RelayService(
+        fixture.router,
+        typing.cast(paths.TargetPaths, OpenPaths()),
+        fixture.targets,
+    )
+    (target,) = fixture.router.catalog.list_all()
+    call = attrs.evolve(test_relay_messages.CALL, incarnation=target.name)
+    stream = DepartingStream(relay_messages.encode_request(call))
+    await service.serve(stream)
+    return stream.words[-1]
+
+
+def test_relayed_call_whose_caller_left_is_not_sent(
+    case: support.Case,
+) -> None:
+    """Guards against GONE: it was sent once the connect had succeeded."""
+
+    async def run() -> None:
+        fixture = call_fakes.RouterFixture([call_fakes.create_target(1)])
+        fixture.targets.connect_seconds = 2 * LEFT_SECONDS
+        end = await relay_until_caller_left(fixture)
+        case.assertEqual([], fixture.targets.sent)
+        failure = relay_messages.decode_failure(end.failure)
+        case.assertIs(call_fakes.Kind.NOT_SENT, failure.kind)
+
+    clocks.run(run())
+
+
+def test_relayed_call_that_was_sent_goes_on_without_its_caller(
+    case: support.Case,
+) -> None:
+    """A call that may run only once, and may have run, runs to its end."""
+
+    async def run() -> None:
+        fixture = call_fakes.RouterFixture([call_fakes.create_target(1)])
+        fixture.targets.script = [[2 * LEFT_SECONDS, call_fakes.respond()]]
+        end = await relay_until_caller_left(fixture)
+        case.assertTrue(end.has_ended)
+
+    clocks.run(run())
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
