Target connections: give up what no target receives as its caller leaves

What callers saw. The third way of the same: a booking is written to a kept connection whose target's machine has lost power or its link. The kernel repeats it for up to 2.5 s (TCP_USER_TIMEOUT); a machine that responds again in that time gets it long after its caller has left.

A call that has been written counted as one that a target works on. Bytes in the host's own send queue are no more at the target than a connect that hangs. Whether "a kept connection to a target that went silent" has reached it is told by the kernel: TIOCOUTQ is what the other machine has not acknowledged.

Change. 0.3 s after the disconnect of its caller, a request of which not one byte has been acknowledged is given up with its connection: the reset discards the send queue. Of an upload some bytes may be acknowledged: such a request has reached its target and goes on. The outcome of one that was given up stays unknown (the acknowledgement may be what is lost), and it is not sent again. The bytes of a send queue are counted in one place now (`sockets`), for callers' connections too.

Why it works. A sound target's machine acknowledges within a round trip (60 ms between regions) and its delayed acknowledgement (at most 0.2 s); half a second after the disconnect nothing is left that could arrive.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/caller_channels.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/caller_channels.py
@@ -1,9 +1,6 @@
 """Connections of callers, with timeouts for the arrival of requests."""
 
 from collections import abc
-import fcntl
-import struct
-import termios
 import typing
 
 from twisted.internet import protocol
@@ -285,19 +282,11 @@
         transport: typing.Any = self.transport
         if transport is None or not transport.connected:
             return 0
-        return self._count_buffered_bytes() + _count_unacknowledged_bytes(
-            transport.fileno()
-        )
+        return sockets.count_unreceived_bytes(transport)
 
     def _count_buffered_bytes(self) -> int:
         """Return the bytes of responses in this process."""
-        transport: typing.Any = self.transport
-        # Transports of tests have no buffer.
-        buffer = getattr(transport, 'dataBuffer', None)
-        if buffer is None:
-            return 0
-        count: int = len(buffer) - transport.offset + transport._tempDataLen
-        return count
+        return sockets.count_buffered_bytes(self.transport)
 
     def count_held_bytes(self) -> int:
         """Return the bytes that the host holds for this connection."""
@@ -464,13 +453,3 @@
     values = request.responseHeaders.getRawHeaders(b'connection', [])
     tokens = b','.join(values).lower().split(b',')
     return b'close' in [token.strip() for token in tokens]
-
-
-def _count_unacknowledged_bytes(descriptor: int) -> int:
-    """Return the bytes in a socket's send queue, 0 where it is not known."""
-    try:
-        answer = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(4))
-    except OSError:
-        return 0
-    count: int = struct.unpack('i', answer)[0]
-    return count
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/sockets.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/sockets.py
@@ -1,6 +1,9 @@
-"""Sockets whose receive buffers are bounded."""
+"""Sockets whose receive buffers are bounded, and what they have sent."""
 
+import fcntl
 import socket
+import struct
+import termios
 import typing
 
 from pistachioseam_entry import reactors
@@ -21,6 +24,33 @@
     )
 
 
+def count_buffered_bytes(transport: typing.Any) -> int:
+    """Return the written bytes that are still in this process."""
+    # Transports of tests have no buffer.
+    buffer = getattr(transport, 'dataBuffer', None)
+    if buffer is None:
+        return 0
+    count: int = len(buffer) - transport.offset + transport._tempDataLen
+    return count
+
+
+def count_unacknowledged_bytes(descriptor: int) -> int:
+    """Return the bytes in a socket's send queue, 0 where it is not known."""
+    try:
+        answer = fcntl.ioctl(descriptor, termios.TIOCOUTQ, bytes(4))
+    except OSError:
+        return 0
+    count: int = struct.unpack('i', answer)[0]
+    return count
+
+
+def count_unreceived_bytes(transport: typing.Any) -> int:
+    """Return the written bytes that the other machine has not acknowledged."""
+    return count_buffered_bytes(transport) + count_unacknowledged_bytes(
+        transport.fileno()
+    )
+
+
 def listen(site: typing.Any, address: str) -> typing.Any:
     """Accept connections at `IP:port`; return the listening port."""
     host, _, port = address.rpartition(':')
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/target_connections.py
@@ -8,11 +8,8 @@
 import asyncio
 import collections
 from collections import abc
-import fcntl
 import re
 import socket
-import struct
-import termios
 import typing
 
 import attrs
@@ -69,6 +66,10 @@
 """Interval at which the upload is checked once a target has ended its response
 with the connection. A target that closes its socket before it has read the
 upload sends a reset right behind the end of the response."""
+RECEIPT_SECONDS = 0.3
+"""Time after the disconnect of the caller in which the target's machine must
+acknowledge some of the request, else the request is given up. It is longer
+than the round trip to another region."""
 
 Kind = interfaces.FailureKind
 
@@ -93,7 +94,8 @@
     `on_received` when bytes have arrived, `on_lost` when it has been closed.
     `is_reset` is set if it was not closed cleanly, `is_broken` if the target
     closed it before the end of a response, or idle earlier than it had stated.
-    `number` counts the connections of a pool.
+    `number` counts the connections of a pool. `drop_reason` tells why this
+    host has closed it in the middle of a request, if there is a reason.
     """
 
     def __init__(
@@ -111,12 +113,14 @@
         self.max_idle_seconds = DEFAULT_IDLE_SECONDS
         self.is_reset = False
         self.is_broken = False
+        self.drop_reason = ''
         self._is_dropped = False
         self._has_stated_idle_time = False
         self._head_bytes = 0
         self._request_count = 0
         self._extra_count = 0
         self._has_upload = False
+        self._request_bytes = 0
         self._is_read_ended = False
         # Hashes of the requests' ids; a collision costs a new connection.
         self._carried_ids: set[int] = set()
@@ -176,16 +180,7 @@
 
     def _is_upload_received(self) -> bool:
         """Return whether the target's kernel has acknowledged all data."""
-        transport: typing.Any = self.transport
-        if transport.dataBuffer or transport._tempDataBuffer:
-            return False
-        size = struct.pack('i', 0)
-        try:
-            queued = fcntl.ioctl(transport.getHandle(), termios.TIOCOUTQ, size)
-        except OSError:
-            # Without this call the kernel's buffer counts as received.
-            return True
-        return queued == size
+        return not sockets.count_unreceived_bytes(self.transport)
 
     def _end_connection(self, reason: Exception) -> None:
         transport: typing.Any = self.transport
@@ -258,8 +253,28 @@
             )
             parser.take_over(self._parser, self._transportProxy)
             self._parser = parser
+        # The transport writes in a later iteration of the loop.
+        self._request_bytes = sockets.count_buffered_bytes(self.transport)
         return pending
 
+    def give_up_unreceived(self, request: _newclient.Request) -> None:
+        """Close the connection if the target receives none of a request soon.
+
+        It would get the request once it responds again.
+        """
+        reactors.get_reactor().callLater(
+            RECEIPT_SECONDS, self._drop_unreceived, request
+        )
+
+    def _drop_unreceived(self, request: _newclient.Request) -> None:
+        transport: typing.Any = self.transport
+        if self._currentRequest is not request or not transport.connected:
+            return
+        unreceived_bytes = sockets.count_unreceived_bytes(transport)
+        if 0 < self._request_bytes <= unreceived_bytes:
+            self.drop_reason = 'not received by the target'
+            self.drop()
+
     def _is_response_cut(self) -> bool:
         """Return whether a response ends with the connection by mistake.
 
@@ -624,7 +639,8 @@
         """Send on an open connection; return when the head has arrived.
 
         Responses to other requests are passed over, as the one to this call
-        may follow.
+        may follow. If the caller leaves, the call goes on once the target has
+        received some of it.
         """
         headers = http_headers.Headers()
         for name, value in self._codec.encode_call(call):
@@ -643,7 +659,10 @@
         )
         pending = connection.request_response(request, call.request_id, heads)
         try:
-            response = await pending.asFuture(asyncio.get_running_loop())
+            with call.caller.watch(
+                lambda: connection.give_up_unreceived(request)
+            ):
+                response = await pending.asFuture(asyncio.get_running_loop())
         except asyncio.CancelledError:
             connection.drop_request(request)
             raise
@@ -655,7 +674,8 @@
             is_given_up = connection.is_dropped()
             connection.drop()
             reason = failures.Failure(raised)
-            detail = call_bodies.describe_failure(reason)
+            detail = connection.drop_reason
+            detail = detail or call_bodies.describe_failure(reason)
             return _break(connection, detail, is_given_up)
         head = heads.last
         assert head is not None
--- a/tests/entry/test_target_connections.py
+++ b/tests/entry/test_target_connections.py
@@ -12,10 +12,12 @@
 import attrs
 from returns import pipeline
 
+from pistachioseam.forwarding import caller_presence
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import response_bodies
 from pistachioseam import interfaces
 from pistachioseam_entry import reactors
+from pistachioseam_entry import sockets
 from pistachioseam_entry import target_connections
 from pistachioseam_platform import headers
 from tests import support
@@ -790,6 +792,75 @@
     run(work)
 
 
+def leave_silent_target(
+    case: support.Case, unreceived_bytes: int | None
+) -> interfaces.CallFailure | None:
+    """Leave a call at a target that does not answer.
+
+    Return its failure, None if it goes on. `unreceived_bytes` replaces those
+    that the target's machine has not acknowledged.
+    """
+    caller = caller_presence.CallerPresence()
+    call = attrs.evolve(create_call(), caller=caller)
+    sent: typing.Any = None
+
+    async def work() -> None:
+        nonlocal sent
+        server = await asyncio.start_server(
+            lambda reader, writer: None, '127.0.0.1'
+        )
+        port = server.sockets[0].getsockname()[1]
+        with target_connections.ConnectionPool(headers.HeaderCodec()) as pool:
+            sending = asyncio.ensure_future(
+                pool.send(f'127.0.0.1:{port}', call)
+            )
+            await asyncio.sleep(WAIT_SECONDS)
+            caller.leave()
+            await asyncio.wait(
+                (sending,),
+                timeout=target_connections.RECEIPT_SECONDS + WAIT_SECONDS,
+            )
+            if sending.done():
+                sent = sending.result()
+                case.assertEqual(0, pool.count_open())
+            sending.cancel()
+        server.close()
+
+    count = sockets.count_unreceived_bytes
+    with mock.patch.object(
+        sockets,
+        'count_unreceived_bytes',
+        lambda transport: (
+            count(transport) if unreceived_bytes is None else unreceived_bytes
+        ),
+    ):
+        run(work)
+    return None if sent is None else sent.failure()
+
+
+def test_request_that_its_target_did_not_receive_ends_as_its_caller_leaves(
+    case: support.Case,
+) -> None:
+    """Guards against GONE: a kept connection to a machine without power.
+
+    The kernel would repeat the request until the machine responds.
+    """
+    failure = leave_silent_target(case, 1_000)
+    assert failure is not None
+    case.assertIs(Kind.BROKEN, failure.kind)
+    case.assertTrue(failure.is_given_up)
+    case.assertEqual('not received by the target', failure.detail)
+
+
+def test_request_that_its_target_received_goes_on_without_its_caller(
+    case: support.Case,
+) -> None:
+    """A call that may run only once is not broken off at its target."""
+    case.assertIsNone(leave_silent_target(case, None))
+    # Of an upload, the target may have received the first part.
+    case.assertIsNone(leave_silent_target(case, 10))
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
