--- a/packages/pistachioseam-entry/src/pistachioseam_entry/listener.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/listener.py
@@ -111,14 +111,11 @@
     def _handle_disconnect(
         self, exchange: exchanges.Exchange, task: asyncio.Future[None]
     ) -> None:
-        """Cancel the request of a disconnected caller if it is retryable.
-
-        Any other call continues, so that its outcome is recorded.
-        """
+        """Cancel the call of a disconnected caller unless it must complete."""
         self._router.sink.emit(
             events.Event.CALLER_LEFT, request_id=exchange.request_id
         )
-        if exchange.is_retryable():
+        if exchange.is_cancelled_on_disconnect():
             task.cancel()
 
     def _create_exchange(
@@ -273,7 +270,9 @@
 
 
 def _get_aborted_outcome(exchange: exchanges.Exchange) -> refusals.Outcome:
-    if exchange.attempts:
+    if exchange.may_have_run or (
+        exchange.attempts and exchange.is_retryable()
+    ):
         return refusals.Outcome.UNKNOWN
     return refusals.Outcome.NOT_RUN
 
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/targets.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/targets.py
@@ -1,12 +1,13 @@
 """HTTP client of targets; implements `interfaces.TargetClient`."""
 
 import asyncio
+from collections import abc
 import typing
 
 from returns import pipeline
 from returns import result
 import treq
-from twisted.internet import error
+from twisted.internet import defer
 from twisted.web import client
 from twisted.web import http
 
@@ -28,6 +29,31 @@
 ]
 
 
+class SendingPool(response_parsers.StrictPool):
+    """Pool for the only connection of one request.
+
+    `on_sending` is called, and `is_used` set, once the connection is open and
+    right before the request is sent on it.
+    """
+
+    def __init__(self, on_sending: abc.Callable[[], None]) -> None:
+        super().__init__(reactors.get_reactor(), persistent=False)
+        self.is_used = False
+        self._on_sending = on_sending
+
+    def getConnection(  # noqa: N802
+        self, key: typing.Any, endpoint: typing.Any
+    ) -> defer.Deferred[typing.Any]:
+        """Return a new connection."""
+        connecting = super().getConnection(key, endpoint)
+        return connecting.addCallback(self._record_sending)
+
+    def _record_sending(self, connection: typing.Any) -> typing.Any:
+        self.is_used = True
+        self._on_sending()
+        return connection
+
+
 class HttpTargetClient:
     """HTTP client of targets; each request has a connection of its own.
 
@@ -46,13 +72,6 @@
         self._order = response_budgets.ReadingOrder(
             budget or response_budgets.ResponseBudget()
         )
-        self._agent = client.Agent(
-            reactors.get_reactor(),
-            connectTimeout=options.connect_timeout_seconds,
-            pool=response_parsers.StrictPool(
-                reactors.get_reactor(), persistent=False
-            ),
-        )
 
     async def call(
         self, address: str, request: interfaces.TargetRequest
@@ -105,11 +124,12 @@
         request: interfaces.TargetRequest,
         timeout_seconds: float,
     ) -> result.Result[typing.Any, interfaces.CallFailure]:
+        pool = SendingPool(request.on_sending)
         try:
             async with asyncio.timeout(timeout_seconds):
-                response = await self._start_request(address, request)
+                response = await self._start_request(address, request, pool)
         except Exception as exception:
-            return result.Failure(_classify_error(exception))
+            return result.Failure(_classify_error(exception, pool.is_used))
         if not _is_model_request(request):
             return result.Success(response)
         failure = _classify_status(response.code)
@@ -119,8 +139,16 @@
         return result.Failure(failure)
 
     def _start_request(
-        self, address: str, request: interfaces.TargetRequest
+        self,
+        address: str,
+        request: interfaces.TargetRequest,
+        pool: SendingPool,
     ) -> asyncio.Future[typing.Any]:
+        agent = client.Agent(
+            reactors.get_reactor(),
+            connectTimeout=self._options.connect_timeout_seconds,
+            pool=pool,
+        )
         headers = {name: [value] for name, value in request.headers.items()}
         headers['request-id'] = [request.request_id]
         headers['fencing-number'] = [str(request.fencing_number)]
@@ -129,7 +157,7 @@
             f'http://{address}{request.path}',
             headers=headers,
             data=request.body or None,
-            agent=self._agent,
+            agent=agent,
             allow_redirects=False,
             unbuffered=True,
         )
@@ -227,12 +255,14 @@
     return None
 
 
-def _classify_error(exception: Exception) -> interfaces.CallFailure:
+def _classify_error(
+    exception: Exception, is_sent: bool
+) -> interfaces.CallFailure:
     kind = interfaces.FailureKind.BROKEN
-    if isinstance(exception, TimeoutError):
-        kind = interfaces.FailureKind.TIMED_OUT
-    elif isinstance(exception, error.ConnectError | error.TimeoutError):
+    if not is_sent:
         kind = interfaces.FailureKind.NOT_SENT
+    elif isinstance(exception, TimeoutError):
+        kind = interfaces.FailureKind.TIMED_OUT
     return interfaces.CallFailure(kind, type(exception).__name__)
 
 
--- a/packages/pistachioseam/src/pistachioseam/exchanges.py
+++ b/packages/pistachioseam/src/pistachioseam/exchanges.py
@@ -57,7 +57,8 @@
     the length of the prompt in pieces. `cache_salt` is the hexadecimal seed of
     `chain`; engines share KV cache only between requests with the same salt.
     `digest` identifies equal requests of an account in the quarantine.
-    `may_have_run` is set while a target may have executed the call.
+    `may_have_run` is set while a target may have executed the call, unless the
+    call may be sent to targets more than once.
     `delivered` holds the stream pieces that were sent to the caller.
     """
 
@@ -108,6 +109,21 @@
             return True
         return self.route is not None and self.route.idempotent
 
+    def is_cancelled_on_disconnect(self) -> bool:
+        """Return whether to cancel the call when its caller disconnects.
+
+        A call with a claim goes on, so that its outcome is recorded for the
+        callers that send it again. So does one that may have run.
+        """
+        if self.is_retryable():
+            return True
+        return self.claim is None and not self.may_have_run
+
+    def record_sending(self) -> None:
+        """Record that the call is sent; targets may execute it from now on."""
+        if not self.is_retryable():
+            self.may_have_run = True
+
     def discard_bodies(self) -> None:
         """Release the bodies of an exchange that has ended.
 
--- a/packages/pistachioseam/src/pistachioseam/filters/send.py
+++ b/packages/pistachioseam/src/pistachioseam/filters/send.py
@@ -27,8 +27,6 @@
     """Send the request once; set the response or the attempt's stream."""
     request = _create_request(exchange, router, attempt)
     is_stream = exchange.chat is not None and exchange.chat.is_stream
-    if not exchange.is_retryable():
-        exchange.may_have_run = True
     if is_stream:
         return await _open_stream(exchange, router, attempt, request)
     return await _call(exchange, router, attempt, request)
@@ -64,6 +62,7 @@
         body=body,
         timeout_seconds=max(MIN_TIMEOUT_SECONDS, remaining),
         fencing_number=exchange.configuration_number,
+        on_sending=exchange.record_sending,
     )
 
 
--- a/packages/pistachioseam/src/pistachioseam/interfaces.py
+++ b/packages/pistachioseam/src/pistachioseam/interfaces.py
@@ -179,13 +179,18 @@
     is_given_up: bool = False
 
 
+def ignore_sending() -> None:
+    """Do nothing with the fact that a request is sent."""
+
+
 @attrs.frozen
 class TargetRequest:
     """Request sent to a target.
 
     `headers` holds only headers that the target may see. `fencing_number` is
     the number of the configuration in force, which only increases; targets
-    may check it.
+    may check it. `on_sending` is called right before the first byte is sent;
+    from then on the request may be executed.
     """
 
     request_id: str
@@ -195,6 +200,9 @@
     body: bytes
     timeout_seconds: float
     fencing_number: int = 0
+    on_sending: abc.Callable[[], None] = attrs.field(
+        default=ignore_sending, repr=False, eq=False
+    )
 
 
 @attrs.frozen
--- a/tests/entry/test_targets.py
+++ b/tests/entry/test_targets.py
@@ -4,7 +4,9 @@
 from collections import abc
 import contextlib
 import typing
+from unittest import mock
 
+import attrs
 from returns import pipeline
 from twisted.internet import address
 from twisted.internet import interfaces as twisted_interfaces
@@ -14,11 +16,13 @@
 from pistachioseam_entry import reactors
 from pistachioseam_entry import settings
 from pistachioseam_entry import targets
+from tests import dark_ports
 from tests.entry import test_target_connections
 from tests import support
 
 Kind = interfaces.FailureKind
 MODEL_HEADERS = {'cache-salt': 's', 'weights-version': '1'}
+TIMEOUT_SECONDS = 0.3
 OK = b'HTTP/1.1 200 OK\r\n'
 
 
@@ -254,6 +258,46 @@
     test_target_connections.run(work)
 
 
+async def time_out(is_dark: bool) -> tuple[interfaces.FailureKind, int]:
+    """Send a request that is never answered.
+
+    If `is_dark`, the connect hangs. Return the kind of the failure, and how
+    often the request was told to be sent.
+    """
+    sending = mock.Mock()
+    request = attrs.evolve(
+        create_request('1', headers={}),
+        timeout_seconds=TIMEOUT_SECONDS,
+        on_sending=sending,
+    )
+    server = await asyncio.start_server(lambda *_: None, '127.0.0.1')
+    host, port = server.sockets[0].getsockname()
+    target_address = f'{host}:{port}'
+    reactor = reactors.get_reactor()
+    former_resolver = reactor.installNameResolver(AddressResolver())
+    with contextlib.ExitStack() as stack:
+        stack.callback(reactor.installNameResolver, former_resolver)
+        stack.callback(server.close)
+        if is_dark:
+            server.close()
+            stack.enter_context(dark_ports.DarkPort(target_address))
+        client = targets.HttpTargetClient(settings.Requests())
+        called = await client.call(target_address, request)
+    return called.failure().kind, sending.call_count
+
+
+def test_request_that_times_out_during_the_connect_is_not_sent(
+    case: support.Case,
+) -> None:
+    """Callers were told that the outcome of an unsent booking is unknown."""
+
+    async def work() -> None:
+        case.assertEqual((Kind.NOT_SENT, 0), await time_out(is_dark=True))
+        case.assertEqual((Kind.TIMED_OUT, 1), await time_out(is_dark=False))
+
+    test_target_connections.run(work)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -187,6 +187,8 @@
     async def call(
         self, address: str, request: interfaces.TargetRequest
     ) -> typing.Any:
+        request.on_sending()
+
         def run() -> typing.Any:
             return result.Success(self.simulation.execute(address, request))
 
