Product's own tables: do not cancel a call while its claim is written

A call with a key has none either while it is being written: cancelled then, it would leave a row in the store that nobody releases.

The key decides, not the claim: a call with a key goes on.

--- a/packages/pistachioseam/src/pistachioseam/exchanges.py
+++ b/packages/pistachioseam/src/pistachioseam/exchanges.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from pistachioseam import claim_records
 from pistachioseam import claims
 from pistachioseam import filter_notes
 from pistachioseam import identity
@@ -112,12 +113,16 @@
     def is_cancelled_on_disconnect(self) -> bool:
         """Return whether to cancel the call when its caller disconnects.
 
-        A call with a claim goes on, so that its outcome is recorded for the
-        callers that send it again. So does one that may have run.
+        A call with a key goes on, so that its claim is settled and its outcome
+        recorded for those that send it again. So does one that may have run.
         """
         if self.is_retryable():
             return True
-        return self.claim is None and not self.may_have_run
+        return not self.get_idempotency_key() and not self.may_have_run
+
+    def get_idempotency_key(self) -> str:
+        """Return the key that the caller sent, empty if it sent none."""
+        return self.headers.get(claim_records.IDEMPOTENCY_KEY_HEADER, '')
 
     def record_sending(self) -> None:
         """Record that the call is sent; targets may execute it from now on."""
--- a/packages/pistachioseam/src/pistachioseam/filters/claim.py
+++ b/packages/pistachioseam/src/pistachioseam/filters/claim.py
@@ -21,9 +21,7 @@
         exchange.add_note('claim', 'not needed')
         return filter_chains.CONTINUE
     assert exchange.route is not None
-    idempotency_key = exchange.headers.get(
-        claim_records.IDEMPOTENCY_KEY_HEADER, ''
-    )
+    idempotency_key = exchange.get_idempotency_key()
     if not idempotency_key:
         return _handle_missing_key(exchange)
     key = claim_records.create_row_key(
--- a/packages/pistachioseam/src/pistachioseam/filters/match.py
+++ b/packages/pistachioseam/src/pistachioseam/filters/match.py
@@ -4,7 +4,6 @@
 from returns import result
 
 from pistachioseam import chats
-from pistachioseam import claim_records
 from pistachioseam import exchanges
 from pistachioseam import filter_chains
 from pistachioseam import pipeline
@@ -41,7 +40,7 @@
     exchange.digest = quarantine.digest_request(
         exchange.get_account(),
         exchange.path,
-        exchange.headers.get(claim_records.IDEMPOTENCY_KEY_HEADER, ''),
+        exchange.get_idempotency_key(),
         exchange.body,
     )
     exchange.add_note('match', f'route {exchange.route.name}')
--- a/tests/entry/test_listener.py
+++ b/tests/entry/test_listener.py
@@ -7,6 +7,7 @@
 
 from twisted.internet import testing
 
+from pistachioseam import claim_records
 from pistachioseam import exchanges
 from pistachioseam import pipeline
 from pistachioseam import router as routers
@@ -93,10 +94,13 @@
     return is_cancelled
 
 
-def test_unsent_call_without_a_claim_is_cancelled_as_its_caller_leaves(
+def test_unsent_call_without_a_key_is_cancelled_as_its_caller_leaves(
     case: support.Case,
 ) -> None:
-    """Guards against GONE: a single attempt whose connect hangs was sent."""
+    """Guards against GONE: a single attempt whose connect hangs was sent.
+
+    One with a key may be writing its claim, which would be left in the store.
+    """
 
     def connect(exchange: exchanges.Exchange) -> None:
         pass
@@ -105,7 +109,7 @@
         exchange.record_sending()
 
     def claim(exchange: exchanges.Exchange) -> None:
-        exchange.claim = mock.sentinel.claim
+        exchange.headers[claim_records.IDEMPOTENCY_KEY_HEADER] = 'key'
 
     case.assertTrue(leave(connect))
     case.assertFalse(leave(send))
