Relays: a call that its caller has left says nothing of its target

A relaying host that does not send a call as its caller has left answers `not-sent`, which the first host counted as a failed connect: a sound target became suspected at hosts without a path of their own.

Such an attempt is logged, and does not count for the target's health.

--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -378,13 +378,22 @@
     attempt: calls.CallAttempt,
     failure: interfaces.CallFailure | None,
 ) -> None:
-    """Update target health and quarantine by the result of an attempt."""
+    """Update target health and quarantine by the result of an attempt.
+
+    A call that was not sent as its caller has left says nothing of its target.
+    """
     name = attempt.target.name
     now = router.runtime.now()
-    is_failed = failure is not None and failure.kind not in (
-        Kind.WRONG_TARGET,
-        Kind.OUTDATED,
-        Kind.PATH_LOST,
+    is_withdrawn = (
+        failure is not None
+        and failure.kind is Kind.NOT_SENT
+        and call.caller.has_left
+    )
+    is_failed = (
+        failure is not None
+        and not is_withdrawn
+        and failure.kind
+        not in (Kind.WRONG_TARGET, Kind.OUTDATED, Kind.PATH_LOST)
     )
     router.failure_tracker.record(name, is_failed, now)
     if failure is None or failure.kind in (Kind.FAILED, Kind.UNPROVEN):
@@ -409,7 +418,10 @@
             router.slowdown_tracker.record(
                 name, attempt.expected_seconds, now - attempt.started_at, now
             )
-    elif failure.kind not in (Kind.WRONG_TARGET, Kind.PATH_LOST):
+    elif not is_withdrawn and failure.kind not in (
+        Kind.WRONG_TARGET,
+        Kind.PATH_LOST,
+    ):
         router.health.record_failure(name)
     if failure.kind is Kind.BROKEN:
         router.runtime.start(crashes.confirm_crash(call, router, attempt))
--- a/tests/entry/test_fleet_partitions.py
+++ b/tests/entry/test_fleet_partitions.py
@@ -347,6 +347,7 @@
         case.assertEqual([], fleet.list_runs())
         case.assertFalse(call.may_have_run)
         case.assertEqual(1, len(call.attempts))
+        case.assertEqual((), host.router.health.list_suspected())
         case.assertEqual(0, relay.relay_service.active)
 
     clocks.run(run())
