Soak: callers that leave, and servers whose machines lose power

All servers at once make a host give up its path, and its calls with it.

Six callers leave after 0.3 s; `darken_services` lets all connects to the plain servers hang for 1 to 2.5 s, with proxies of their own that pass nothing on afterwards. GONE: more than three calls ("a few") that reach a server more than 0.5 s after their callers left, unless the host was frozen or a link held back what had been sent.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -36,6 +36,10 @@
     BEHAVIOURS, ('whole', 'shed', 'again', 'fail')
 )
 """Behaviours without delays, for callers that exceed a quota."""
+LEAVING_BEHAVIOURS = {'/once/': ('whole', 'slow', 'shed', 'again')}
+"""Behaviours for callers that do not wait for long."""
+PATIENCE_SECONDS = 0.3
+"""Time after which such a caller leaves; its deadline is much later."""
 LONG_BEHAVIOURS = {
     '/safe/': ('chunks-300000', 'chunks-2000000'),
     '/once/': ('chunks-300000', 'chunks-2000000'),
@@ -80,6 +84,8 @@
     whole events that the caller had before it took the stream up, `body` of an
     incomplete response the part that arrived. `is_reset` is true if the host
     reset the connection before the response: it has not read the request.
+    `left_at` is the time at which the caller closed the connection as it would
+    not wait any longer, 0 if it did not.
     `work` is the id of the first of the calls that are sent for the same work,
     `repeat` how often it was sent under the id before.
     """
@@ -98,6 +104,7 @@
     error: str = ''
     received: bytes = b''
     is_reset: bool = False
+    left_at: float = 0.0
     work: str = ''
     repeat: int = 0
     account: str = ACCOUNT
@@ -131,12 +138,17 @@
     response; it is never opened again.
     """
 
-    def __init__(self, address: str, account: str = ACCOUNT) -> None:
+    def __init__(
+        self,
+        address: str,
+        account: str = ACCOUNT,
+        patience_seconds: float = deployments.TIMEOUT_SECONDS,
+    ) -> None:
         self.address = address
         self._account = account
         host, _, port = address.rpartition(':')
         self._connection = client.HTTPConnection(
-            host, int(port), timeout=deployments.TIMEOUT_SECONDS
+            host, int(port), timeout=patience_seconds
         )
         # Otherwise the library would open a closed connection again.
         self._connection.auto_open = 0
@@ -216,10 +228,12 @@
         except (OSError, client.HTTPException) as error:
             # A call without a response may have run; its runs are checked.
             self._connection.close()
+            has_left = isinstance(error, TimeoutError)
             return attrs.evolve(
                 result,
                 error=repr(error),
                 body=body,
+                left_at=time.monotonic() if has_left else 0.0,
                 is_reset=is_reset_unread(error) and not result.has_begun,
             )
         is_stamped = 'x-pistachioseam-server-stamp' in response.headers
@@ -262,7 +276,8 @@
 class Caller:
     """Caller that sends random calls one after another on its own thread.
 
-    `behaviours` are those of the server stand-in, by route.
+    `behaviours` are those of the server stand-in, by route. The caller leaves
+    if it has to wait for longer than `patience_seconds`.
     """
 
     def __init__(
@@ -271,10 +286,12 @@
         seed: int,
         behaviours: abc.Mapping[str, abc.Sequence[str]] = BEHAVIOURS,
         account: str = ACCOUNT,
+        patience_seconds: float = deployments.TIMEOUT_SECONDS,
     ) -> None:
         self.results: list[CallResult] = []
         self._behaviours = behaviours
         self._account = account
+        self._patience_seconds = patience_seconds
         self._fleet = running
         self._random = random.Random(seed)
         self._should_stop = threading.Event()
@@ -297,7 +314,9 @@
     def _run(self) -> None:
         while not self._should_stop.is_set():
             host = self._random.choice(self._fleet.entries)
-            with HostConnection(host.address, self._account) as connection:
+            with HostConnection(
+                host.address, self._account, self._patience_seconds
+            ) as connection:
                 self._use(connection)
             time.sleep(CALL_INTERVAL_SECONDS)
 
@@ -327,7 +346,9 @@
                 if way != 'same connection' or not connection.is_open():
                     address = self._choose_address(way, result.address)
                     connection = stack.enter_context(
-                        HostConnection(address, self._account)
+                        HostConnection(
+                            address, self._account, self._patience_seconds
+                        )
                     )
                 result = connection.call(
                     result.prefix,
--- a/tests/soak/checks.py
+++ b/tests/soak/checks.py
@@ -10,6 +10,11 @@
 
 MAX_OVERLAP_SECONDS = 0.4
 """Time for which two engines may work on one call."""
+LATE_SECONDS = 0.5
+"""Time after the disconnect of its caller in which a call may reach a server.
+"""
+MAX_LATE_CALLS = 3
+"""Calls that may be later: the users allow a few."""
 STABLE_SECONDS = 4.0
 """Time after a disturbance for which a host counts as disturbed."""
 AT_MOST_ONCE_PREFIXES = ('/once/', '/stream/')
@@ -31,13 +36,17 @@
     """Fault from `started_at` to `ended_at`, monotonic times.
 
     It may be of the store, of a link, and of the host at an address, if its
-    process, or its links other than those to servers, are concerned.
+    process, or its links other than those to servers, are concerned. With
+    `is_holding`, calls may go on after its end as if they had just been sent:
+    the host, or all of them if `host` is empty, was frozen, or links held back
+    what hosts had sent to servers.
     """
 
     started_at: float
     ended_at: float = math.inf
     is_store: bool = False
     is_link: bool = False
+    is_holding: bool = False
     host: str = ''
 
 
@@ -196,6 +205,36 @@
     return busiest
 
 
+def find_late_arrivals(
+    results: abc.Iterable[callers.CallResult],
+    arrivals: abc.Iterable[tuple[str, float]],
+    disturbances: abc.Collection[Disturbance],
+) -> list[Violation]:
+    """Return the calls that reached a server long after their callers left.
+
+    There are none if they are at most `MAX_LATE_CALLS`. A call is excused if
+    its host or a link held it back between the sending and the arrival.
+    """
+    left = {each.get_name(): each for each in results if each.left_at}
+    violations = []
+    for name, arrived_at in arrivals:
+        result = left.get(name)
+        if result is None or arrived_at <= result.left_at + LATE_SECONDS:
+            continue
+        if any(
+            each.is_holding
+            and each.host in ('', result.address)
+            and each.started_at <= arrived_at
+            and each.ended_at >= result.sent_at
+            for each in disturbances
+        ):
+            continue
+        seconds = arrived_at - result.left_at
+        message = f'arrived {seconds:.2f} s after its caller left: {result}'
+        violations.append(Violation('GONE', message, name))
+    return violations if len(violations) > MAX_LATE_CALLS else []
+
+
 def find_overlaps(
     works: abc.Iterable[Work],
     disturbances: abc.Collection[Disturbance],
@@ -373,6 +412,7 @@
     if (
         run_count
         and not result.has_begun
+        and not result.left_at
         and not _is_host_killed(result, kills)
     ):
         yield 'LOST', 'ran but got no response'
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -33,6 +33,9 @@
 LINK_FAULTS = ('delay', 'silent', 'one_way')
 """Modes of a proxy in which its link is disturbed."""
 MAX_PARTITION_SECONDS = 4.0
+DARK_SECONDS = (1.0, 2.5)
+"""Least and longest outage of servers' machines. A host's connect to them
+times out after a second, and is repeated."""
 MAX_COPY_AGE_SECONDS = 1.5
 STORE_MODES = ('busy', 'silent', 'lose', 'forget', 'none', 'none')
 """Modes of the store stand-in; `none` is repeated to be likelier."""
@@ -93,30 +96,21 @@
         self._disturbed_since: dict[str, float] = {}
 
     @contextlib.contextmanager
-    def disturb(
-        self, is_store: bool = False, is_link: bool = False, host: str = ''
-    ) -> abc.Iterator[None]:
+    def disturb(self, **kind: typing.Any) -> abc.Iterator[None]:
         """Record a disturbance for the time of the block."""
         started_at = time.monotonic()
         try:
             yield
         finally:
-            self._record_disturbance(started_at, is_store, is_link, host)
+            self._record_disturbance(started_at, **kind)
 
     def _record_disturbance(
-        self,
-        started_at: float,
-        is_store: bool = False,
-        is_link: bool = False,
-        host: str = '',
+        self, started_at: float, **kind: typing.Any
     ) -> None:
+        """Record a disturbance until now; `kind` has fields of its class."""
         self.disturbances.append(
             checks.Disturbance(
-                started_at=started_at,
-                ended_at=time.monotonic(),
-                is_store=is_store,
-                is_link=is_link,
-                host=host,
+                started_at=started_at, ended_at=time.monotonic(), **kind
             )
         )
 
@@ -203,9 +197,12 @@
             results, self.list_logged_request_ids(), self.kills
         )
         broken += checks.find_repeats(self.list_logged_repeats())
+        arrivals = self.list_logged_arrivals()
+        broken += checks.find_late_arrivals(
+            results, arrivals, self.disturbances
+        )
         if self.fleet_spec.quotas:
             bound = self.create_quota_bound()
-            arrivals = self.list_logged_arrivals()
             broken += checks.find_quota_excess(results, arrivals, bound)
         hosts = {result.get_name(): result.address for result in results}
         broken += checks.find_overlaps(
@@ -387,7 +384,7 @@
     running: SoakFleet, host: deployment.ServerProcess
 ) -> abc.Iterator[None]:
     """SIGSTOP a host for the time of the block, then SIGCONT it."""
-    with running.disturb(host=host.address):
+    with running.disturb(host=host.address, is_holding=True):
         host.process.send_signal(signal.SIGSTOP)
         try:
             yield
@@ -457,7 +454,7 @@
     count = context.random.randint(1, len(paths))
     mode = context.random.choice(proxies.PARTITION_MODES)
     cut = context.random.sample(paths, count)
-    with context.fleet.disturb(is_link=True):
+    with context.fleet.disturb(is_link=True, is_holding=mode == 'hang'):
         for path in cut:
             path.set_mode(mode)
         time.sleep(context.random.random() * MAX_PARTITION_SECONDS)
@@ -465,6 +462,21 @@
             path.set_mode('pass')
 
 
+@register
+def darken_services(context: FaultContext) -> None:
+    """Let the machines of all plain servers lose power for a while.
+
+    Connects to them hang, while hosts reach the engines.
+    """
+    services = [path.services for path in context.fleet.paths]
+    with context.fleet.disturb(is_link=True):
+        for proxy in services:
+            proxy.set_mode('dark')
+        time.sleep(context.random.uniform(*DARK_SECONDS))
+        for proxy in services:
+            proxy.set_mode('pass')
+
+
 @register
 def reload_host(context: FaultContext) -> None:
     """SIGHUP a host, so that it reads its settings again.
--- a/tests/soak/proxies.py
+++ b/tests/soak/proxies.py
@@ -33,7 +33,8 @@
     DELAY_SECONDS, `silent` blocks both directions, `one_way` blocks responses,
     `reset` aborts the open connections once, then forwards. `hang` blocks both
     directions and lets new connections hang, `refuse` refuses new connections
-    and forwards on the open ones, `cut` also aborts these.
+    and forwards on the open ones, `cut` also aborts these. `dark` is a `hang`
+    before machines without power: what it has taken is not passed on later.
     """
 
     def __init__(self, *servers: str) -> None:
@@ -114,12 +115,12 @@
 
     def _set_mode(self, mode: str) -> None:
         self._stop_accepting()
-        self.mode = mode
-        if mode in ('reset', 'cut'):
+        if mode in ('reset', 'cut') or self.mode == 'dark':
             self._abort_connections()
+        self.mode = mode
         if mode in ('refuse', 'cut'):
             self._close_sockets()
-        elif mode == 'hang':
+        elif mode in ('hang', 'dark'):
             self._fill_queues()
         else:
             self._start_accepting()
@@ -195,10 +196,12 @@
             while data := await reader.read(CHUNK_BYTES):
                 if self.mode == 'delay':
                     await asyncio.sleep(DELAY_SECONDS)
-                while self.mode in ('silent', 'hang') or (
+                while self.mode in ('silent', 'hang', 'dark') or (
                     self.mode == 'one_way' and is_response
                 ):
                     await asyncio.sleep(DELAY_SECONDS)
+                if writer.transport.is_closing():
+                    break
                 writer.write(data)
                 await writer.drain()
         except OSError:
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -231,6 +231,32 @@
     return [violation.rule for violation in found]
 
 
+def test_calls_that_arrive_long_after_their_callers_left_are_found(
+    case: support.Case,
+) -> None:
+    """A few are allowed; those of hosts and links in trouble do not count."""
+    left = attrs.evolve(UNANSWERED, left_at=20.3)
+    count = checks.MAX_LATE_CALLS + 1
+    for arrived_at, found in ((20.7, 0), (21.0, count)):
+        arrivals = [('id-1', arrived_at)] * count
+        late = checks.find_late_arrivals([left], arrivals, ())
+        case.assertEqual(['GONE'] * found, [each.rule for each in late])
+    case.assertEqual([], checks.find_late_arrivals([left], arrivals[1:], ()))
+    case.assertEqual([], _find(left, 1))
+    for kind, is_excused in (
+        ({'is_holding': True}, True),
+        ({'is_holding': True, 'host': HOST}, True),
+        ({'is_holding': True, 'host': 'other'}, False),
+        ({'host': HOST}, False),
+        ({'is_link': True, 'is_store': True}, False),
+    ):
+        disturbance = checks.Disturbance(
+            started_at=20.5, ended_at=20.9, **kind
+        )
+        late = checks.find_late_arrivals([left], arrivals, [disturbance])
+        case.assertEqual(is_excused, not late, kind)
+
+
 def test_run_that_begins_on_replaced_weights_is_found(
     case: support.Case,
 ) -> None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -17,6 +17,7 @@
 import random
 import tempfile
 import time
+import typing
 
 from pistachioseam_standins import deployment
 from pistachioseam_standins import fleet
@@ -39,6 +40,8 @@
 CALLER_COUNT = max(4, FLEET_SPEC.hosts)
 LIMITED_CALLER_COUNT = 4
 """Callers of the account with a quota, which they exceed."""
+LEAVING_CALLER_COUNT = 6
+"""Callers that leave if they have to wait."""
 INJECTOR_COUNT = 3
 """Threads that inject faults, so that faults overlap."""
 MAX_SERIES_LENGTH = 3
@@ -96,6 +99,8 @@
     bound = running.create_quota_bound()
     arrivals = running.list_logged_arrivals()
     cost, names = checks.find_busiest_window(results, arrivals, bound)
+    left_count = sum(each.left_at > 0 for each in results)
+    print(f'seed {seed}: {left_count} callers left before the response')
     rejected_count = sum(each.status == 429 for each in results)
     print(
         f'seed {seed}: {len(names)} runs for {cost} of {bound.max_cost:.0f}'
@@ -108,10 +113,18 @@
 ) -> list[callers.CallResult]:
     """Inject faults while callers send calls; return the results."""
     with contextlib.ExitStack() as stack:
-        kinds = [(callers.BEHAVIOURS, callers.ACCOUNT)] * CALLER_COUNT
+        kinds: list[tuple[typing.Any, ...]] = [
+            (callers.BEHAVIOURS, callers.ACCOUNT)
+        ] * CALLER_COUNT
         limited = (callers.QUICK_BEHAVIOURS, callers.LIMITED_ACCOUNT)
         kinds += [limited] * LIMITED_CALLER_COUNT
         kinds.append((callers.LONG_BEHAVIOURS, callers.ACCOUNT))
+        leaving = (
+            callers.LEAVING_BEHAVIOURS,
+            callers.ACCOUNT,
+            callers.PATIENCE_SECONDS,
+        )
+        kinds += [leaving] * LEAVING_CALLER_COUNT
         running_callers = [
             stack.enter_context(callers.Caller(running, seed * 100 + n, *kind))
             for n, kind in enumerate(kinds)
