--- a/tests/failures/test_departed_callers.py
+++ b/tests/failures/test_departed_callers.py
@@ -1,14 +1,17 @@
 """Calls of callers that leave while a server's machine does not respond."""
 
+from collections import abc
 import contextlib
 from http import client
 import threading
 import time
 import uuid
 
+from pistachioseam_standins import deployment
 from pistachioseam_standins import fleet
 from tests import dark_ports
 from tests.failures import test_forwarding
+from tests.failures import test_partitions
 from tests import support
 
 CALLERS = 12
@@ -37,6 +40,23 @@
         connection.getresponse().read()
 
 
+def send_and_leave_all(
+    hosts: abc.Sequence[deployment.ServerProcess],
+) -> None:
+    """Send bookings to hosts in turn; return when all callers have left."""
+    leaving = []
+    for number in range(CALLERS):
+        host = hosts[number % len(hosts)]
+        caller = threading.Thread(
+            target=send_and_leave, args=(host.address, uuid.uuid4().hex)
+        )
+        caller.start()
+        leaving.append(caller)
+        time.sleep(SPACING_SECONDS)
+    for caller in leaving:
+        caller.join()
+
+
 def test_bookings_whose_callers_left_reach_no_server(
     case: support.Case,
 ) -> None:
@@ -45,19 +65,9 @@
     (server,) = running.services
     server.process.kill()
     server.process.wait()
-    leaving = []
     with dark_ports.DarkPort(server.address):
         outage_ends_at = time.monotonic() + OUTAGE_SECONDS
-        for number in range(CALLERS):
-            host = running.entries[number % len(running.entries)]
-            caller = threading.Thread(
-                target=send_and_leave, args=(host.address, uuid.uuid4().hex)
-            )
-            caller.start()
-            leaving.append(caller)
-            time.sleep(SPACING_SECONDS)
-        for caller in leaving:
-            caller.join()
+        send_and_leave_all(running.entries)
         time.sleep(max(0.0, outage_ends_at - time.monotonic()))
     running.services[0] = running.start_server(
         server.name, fleet.PLAIN_SERVICE, '', server.address
@@ -67,6 +77,31 @@
     test_forwarding.wait_status(running, '/once/whole', 200)
 
 
+def test_relayed_bookings_whose_callers_left_reach_no_server(
+    case: support.Case,
+) -> None:
+    """Guards against GONE: the relaying host sent them in the end."""
+    spec = fleet.FleetSpec(hosts=2, plain=1)
+    running = case.useFixture(test_partitions.PartitionedFleet(spec)).fleet
+    cut_off = running.entries[0]
+    running.paths[0].set_mode('cut')
+
+    def is_relayed() -> bool:
+        response = test_forwarding.send(cut_off.address, '/safe/whole')
+        return response.status == 200
+
+    deployment.wait_until(is_relayed, 'no host relays the call')
+    ran_before = running.list_logged_request_ids()
+    running.paths[1].services.set_mode('dark')
+    outage_ends_at = time.monotonic() + OUTAGE_SECONDS
+    send_and_leave_all([cut_off])
+    time.sleep(max(0.0, outage_ends_at - time.monotonic()))
+    running.paths[1].services.set_mode('pass')
+    time.sleep(AFTER_SECONDS)
+    case.assertEqual(ran_before, running.list_logged_request_ids())
+    deployment.wait_until(is_relayed, 'no host relays the call')
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
--- a/tests/failures/test_partitions.py
+++ b/tests/failures/test_partitions.py
@@ -29,17 +29,21 @@
 PATHS = ('/safe/whole', '/once/whole', '/stream/whole', '/resumable/whole')
 SINGLE_RUN_PREFIXES = ('/once/', '/stream/')
 """Prefixes of the routes whose calls may run only once."""
+SPEC = fleet.FleetSpec(hosts=4, engines=3, plain=3)
 CALLERS_PER_HOST = 3
 CALL_INTERVAL_SECONDS = 0.05
 
 
 class PartitionedFleet(fixtures.Fixture):
-    """Run a fleet with a proxy between each host and the servers."""
+    """Run a fleet with proxies between each host and the servers."""
+
+    def __init__(self, spec: fleet.FleetSpec = SPEC) -> None:
+        super().__init__()
+        self._spec = spec
 
     def _setUp(self) -> None:  # noqa: N802
         folder = pathlib.Path(self.useFixture(fixtures.TempDir()).path)
-        spec = fleet.FleetSpec(hosts=4, engines=3, plain=3)
-        running = partitions.PartitionedFleet(spec, folder)
+        running = partitions.PartitionedFleet(self._spec, folder)
         self.fleet = running.__enter__()
         self.addCleanup(running.__exit__)
 
