--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_listener.py
@@ -292,7 +292,7 @@
     def _record_attempts(self, call: calls.Call) -> None:
         for index, attempt in enumerate(call.attempts):
             self._metrics.record_attempt(
-                attempt.failure or 'ok', index > 0, attempt.expected_seconds
+                attempt.describe_end(), index > 0, attempt.expected_seconds
             )
             self._metrics.count_prompt_tokens(attempt.tokens_by_source)
         if call.attempts:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
@@ -54,8 +54,8 @@
 
     `may_have_run` is set right before the first byte is sent to a target, and
     reset if the failure of that attempt proves that the target has not run
-    it. `caller` tells whether the caller still waits; it is not told of a
-    caller whose call is cancelled.
+    it. `caller` tells whether the caller still waits, if the call goes on
+    without it; other calls are cancelled.
     `is_served` is set once the caller has a target's whole response. `status`
     is the HTTP status of the target's response, 0 until it is sent to the
     caller; `origin` is what began the stream that the caller has events of,
--- a/tests/core/forwarding/test_departed_callers.py
+++ b/tests/core/forwarding/test_departed_callers.py
@@ -62,10 +62,10 @@
     clocks.run(run())
 
 
-def test_call_that_may_have_been_sent_is_not_begun_after_its_caller_left(
+def test_call_that_is_not_cancelled_is_not_begun_after_its_caller_left(
     case: support.Case,
 ) -> None:
-    """Guards against GONE where a call is told of its caller too late."""
+    """Guards against GONE: the caller leaves between two attempts."""
 
     async def run() -> None:
         fixture = create_fixture()
--- a/tests/entry/test_call_listener.py
+++ b/tests/entry/test_call_listener.py
@@ -134,16 +134,21 @@
     case.assertEqual(served.content, served.ended)
 
 
-def leave(filters: Filters, is_early: bool = False) -> list[events.Event]:
+def leave(
+    filters: Filters,
+    is_early: bool = False,
+    process_metrics: metrics.Metrics | None = None,
+) -> list[events.Event]:
     """Return the events of a request whose caller leaves after a while.
 
     If `is_early`, the caller leaves before the request's task has begun.
     """
+    process_metrics = process_metrics or metrics.Metrics()
 
     async def work() -> list[events.Event]:
         fixture = call_fakes.RouterFixture([call_fakes.create_target(1)])
         listener = call_listener.CallListener(
-            fixture.router, headers.HeaderCodec(), metrics.Metrics()
+            fixture.router, headers.HeaderCodec(), process_metrics
         )
         protocol: typing.Any = listener.create_site().buildProtocol(None)
         protocol.makeConnection(testing.StringTransport())
@@ -168,9 +173,16 @@
 
     async def connect(call: calls.Call, _: routers.CallRouter) -> None:
         call.route = call_fakes.create_state().routes[1]
+        attempt = calls.CallAttempt(
+            target=call_fakes.create_target(1), started_at=0.0
+        )
+        call.attempts.append(attempt)
         await asyncio.Event().wait()
 
-    case.assertEqual([events.Event.CALLER_LEFT], leave(connect))
+    measured = metrics.Metrics()
+    logged = leave(connect, process_metrics=measured)
+    case.assertEqual([events.Event.CALLER_LEFT], logged)
+    case.assertIn(b'outcome="connecting"', measured.render())
 
 
 def test_sent_call_is_told_that_its_caller_has_left(
