Callers that pipeline: notice that they leave while a request is served

What callers saw.

Reading stops with the first bytes of the next request, and a disconnect is noticed by reading. The next request begins before the connection is read again.

While a connection is not read as its request is served, it is checked ten times a second for its end: POLLRDHUP shows it behind bytes that have not been read. Then it is closed, and its call is told as by any disconnect.

Why it works. The check stands for the read that is left out; a connection with one request at a time has no check.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/caller_channels.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/caller_channels.py
@@ -31,6 +31,9 @@
 """Multiple of the idle timeout after which a body must keep the least rate. By
 default it is 30 s, longer than the time limit of any route."""
 DEFAULT_IDLE_SECONDS = 15.0
+END_CHECK_SECONDS = 0.1
+"""Interval at which a connection is checked for its end while it is not read.
+"""
 BUSY_RESPONSE = (
     b'HTTP/1.1 503 Service Unavailable\r\n'
     b'Connection: close\r\n'
@@ -60,7 +63,8 @@
 
     `holdings` has the account of what the connection makes the host hold.
     While a request is served, reading stops with the first bytes of the next
-    one. Until then it goes on, so that a disconnect is noticed.
+    one. Until then it goes on, so that a disconnect is noticed; afterwards the
+    connection is checked for its end.
     """
 
     on_closed: abc.Callable[['CallerChannel'], None] = staticmethod(
@@ -70,6 +74,7 @@
     on_request_timeout: abc.Callable[[], None] = staticmethod(lambda: None)
     _header_timer: typing.Any = None
     _pace_timer: typing.Any = None
+    _end_timer: typing.Any = None
 
     def __init__(self, holdings: caller_holdings.CallerHoldings) -> None:
         super().__init__()
@@ -125,9 +130,31 @@
         self._served += 1
         self._body_began_at = None
         if any(self._dataBuffer):
-            self._get_network().pauseProducing()
+            self._pause_while_serving()
         super().allContentReceived()
 
+    def _pause_while_serving(self) -> None:
+        """Read no further request until the one in progress is served."""
+        self._get_network().pauseProducing()
+        self._schedule_end_check()
+
+    def _schedule_end_check(self) -> None:
+        if self._end_timer is None:
+            self._end_timer = self.callLater(
+                END_CHECK_SECONDS, self._check_end
+            )
+
+    def _check_end(self) -> None:
+        """Close the connection if its caller has; its call is cancelled."""
+        self._end_timer = None
+        transport: typing.Any = self.transport
+        if not self._handlingRequest or not transport.connected:
+            return
+        if sockets.is_ended_by_peer(transport.fileno()):
+            transport.abortConnection()
+        else:
+            self._schedule_end_check()
+
     def rawDataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse a part of a body, or hold the bytes of a further request.
 
@@ -138,7 +165,7 @@
             return
         if self._handlingRequest:
             self._dataBuffer.append(data)
-            self._get_network().pauseProducing()
+            self._pause_while_serving()
             return
         if self.length is not None:
             super().rawDataReceived(data)
@@ -434,6 +461,9 @@
 
     def _stop_timers(self) -> None:
         self._stop_header_timer()
+        if self._end_timer is not None:
+            self._end_timer.cancel()
+            self._end_timer = None
         if self._pace_timer is not None:
             self._pace_timer.cancel()
             self._pace_timer = None
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/sockets.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/sockets.py
@@ -1,6 +1,7 @@
 """Sockets whose receive buffers are bounded, and what they have sent."""
 
 import fcntl
+import select
 import socket
 import struct
 import termios
@@ -51,6 +52,16 @@
     )
 
 
+def is_ended_by_peer(descriptor: int) -> bool:
+    """Return whether the other side has ended a connection.
+
+    Unlike reading, this shows it also behind bytes that have not been read.
+    """
+    poller = select.poll()
+    poller.register(descriptor, select.POLLRDHUP)
+    return bool(poller.poll(0))
+
+
 def listen(site: typing.Any, address: str) -> typing.Any:
     """Accept connections at `IP:port`; return the listening port."""
     host, _, port = address.rpartition(':')
--- a/tests/failures/test_departed_callers.py
+++ b/tests/failures/test_departed_callers.py
@@ -3,6 +3,7 @@
 from collections import abc
 import contextlib
 from http import client
+import socket
 import threading
 import time
 import uuid
@@ -102,6 +103,33 @@
     deployment.wait_until(is_relayed, 'no host relays the call')
 
 
+def test_pipelined_booking_whose_caller_left_reaches_no_server(
+    case: support.Case,
+) -> None:
+    """Guards against GONE: it ran once the one before it had ended."""
+    running = test_forwarding.start_fleet(case, hosts=1, plain=1)
+    # It leaves a connection on which the next call is sent at once.
+    test_forwarding.send(running.entries[0].address, '/once/whole')
+    ran_before = running.list_logged_request_ids()
+    host, _, port = running.entries[0].address.rpartition(':')
+    request_ids = [uuid.uuid4().hex for _ in range(3)]
+    requests = [
+        f'POST /once/slow HTTP/1.1\r\nHost: {fleet.ROUTE_HOST}\r\n'
+        'Authorization: Bearer key-1\r\nContent-Length: 0\r\n'
+        f'X-Pistachioseam-Request-Id: {request_id}\r\n\r\n'
+        for request_id in request_ids
+    ]
+    with socket.create_connection((host, int(port))) as caller:
+        for request in requests:
+            caller.sendall(request.encode())
+            time.sleep(SPACING_SECONDS)
+        time.sleep(PATIENCE_SECONDS)
+    time.sleep(AFTER_SECONDS)
+    case.assertEqual(
+        [*ran_before, request_ids[0]], running.list_logged_request_ids()
+    )
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
