Soak: a truncated response of declared length is no whole one

`http.client`'s `read1` raises for chunks that end too early, but not for a declared length, so the caller of the soak took a truncation that it could see for a complete response.

The caller raises IncompleteRead itself. Chunks and bodies without a length are judged as before; what looks whole and is not still counts as MIXED.

The new test (a server that ends after 2 of 4 declared bytes) gave status 200 before, and an error now; with all 4 bytes 200 both times.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -223,7 +223,10 @@
             result = attrs.evolve(result, has_begun=True)
             while part := response.read1(READ_BYTES):
                 body += part
-            # Unlike `read`, `read1` does not do so at the end of the body.
+            # Unlike `read`, `read1` raises nothing if the connection ends
+            # before a body of declared length, and closes no response.
+            if response.length:
+                raise client.IncompleteRead(body, response.length)
             response.close()
         except (OSError, client.HTTPException) as error:
             # A call without a response may have run; its runs are checked.
--- a/tests/soak/test_checks.py
+++ b/tests/soak/test_checks.py
@@ -2,6 +2,8 @@
 
 import contextlib
 import pathlib
+import socket
+import threading
 
 import attrs
 import fixtures
@@ -231,6 +233,34 @@
     return [violation.rule for violation in found]
 
 
+def answer_one(server: socket.socket, content: bytes) -> None:
+    """Send some bytes to one caller, and the end of the connection."""
+    accepted, _ = server.accept()
+    with accepted:
+        accepted.sendall(content)
+        accepted.shutdown(socket.SHUT_WR)
+        while accepted.recv(callers.READ_BYTES):
+            pass
+
+
+def test_truncated_response_of_declared_length_is_no_response(
+    case: support.Case,
+) -> None:
+    """A killed host was taken for one that ends half a body as the whole."""
+    head = b'HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n'
+    for body, status in ((b'ab', 0), (b'abcd', 200)):
+        with socket.create_server(('127.0.0.1', 0)) as server:
+            address, port = server.getsockname()
+            answering = threading.Thread(
+                target=answer_one, args=(server, head + body)
+            )
+            answering.start()
+            result = callers.call(f'{address}:{port}', '/safe/', 'whole')
+            answering.join()
+        case.assertEqual((status, body), (result.status, result.body))
+        case.assertEqual(not status, bool(result.error))
+
+
 def test_calls_that_arrive_long_after_their_callers_left_are_found(
     case: support.Case,
 ) -> None:
