--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""Two of ten engines are cut off from the store for 5 s, and come back."""
+"""Three of fifteen engines are cut off from the store for 5 s, and come back."""
 
 import asyncio
 import math
@@ -17,8 +17,8 @@
     'zone-two': 'region-one',
     'zone-three': 'region-two',
 }
-ENGINES = 10
-CUT_ENGINES = 2
+ENGINES = 15
+CUT_ENGINES = 3
 START_GAP_SECONDS = 0.35
 """Pause between the starts of the hosts, as of a rolling restart."""
 CUT_SECONDS = 5.0
