--- a/review/12/case.py
+++ b/review/12/case.py
@@ -1,4 +1,4 @@
-"""Three of fifteen engines are cut off from the store for 5 s, and come back."""
+"""Three of fifteen engines are cut off from the store for 5 s."""
 
 import asyncio
 import math
