Targets: order what the store says of an entry by its version

The read of the feed was split into "entries" and "removed", applied one after the other, so the order of two changes of one entry was lost. Removals of targets that were not known before the read were dropped; removals of known ones were applied after their return.

An entry is read with the version of its row, and a removed or malformed one is an entry without a target. The catalog keeps one record a target; the entry with the newest version decides. Entries of the copy from which a store was restored replace what is known only if their target wrote them later. A peer's departure, which names no version yet, holds until the store confirms the entries as of a later time: the peer had read the removal before it told it. A follower reads again when its leader has seen any change of an unknown target.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/status_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/status_messages.py
@@ -10,6 +10,7 @@
 
 from pistachioseam.forwarding import brittleness
 from pistachioseam.forwarding import cache_store_watches
+from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import known_versions
 from pistachioseam.forwarding import loads
@@ -268,7 +269,8 @@
                 pause_ms=int(full.pause_seconds * plans.MS_PER_SECOND),
                 rejection_id=full.rejection_id,
             )
-        for name, born_ms in self._router.catalog.list_recent_departures(now):
+        for departure in self._router.catalog.list_recent_departures(now):
+            name, born_ms = departure.incarnation
             status.leaving.add(target=name, born_ms=born_ms, is_listed=True)
 
     def _add_part_reports(
@@ -369,7 +371,9 @@
         for leaving in status.leaving:
             report = peer_messages.decode_leaving(leaving)
             if leaving.is_listed:
-                self._router.catalog.record_departure(report.incarnation, now)
+                self._router.catalog.record_departure(
+                    catalog.Departure(report.incarnation), now
+                )
             else:
                 self._router.notices.merge(report, now)
         for full in status.full_targets:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/watches.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/watches.py
@@ -7,7 +7,6 @@
 from returns import result
 
 from pistachioseam import events
-from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import confirmations
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import router as routers
@@ -222,8 +221,10 @@
             router.sink.emit(events.Event.DOCUMENT_MALFORMED, finding=finding)
         # Recorded weights are also sent to peers that do not read the entries.
         for entry in found.change.entries:
-            for model, version in entry.weights.items():
-                router.weights.record(entry, model, version)
+            if entry.target is None:
+                continue
+            for model, version in entry.target.weights.items():
+                router.weights.record(entry.target, model, version)
         now = router.runtime.now()
         if is_restored:
             router.catalog.record_outage_end(now)
@@ -239,7 +240,8 @@
         Without it the catalog would take the time without a read for an outage
         of the store.
         """
-        self._router.targets_freshness.record_confirmation(confirmed_at)
-        self._router.catalog.apply(
-            catalog.NO_CHANGE, self._router.runtime.now()
-        )
+        router = self._router
+        router.targets_freshness.record_confirmation(confirmed_at)
+        now = router.runtime.now()
+        age_seconds = router.read_boot_clock() - confirmed_at
+        router.catalog.record_confirmation(now - age_seconds, now)
--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -329,6 +329,25 @@
     ]
 
 
+def create_change(
+    targets: abc.Iterable[catalog.LiveTarget] = (),
+    removed: abc.Iterable[str] = (),
+    version: int = 1,
+    era: int = 0,
+    is_complete: bool = False,
+) -> catalog.TargetChange:
+    """Return a read of entries that all have the same version."""
+    at = store_versions.StoreVersion(era, version)
+    entries = [
+        catalog.TargetEntry(name=target.name, version=at, target=target)
+        for target in targets
+    ]
+    entries += [catalog.TargetEntry(name=name, version=at) for name in removed]
+    return catalog.TargetChange(
+        entries=tuple(entries), version=at, is_complete=is_complete
+    )
+
+
 class RouterFixture:
     """Router of one host, with scripted targets and the event loop's time.
 
@@ -357,9 +376,8 @@
         self.known_hosts: int | None = None
         self.router = self._create_router(domain)
         now = self.runtime.now()
-        change = catalog.TargetChange(
-            entries=tuple(targets), removed=(), is_complete=True
-        )
+        self.store_version = 1
+        change = create_change(targets, version=1, is_complete=True)
         self.router.catalog.apply(change, now)
         self.set_state(create_state())
         self.router.freshness.record_confirmation(now)
@@ -429,47 +447,42 @@
     ) -> rate_permits.PermitDecision:
         return self.permit_issuer.issue(request, self.runtime.now())
 
+    def _change_targets(
+        self,
+        targets: abc.Iterable[catalog.LiveTarget] = (),
+        removed: abc.Iterable[str] = (),
+    ) -> None:
+        """Apply the next read of the targets' entries."""
+        self.store_version += 1
+        change = create_change(targets, removed, self.store_version)
+        self.router.catalog.apply(change, self.runtime.now())
+
     def remove_targets(
         self, targets: abc.Iterable[catalog.LiveTarget]
     ) -> None:
         """Remove the entries of targets."""
-        change = catalog.TargetChange(
-            entries=(),
-            removed=tuple(target.name for target in targets),
-            is_complete=False,
-        )
-        self.router.catalog.apply(change, self.runtime.now())
+        self._change_targets(removed=[target.name for target in targets])
 
     def add_target(self, target: catalog.LiveTarget) -> None:
         """Add the entry of a target."""
-        change = catalog.TargetChange(
-            entries=(target,), removed=(), is_complete=False
-        )
-        self.router.catalog.apply(change, self.runtime.now())
+        self._change_targets([target])
 
     def set_software_versions(self, *versions: str) -> None:
         """Set the software versions of the registered targets, in order."""
-        change = catalog.TargetChange(
-            entries=tuple(
-                attrs.evolve(target, software_version=version)
-                for target, version in zip(
-                    self.router.catalog.list_all(), versions, strict=True
-                )
-            ),
-            removed=(),
-            is_complete=False,
+        self._change_targets(
+            attrs.evolve(target, software_version=version)
+            for target, version in zip(
+                self.router.catalog.list_all(), versions, strict=True
+            )
         )
-        self.router.catalog.apply(change, self.runtime.now())
         self.list_software_versions()
 
     def restart_target(self, number: int) -> None:
         """Register the next incarnation of a target under its name."""
         target = self.router.catalog.list_all()[number]
-        entry = attrs.evolve(target, born_ms=target.born_ms + 1)
-        change = catalog.TargetChange(
-            entries=(entry,), removed=(), is_complete=False
+        self._change_targets(
+            [attrs.evolve(target, born_ms=target.born_ms + 1)]
         )
-        self.router.catalog.apply(change, self.runtime.now())
 
     def set_state(
         self,
--- a/tests/core/forwarding/test_confirmations.py
+++ b/tests/core/forwarding/test_confirmations.py
@@ -102,22 +102,29 @@
         await asyncio.sleep(self.targets_seconds)
         if self.is_disconnected:
             return FAILURE
-        entries = tuple(
-            call_fakes.create_target(number)
+        cursor = self.store.get_cursor()
+        entries = [
+            catalog.TargetEntry(
+                name=target.name,
+                version=attrs.evolve(cursor, number=version),
+                target=target,
+            )
             for number, version in self.store.targets.items()
             if after is None or version > after.number
-        )
-        removed = tuple(
-            call_fakes.create_target(number).name
+            for target in (call_fakes.create_target(number),)
+        ]
+        entries += [
+            catalog.TargetEntry(
+                name=call_fakes.create_target(number).name,
+                version=attrs.evolve(cursor, number=version),
+            )
             for number, version in self.store.removed.items()
             if after is not None and version > after.number
-        )
+        ]
         change = catalog.TargetChange(
-            entries=entries, removed=removed, is_complete=after is None
-        )
-        return result.Success(
-            ports.TargetsRead(change=change, cursor=self.store.get_cursor())
+            entries=tuple(entries), version=cursor, is_complete=after is None
         )
+        return result.Success(ports.TargetsRead(change=change, cursor=cursor))
 
 
 @attrs.define
--- a/tests/core/forwarding/test_rate_limits.py
+++ b/tests/core/forwarding/test_rate_limits.py
@@ -6,9 +6,11 @@
 import attrs
 
 from pistachioseam import events
+from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import rate_limits
 from pistachioseam.forwarding import rate_permits
+from pistachioseam.forwarding import store_versions
 from tests import call_fakes
 from tests import clocks
 from tests import support
@@ -139,7 +141,10 @@
         async def grant(
             request: rate_permits.PermitRequest,
         ) -> rate_permits.PermitDecision:
-            router.catalog.record_departure(limited, router.runtime.now())
+            departure = catalog.Departure(
+                limited, store_versions.StoreVersion(0, 2)
+            )
+            router.catalog.record_departure(departure, router.runtime.now())
             return rate_permits.PermitDecision(True)
 
         router.permits = rate_permits.PermitClient(
--- a/tests/core/forwarding/test_watches.py
+++ b/tests/core/forwarding/test_watches.py
@@ -63,9 +63,9 @@
 def _create_read(
     numbers: list[int], cursor: int, is_complete: bool = False
 ) -> ports.TargetsRead:
-    change = catalog.TargetChange(
-        entries=tuple(call_fakes.create_target(n) for n in numbers),
-        removed=(),
+    change = call_fakes.create_change(
+        [call_fakes.create_target(n) for n in numbers],
+        version=cursor,
         is_complete=is_complete,
     )
     return ports.TargetsRead(change=change, cursor=at(cursor))
@@ -286,8 +286,12 @@
             is_complete: bool = False,
         ) -> ports.TargetsRead:
             return ports.TargetsRead(
-                change=catalog.TargetChange(
-                    entries=entries, removed=removed, is_complete=is_complete
+                change=call_fakes.create_change(
+                    entries,
+                    removed,
+                    cursor.number,
+                    cursor.era,
+                    is_complete=is_complete,
                 ),
                 cursor=cursor,
             )
--- a/tests/entry/test_fleet_partitions.py
+++ b/tests/entry/test_fleet_partitions.py
@@ -216,9 +216,7 @@
         await host.paths.check(max_age_seconds=0.0)
         departed = fleet.targets[:2]
         for target in departed:
-            relay.router.catalog._departed_at[target.get_incarnation()] = (
-                relay.router.runtime.now()
-            )
+            relay.router.catalog._listed[target.name].has_departed = True
         for number in range(10):
             await host.serve('/safe/', f'safe-{number}')
         addresses = {target.address for target in departed}
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -153,9 +153,10 @@
     for number, value in enumerate(odd):
         client.rows[store.SERVERS_TABLE, f'odd-{number}'] = value
     read = asyncio.run(platform.read_targets(None)).unwrap()
-    case.assertEqual(['sound'], [e.name for e in read.change.entries])
+    usable = [e.name for e in read.change.entries if e.target is not None]
+    case.assertEqual(['sound'], usable)
     case.assertEqual(len(odd), len(read.findings))
-    case.assertEqual(len(odd), len(read.change.removed))
+    case.assertEqual(1 + len(odd), len(read.change.entries))
 
 
 def test_unreadable_entry_of_a_host_hides_no_other(case: support.Case) -> None:
--- /dev/null
+++ b/tests/platform/test_target_rows.py
@@ -0,0 +1,153 @@
+"""Hosts follow the rows of the targets' entries, whatever their reads hold."""
+
+import asyncio
+import json
+import typing
+
+import attrs
+from returns import result
+
+from pistachioseam.forwarding import ports
+from pistachioseam.forwarding import store_versions
+from pistachioseam.forwarding import watches
+from pistachioseam_entry import status_messages
+from pistachioseam_platform import rows
+from pistachioseam_platform import store
+from tests import call_fakes
+from tests import clocks
+from tests import support
+
+NAME = 'plain-1'
+STATUS_SECONDS = 0.5
+ANNOUNCED_SECONDS = 8.0
+"""Longer than hosts repeat departures to each other."""
+READ_SECONDS = 1.0
+
+
+@attrs.define
+class RowClient:
+    """Client of a store whose feed returns each change of a row."""
+
+    history: list[rows.StoredRow] = attrs.field(factory=list)
+    version: int = 0
+
+    def write(self, content: dict[str, typing.Any] | None) -> None:
+        """Write the entry of the target, None to remove it."""
+        self.version += 1
+        value = None if content is None else json.dumps(content).encode()
+        self.history.append(rows.StoredRow(NAME, self.version, value))
+
+    async def read_rows(self, table: str) -> rows.ReadResult:
+        """Return the newest entry."""
+        newest = tuple(r for r in self.history[-1:] if r.value is not None)
+        return self._create_read(newest, is_complete=True)
+
+    async def watch_rows(
+        self, table: str, after: store_versions.StoreVersion, wait: float
+    ) -> rows.ReadResult:
+        """Return the changes after a version."""
+        changes = tuple(r for r in self.history if r.version > after.number)
+        return self._create_read(changes, is_complete=False)
+
+    def _create_read(
+        self, found: tuple[rows.StoredRow, ...], is_complete: bool
+    ) -> rows.ReadResult:
+        cursor = store_versions.StoreVersion(0, self.version)
+        return result.Success(rows.TableRead(found, cursor, is_complete))
+
+
+@attrs.define
+class Rollout:
+    """Stand-in for a rollout without loading engines."""
+
+    loading: set[tuple[str, int]] = attrs.field(factory=set)
+
+
+class Host:
+    """Host that reads the store and exchanges statuses."""
+
+    def __init__(self, client: RowClient) -> None:
+        self.router = call_fakes.RouterFixture([]).router
+        platform = store.PlatformStore(typing.cast(rows.StoreClient, client))
+        self.watch = watches.TargetsWatch(
+            self.router, typing.cast(ports.Platform, platform)
+        )
+        self.statuses = status_messages.StatusMessages(
+            self.router,
+            Rollout(),  # type: ignore[arg-type]
+            list,
+        )
+
+    def uses_target(self) -> bool:
+        """Return whether the target gets calls."""
+        target = self.router.catalog.get(NAME)
+        return target is not None and self.router.catalog.is_available(target)
+
+
+def create_entry(**fields: object) -> dict[str, typing.Any]:
+    """Return the entry of a target that is ready."""
+    entry: dict[str, typing.Any] = {
+        'service': call_fakes.PLAIN_SERVICE,
+        'address': '127.0.0.1:9001',
+        'zone': 'd1',
+        'version': 'v1',
+        'capacity': 4,
+        'state': 'ready',
+        'born': 7,
+        'seq': 1,
+    }
+    return {**entry, **fields}
+
+
+async def read_changes(
+    *changes: dict[str, typing.Any] | None, is_known: bool
+) -> bool:
+    """Return whether a host uses a target after it reads changes at once.
+
+    `is_known` tells whether it has read an entry of the target before.
+    """
+    client = RowClient()
+    host = Host(client)
+    if is_known:
+        client.write(create_entry())
+    await host.watch.read()
+    await asyncio.sleep(READ_SECONDS)
+    for content in changes:
+        client.write(content)
+    await host.watch.read()
+    return host.uses_target()
+
+
+def test_target_that_came_and_left_between_two_reads_is_not_used(
+    case: support.Case,
+) -> None:
+    """DRAIN: the host sent it calls for good, as it dropped the removal."""
+    came = create_entry()
+    for is_known in (False, True):
+        for last in (None, {**came, 'capacity': None}):
+            case.assertFalse(
+                clocks.run(read_changes(came, last, is_known=is_known))
+            )
+
+
+def test_target_that_left_and_returned_between_two_reads_is_used(
+    case: support.Case,
+) -> None:
+    """VERSION: the host dropped it for good, removing it after its return."""
+    restarted = create_entry(born=8)
+    spoiled = {'state': 'ready'}
+    for is_known in (False, True):
+        for changes in (
+            (None, create_entry(seq=5)),
+            (None, restarted),
+            (spoiled, create_entry(seq=5)),
+            (None, create_entry(seq=5), None, restarted),
+        ):
+            case.assertTrue(
+                clocks.run(read_changes(*changes, is_known=is_known))
+            )
+
+
+def load_tests(*_: object) -> object:
+    """Load the functions of this module."""
+    return support.load_functions(globals())
--- a/tests/watching_fleets.py
+++ b/tests/watching_fleets.py
@@ -141,14 +141,18 @@
         """Return the entries that have changed after a version, or all."""
         if not await self._call():
             return REFUSED
-        changed = {
-            name: entry
+        entries = tuple(
+            catalog.TargetEntry(
+                name=name,
+                version=store_versions.StoreVersion(0, version),
+                target=entry,
+            )
             for name, (version, entry) in self._store.rows.items()
             if after is None or version > after.number
-        }
+        )
         change = catalog.TargetChange(
-            entries=tuple(e for e in changed.values() if e is not None),
-            removed=tuple(n for n, e in changed.items() if e is None),
+            entries=entries,
+            version=self._get_cursor(),
             is_complete=after is None,
         )
         return result.Success(
