Departures told by peers carry the version of the entry

What callers saw.

A host that sees an entry go tells its peers for 3 s. The word had neither a time nor a version. A host that had read the return, and forgotten the departure, took the word of a peer that had not read it yet for a new departure, and told the others in turn. Nothing cleared it later, as the entry did not change again; whether it happened hung on the phases of the hosts' reads.

A departure names the store's version of the entry, in two new fields of `LeavingTarget`; it counts if it is newer than what the host knows, and is announced no longer than it holds. Hosts of earlier builds ignore the fields; their words, without a version, are handled as in the commit before. They are not passed on.

Why it works. The version belongs to the entry, not to the word: a repeat, a late word or one of a host that was frozen is older than the entry that was read.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/peer_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/peer_messages.py
@@ -4,6 +4,7 @@
 from collections import abc
 import math
 
+from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import confirmations
 from pistachioseam.forwarding import crash_evidence
 from pistachioseam.forwarding import known_versions
@@ -131,6 +132,29 @@
     message.age_ms = math.ceil(report.age_seconds * MS_PER_SECOND)
 
 
+def add_departure(
+    message: messages_pb2.LeavingTarget, departure: catalog.Departure
+) -> None:
+    """Set the fields of a `LeavingTarget` message about an entry."""
+    message.target, message.born_ms = departure.incarnation
+    message.is_listed = True
+    if departure.version is not None:
+        message.store_version = departure.version.number
+        message.store_era = departure.version.era
+
+
+def decode_departure(
+    message: messages_pb2.LeavingTarget,
+) -> catalog.Departure:
+    """Return the departure that a `LeavingTarget` message holds."""
+    version = None
+    if message.HasField('store_version'):
+        version = store_versions.StoreVersion(
+            message.store_era, message.store_version
+        )
+    return catalog.Departure((message.target, message.born_ms), version)
+
+
 def decode_leaving(
     message: messages_pb2.LeavingTarget,
 ) -> notices.LeavingReport:
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/status_changes.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/status_changes.py
@@ -124,7 +124,17 @@
         part_key = (part.model, part.name, crashes, survived)
         words.append(Word('part_evidence', part_key, part))
     words += [
-        Word('leaving', (t.target, t.born_ms, t.is_listed), t)
+        Word(
+            'leaving',
+            (
+                t.target,
+                t.born_ms,
+                t.is_listed,
+                t.store_era,
+                t.store_version,
+            ),
+            t,
+        )
         for t in status.leaving
     ]
     words += [
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/status_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/status_messages.py
@@ -10,7 +10,6 @@
 
 from pistachioseam.forwarding import brittleness
 from pistachioseam.forwarding import cache_store_watches
-from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import known_versions
 from pistachioseam.forwarding import loads
@@ -270,8 +269,7 @@
                 rejection_id=full.rejection_id,
             )
         for departure in self._router.catalog.list_recent_departures(now):
-            name, born_ms = departure.incarnation
-            status.leaving.add(target=name, born_ms=born_ms, is_listed=True)
+            peer_messages.add_departure(status.leaving.add(), departure)
 
     def _add_part_reports(
         self, status: messages_pb2.HostStatus, is_handshake: bool = False
@@ -369,13 +367,14 @@
                 peer_messages.decode_part_reports(status), now
             )
         for leaving in status.leaving:
-            report = peer_messages.decode_leaving(leaving)
             if leaving.is_listed:
                 self._router.catalog.record_departure(
-                    catalog.Departure(report.incarnation), now
+                    peer_messages.decode_departure(leaving), now
                 )
             else:
-                self._router.notices.merge(report, now)
+                self._router.notices.merge(
+                    peer_messages.decode_leaving(leaving), now
+                )
         for full in status.full_targets:
             self._router.brittleness.merge(
                 brittleness.FullTarget(
--- a/tests/platform/test_target_rows.py
+++ b/tests/platform/test_target_rows.py
@@ -148,6 +148,51 @@
             )
 
 
+def test_peers_repeat_a_departure_after_the_return(
+    case: support.Case,
+) -> None:
+    """VERSION: hosts told each other of a lapse long after it had ended.
+
+    Each host that had read the return took the word of a peer for a new
+    departure, and told the next one.
+    """
+
+    async def run() -> None:
+        client = RowClient()
+        hosts = [Host(client) for _ in range(3)]
+        client.write(create_entry())
+        for host in hosts:
+            await host.watch.read()
+        await asyncio.sleep(READ_SECONDS)
+        client.write(None)
+        for host in hosts:
+            await host.watch.read()
+        await asyncio.sleep(2.0)
+        client.write(create_entry(seq=5))
+        for number, host in enumerate(hosts):
+            await host.watch.read()
+            await tell_peers(hosts)
+            used = [h.uses_target() for h in hosts[: number + 1]]
+            case.assertEqual([True] * (number + 1), used)
+            await asyncio.sleep(READ_SECONDS / len(hosts))
+        rounds = int(ANNOUNCED_SECONDS / STATUS_SECONDS)
+        for _ in range(rounds):
+            await tell_peers(hosts)
+            case.assertEqual([True] * 3, [h.uses_target() for h in hosts])
+            for host in hosts:
+                await host.watch.read()
+            await asyncio.sleep(STATUS_SECONDS)
+
+    async def tell_peers(hosts: list[Host]) -> None:
+        statuses = [host.statuses.create_host_status() for host in hosts]
+        for host in hosts:
+            for number, status in enumerate(statuses):
+                if hosts[number] is not host:
+                    host.statuses.apply_host_status(f'h{number}', status)
+
+    clocks.run(run())
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
