Peers: ask each new peer for its whole state

Regular statuses hold what has changed in the last second; the whole state comes with a handshake, and handshakes are sent to silent peers only. A host that restarts at its address gets the statuses of its peers before it has read the list of hosts. So its peers are not silent when it first looks for some, and it never asks. Each restart leaves one host less that knows.

A host also sends a handshake to each live contact (in a large fleet: the leaders of its domain) with whose incarnation it has exchanged none, once a second at most.

Evidence. test_restarted_host_learns_the_whole_state_of_its_peers restarts three hosts in turn, whose peers go on sending: it fails before (the first restarted host does not know the request), and passes.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -150,6 +150,7 @@
         self._client: clients.PeerClient | None = None
         self._server: servers.PeerServer | None = None
         self._probed_at: dict[str, float] = {}
+        self._introduced: set[str] = set()
         self._received_at: dict[str, float] = {}
         self._announced_hosts = 0
         self._list_reads = 0
@@ -347,7 +348,7 @@
             self._router.loads.forget_table(loads.FLEET_SOURCE)
         self.quotas.follow_fleet()
         self.send_status()
-        self._probe_silent_peers()
+        self._probe_peers()
         self.members.expire_peers()
 
     async def _agree_on_secret(self, proposal: bytes) -> bytes:
@@ -660,32 +661,56 @@
         for field, size in peer_messages.measure_fields(status).items():
             self._bytes_by_kind[f'{kind}.{field}'] += size * len(addresses)
 
-    def _probe_silent_peers(self) -> None:
-        """Send handshakes to silent peers, each once per probe interval."""
+    def _probe_peers(self) -> None:
+        """Send handshakes to silent and new peers, at a bounded rate each."""
         now = self._router.runtime.now()
-        for peer in contacts.choose_probes(
+        silent = contacts.choose_probes(
             self._contacts,
             self.members.list_known(),
             self.members.list_alive(),
             self._probed_at,
             self._router.rendezvous_hash,
-        ):
+        )
+        for peer in (*silent, *self._list_new_peers()):
             if now - self._probed_at.get(peer.address, 0.0) > (
                 PROBE_INTERVAL_SECONDS
             ):
                 self._probed_at[peer.address] = now
                 self._router.runtime.start(self._probe(peer.address))
 
+    def _list_new_peers(self) -> list[membership.Peer]:
+        """Return the live contacts that have not sent their whole state.
+
+        A host that restarts hears its peers before it knows them, so they are
+        not silent; their regular statuses hold only what has changed.
+        """
+        alive = self.members.list_alive()
+        incarnations = {peer.incarnation for peer in alive}
+        self._introduced &= incarnations
+        names = {
+            peer.name
+            for peer in self._contacts.leaders or self._contacts.direct_peers
+        }
+        return [
+            peer
+            for peer in alive
+            if peer.name in names and peer.incarnation not in self._introduced
+        ]
+
     async def _probe(self, address: str) -> None:
         assert self._client is not None
         received = await self._client.exchange(
             address, self._create_handshake(), HANDSHAKE_TIMEOUT_SECONDS
         )
         if pipeline.is_successful(received):
-            self._handle_message(received.unwrap())
+            self._handle_handshake(received.unwrap())
         else:
             self._client.disconnect(address)
 
+    def _handle_handshake(self, message: messages_pb2.Message) -> None:
+        self._introduced.add(message.sender.incarnation)
+        self._handle_message(message)
+
     async def _handle_request(
         self, message: messages_pb2.Message
     ) -> messages_pb2.Message:
@@ -699,7 +724,7 @@
         if asked.HasField('quota_question'):
             return await self.quotas.respond(asked.quota_question)
         if content != 'store_question':
-            self._handle_message(message)
+            self._handle_handshake(message)
             return self._create_handshake()
         status = await self._confirmer.respond(
             peer_messages.decode_store_query(message.store_question)
--- a/tests/entry/test_call_peers.py
+++ b/tests/entry/test_call_peers.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections import abc
 
+import attrs
+
 from pistachioseam.forwarding import prompts
 from pistachioseam import membership
 from tests import call_fakes
@@ -315,6 +317,42 @@
     clocks.run(run())
 
 
+def test_restarted_host_learns_the_whole_state_of_its_peers(
+    case: support.Case,
+) -> None:
+    """BUDGET: after a rolling restart, no host knew what crashes targets.
+
+    Peers that go on sending statuses to the address of a host are heard before
+    it reads the list of hosts, and were never asked for their state.
+    """
+
+    async def run() -> None:
+        network = fleets.Network()
+        peers = [
+            attrs.evolve(create_peer(number), domain=DOMAINS[0])
+            for number in range(3)
+        ]
+        hosts = [fleets.Host(peer, network) for peer in peers]
+        for host in hosts:
+            host.peers.members.add_discovered(peers)
+            host.router.runtime.start(host.run(float('inf')))
+        await asyncio.sleep(1.0)
+        for _ in range(3):
+            hosts[0].router.quarantine.record_crash('digest')
+        await asyncio.sleep(5.0)
+        for number in range(3):
+            hosts[number].stop()
+            peer = attrs.evolve(peers[number], incarnation=f'host-{number}:2')
+            host = hosts[number] = fleets.Host(peer, network)
+            await asyncio.sleep(1.0)
+            host.peers.members.add_discovered(peers)
+            host.router.runtime.start(host.run(float('inf')))
+            await asyncio.sleep(3.0)
+            case.assertTrue(host.router.quarantine.is_quarantined('digest'))
+
+    clocks.run(run())
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
