Records, in the store, of what crashes targets

What callers saw. Without any disruption it came back too, each two minutes, at as many targets as at first. Prompt parts that crash targets did the same.

What crashes targets was known in memory only and ended with the last host, and after 120 s in any case; from then on each host let all calls through until it had seen three more crashes.

The host that finds a request or part crashing writes a record of its evidence to a table of the store, on condition that nobody else has; hosts read the records as they start, and are not ready, and refuse calls (503, not run), before they have; for 5 s at most if only this table cannot be read. After the quarantine a call may be sent as a trial, to one target, if its host has replaced the record by a conditional write, so one host of the fleet may: after 120 s and again 960 s later, never after that. A target that survives clears the record for all hosts. No trial without the store.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_admin.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_admin.py
@@ -125,6 +125,7 @@
                 for name, load in router.loads.get_own_loads().items()
             },
             'suspected': router.health.list_suspected(),
+            'quarantined_requests': router.quarantine.list_quarantined(),
             'quarantined_parts': router.crash_evidence.list_quarantined(
                 process.runtime.now()
             ),
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_process.py
@@ -17,6 +17,7 @@
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import confirmations
 from pistachioseam.forwarding import crash_evidence
+from pistachioseam.forwarding import crash_records
 from pistachioseam.forwarding import freshness
 from pistachioseam.forwarding import known_versions
 from pistachioseam.forwarding import leases
@@ -250,6 +251,12 @@
         random = self._random
         desired = known_versions.DesiredStateCache(self.sink)
         targets = catalog.TargetCatalog(self.sink)
+        crashing_requests = quarantine.Quarantine(
+            self.runtime, CRASHES_TO_QUARANTINE
+        )
+        crashing_parts = crash_evidence.CrashEvidence(
+            self.sink, CRASHES_TO_QUARANTINE
+        )
         return routers.CallRouter(
             runtime=self.runtime,
             read_boot_clock=read_boot_clock,
@@ -277,11 +284,15 @@
                 options.retries, lambda: self.peers.count_hosts()
             ),
             health=health.HealthTracker(self.runtime, self.sink),
-            quarantine=quarantine.Quarantine(
-                self.runtime, CRASHES_TO_QUARANTINE
-            ),
-            crash_evidence=crash_evidence.CrashEvidence(
-                self.sink, CRASHES_TO_QUARANTINE
+            quarantine=crashing_requests,
+            crash_evidence=crashing_parts,
+            crash_records=crash_records.CrashRecords(
+                crashing_requests,
+                crashing_parts,
+                self.runtime,
+                random,
+                self.sink,
+                store,
             ),
             notices=notices.TargetNotices(
                 self.sink, options.bounds.drain_ms / MS_PER_SECOND
@@ -396,6 +407,7 @@
         start('targets', self.targets_watch.run, is_essential=True)
         start('leader', self.follower.run, is_essential=True)
         start('software versions', self.router.software.run, is_essential=True)
+        start('crash records', self.router.crash_records.run)
         start('streams', self.stream_recorder.run)
         start('rollout', self._run_rollout)
         start('log', self._flush_logs)
@@ -457,6 +469,7 @@
         is_fresh = (
             self.router.catalog.has_synced()
             and self.router.software.has_synced()
+            and self.router.crash_records.has_synced()
             and self.router.freshness.can_be_ready(now)
             and not self.runtime.loops.is_essential_failing()
         )
--- a/packages/pistachioseam-entry/src/pistachioseam_entry/measured_store.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/measured_store.py
@@ -6,6 +6,7 @@
 from returns import pipeline
 from returns import result
 
+from pistachioseam.forwarding import crash_records
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import store_versions
 from pistachioseam import interfaces
@@ -115,6 +116,28 @@
             'write_streams', self._store.write_streams(host, streams)
         )
 
+    async def read_crash_records(
+        self,
+    ) -> StoreResult[crash_records.CrashRecordsRead]:
+        """Return the records of what crashes targets."""
+        return await self._measure(
+            'read_crash_records', self._store.read_crash_records()
+        )
+
+    async def write_crash_record(
+        self, record: crash_records.CrashRecord
+    ) -> StoreResult[None]:
+        """Replace a record; fail with `is_conflict` if it has changed."""
+        call = self._store.write_crash_record(record)
+        return await self._measure('write_crash_record', call)
+
+    async def remove_crash_record(
+        self, subject: crash_records.Subject
+    ) -> StoreResult[None]:
+        """Remove a record."""
+        call = self._store.remove_crash_record(subject)
+        return await self._measure('remove_crash_record', call)
+
 
 def _get_outcome_label(call_result: StoreResult[Value]) -> str:
     if pipeline.is_successful(call_result):
--- a/packages/pistachioseam/src/pistachioseam/events.py
+++ b/packages/pistachioseam/src/pistachioseam/events.py
@@ -184,6 +184,11 @@
         Level.INFO,
         'caller disconnected; its call goes on, as it may have run',
     )
+    CRASH_TRIAL_BEGUN = EventKind(
+        327,
+        Level.WARNING,
+        'one call sent as a trial, though such calls have crashed targets',
+    )
     CLAIM_DROPPED = EventKind(
         401,
         Level.WARNING,
--- a/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/calls.py
@@ -8,6 +8,7 @@
 from pistachioseam.forwarding import caller_presence
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import coordinator_clients
+from pistachioseam.forwarding import crash_records
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import prompts
@@ -64,7 +65,8 @@
     the cost granted out of the account's quota, once for all attempts.
     `affinity_domain` is the failure domain near which the call's shared parts
     are taken to be saved, empty if unknown. `admission_ticket` is that of the
-    next attempt, until it is sent.
+    next attempt, until it is sent. `trial` is what has crashed targets and may
+    be tried at one of them with this call, None for other calls.
     """
 
     head: ports.CallHead
@@ -91,6 +93,7 @@
     notes: list[filter_notes.Note] = attrs.field(factory=list)
     refusal: refusals.Refusal | None = None
     grant: quotas.Grant | None = None
+    trial: crash_records.Subject | None = None
     caller: caller_presence.CallerPresence = attrs.field(
         factory=caller_presence.CallerPresence
     )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/crash_evidence.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/crash_evidence.py
@@ -33,10 +33,9 @@
 """Time after its first event from which an answer that breaks off in a crash
 is no evidence, as a crashing part ends its target as the answer begins."""
 QUARANTINE_SECONDS = 120.0
-"""Time from the last crash until calls with the part are tried again."""
-RECORD_SECONDS = 1800.0
-"""Time for which a crash is remembered, so that after the quarantine a single
-further crash renews it."""
+"""Time from the last crash until a call with the part may be tried again."""
+RECORD_SECONDS = 86_400.0
+"""Time for which a crash is remembered."""
 PEER_DELAY_SECONDS = 0.5
 """Longest delay of a peer's report. A crash that seems to follow a survival by
 less may have preceded it."""
@@ -194,6 +193,34 @@
                 return name
         return ''
 
+    def find_blocked(self, prompt: prompts.Prompt) -> str:
+        """Return the name of a part that was quarantined and not cleared.
+
+        Empty if there is none.
+        """
+        for name in prompt.list_shared_names() if self._records else ():
+            key = (prompt.model, name)
+            if self._is_quarantined(key, float('-inf')):
+                return name
+        return ''
+
+    def list_crash_ages(
+        self, key: PartKey, now: float
+    ) -> dict[Incarnation, float]:
+        """Return the age in seconds of each crash under a part."""
+        record = self._records.get(key, _PartRecord())
+        return {
+            incarnation: now - at
+            for incarnation, at in record.crashed_at.items()
+        }
+
+    def clear(self, key: PartKey, now: float) -> None:
+        """Record that a call with a part was answered at another host."""
+        record = self._records.get(key)
+        if record is not None and record.add_survival(now):
+            record.changed_at = now
+            self._update_suspect(key)
+
     def list_quarantined(self, now: float) -> tuple[PartKey, ...]:
         """Return the sorted models and names of quarantined parts."""
         suspects = self._list_heaviest_suspects()
@@ -229,10 +256,7 @@
         return PartReport(
             model=key[0],
             name=key[1],
-            crash_ages={
-                incarnation: now - at
-                for incarnation, at in record.crashed_at.items()
-            },
+            crash_ages=self.list_crash_ages(key, now),
             survival_age=now - record.survived_at if has_survived else None,
         )
 
@@ -300,7 +324,10 @@
         return other_crashes > crashes
 
     def _has_enough(self, key: PartKey, now: float) -> bool:
-        """Return whether targets crashed on enough occasions, and recently."""
+        """Return whether targets crashed on enough occasions, and recently.
+
+        At minus infinity all crashes that are known count as recent.
+        """
         if key not in self._suspects:
             return False
         record = self._records[key]
--- a/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/ports.py
@@ -8,6 +8,7 @@
 
 from pistachioseam.forwarding import caller_presence
 from pistachioseam.forwarding import catalog
+from pistachioseam.forwarding import crash_records
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import drains
 from pistachioseam.forwarding import prompts
@@ -492,6 +493,21 @@
     ) -> result.Result[None, StoreFailure]:
         """Replace the streams that a host has written."""
 
+    async def read_crash_records(
+        self,
+    ) -> result.Result[crash_records.CrashRecordsRead, StoreFailure]:
+        """Return the records of what crashes targets."""
+
+    async def write_crash_record(
+        self, record: crash_records.CrashRecord
+    ) -> result.Result[None, StoreFailure]:
+        """Replace a record if it has not changed, else `is_conflict`."""
+
+    async def remove_crash_record(
+        self, subject: crash_records.Subject
+    ) -> result.Result[None, StoreFailure]:
+        """Remove a record."""
+
 
 @attrs.frozen
 class CacheStoreEpoch:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/router.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/router.py
@@ -13,6 +13,7 @@
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import coordinator_clients
 from pistachioseam.forwarding import crash_evidence
+from pistachioseam.forwarding import crash_records
 from pistachioseam.forwarding import doubts
 from pistachioseam.forwarding import faults
 from pistachioseam.forwarding import freshness
@@ -78,6 +79,7 @@
     health: health.HealthTracker
     quarantine: quarantine.Quarantine
     crash_evidence: crash_evidence.CrashEvidence
+    crash_records: crash_records.CrashRecords
     notices: notices.TargetNotices
     rate_limits: rate_limits.RateLimits
     permits: rate_permits.PermitClient
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/forward.py
@@ -142,14 +142,10 @@
     )
     search = engine_admission.AdmissionSearch(call, router)
     while True:
+        refusal = await crashes.check_quarantine(call, router)
+        if refusal is not None:
+            return result.Failure(refusal)
         key_check = authenticate.check_key_freshness(call, router)
-        if router.quarantine.is_quarantined(crashes.digest_call(call)):
-            return result.Failure(call_refusals.refuse_quarantined(call))
-        part = crashes.find_quarantined_part(call, router)
-        if part:
-            return result.Failure(
-                call_refusals.refuse_quarantined_part(call, part)
-            )
         choice = placement.place_call(call, router)
         if (
             not returns_pipeline.is_successful(key_check)
@@ -398,7 +394,7 @@
     router.failure_tracker.record(name, is_failed, now)
     if failure is None or failure.kind in (Kind.FAILED, Kind.UNPROVEN):
         router.health.record_success(name)
-        router.quarantine.record_completion(crashes.digest_call(call))
+        crashes.record_survival(call, router)
         if failure is None:
             crashes.record_answer(call, router)
         return
@@ -463,6 +459,8 @@
     now = router.runtime.now()
     if call.has_partial_body or call.caller.has_left:
         return call_refusals.refuse_failed(call, failure)
+    if call.may_have_run and call.trial is not None:
+        return call_refusals.refuse_failed(call, failure)
     if call.may_have_run and not call.is_retryable():
         return call_refusals.refuse_failed(call, failure)
     if call.deadline - now < MIN_RETRY_SECONDS_LEFT:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/steps/inform.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/steps/inform.py
@@ -1,4 +1,4 @@
-"""Refuse calls until this host has read the desired state and the targets."""
+"""Refuse calls until this host has read what it needs from the store."""
 
 from returns import result
 
@@ -17,7 +17,7 @@
 async def require_desired_state(
     call: calls.Call, router: routers.CallRouter
 ) -> filter_chains.FilterResult:
-    """Refuse calls until the desired state and the targets have been read."""
+    """Refuse calls until state, targets and crash records have been read."""
     state = router.desired.state
     if state is None or not router.catalog.has_synced():
         return result.Failure(
@@ -25,6 +25,10 @@
                 'this host has not read the desired state and targets yet'
             )
         )
+    if not router.crash_records.has_synced():
+        return result.Failure(
+            refuse_stale('this host has not read what crashes targets yet')
+        )
     call.desired_version = state.version
     return filter_chains.CONTINUE
 
--- a/packages/pistachioseam/src/pistachioseam/quarantine.py
+++ b/packages/pistachioseam/src/pistachioseam/quarantine.py
@@ -15,6 +15,9 @@
 CRASHES_TO_QUARANTINE = 2
 QUARANTINE_SECONDS = 120.0
 SUSPICION_SECONDS = 60.0
+KEEP_SECONDS = 86_400.0
+"""Time without a call after which a request that was quarantined is forgotten.
+Until then a single further crash quarantines it again."""
 DIGEST_BYTES = 16
 
 
@@ -23,6 +26,7 @@
     crashes: int
     expires_at: float
     changed_at: float
+    called_at: float
 
 
 @attrs.frozen
@@ -75,6 +79,22 @@
             return False
         return record.crashes >= self._crash_threshold
 
+    def is_blocked(self, digest: str) -> bool:
+        """Return whether a request was quarantined and has not been cleared.
+
+        Each call keeps it so.
+        """
+        record = self._records.get(digest)
+        if record is None or record.crashes < self._crash_threshold:
+            return False
+        record.called_at = self._runtime.now()
+        return True
+
+    def count_crashes(self, digest: str) -> int:
+        """Return the number of crashes that are known."""
+        record = self._records.get(digest)
+        return 0 if record is None else record.crashes
+
     def get_retry_seconds(self, digest: str) -> float:
         """Return the seconds until the quarantine of the request ends."""
         record = self._records[digest]
@@ -113,7 +133,7 @@
         crashes = record.crashes + 1 if record else 1
         is_quarantined = crashes >= self._crash_threshold
         seconds = QUARANTINE_SECONDS if is_quarantined else SUSPICION_SECONDS
-        self._records[digest] = _CrashRecord(crashes, now + seconds, now)
+        self._records[digest] = _CrashRecord(crashes, now + seconds, now, now)
         for listener in self._listeners:
             listener()
         return is_quarantined
@@ -121,13 +141,15 @@
     def merge(self, suspect: Suspect) -> None:
         """Merge the crash count of a peer; the higher count wins."""
         now = self._runtime.now()
+        self._expire(now)
         own = self._records.get(suspect.digest)
         expires_at = now + min(suspect.seconds_left, QUARANTINE_SECONDS)
-        if own is None or own.expires_at <= now:
-            record = _CrashRecord(suspect.crashes, expires_at, now)
-            self._records[suspect.digest] = record
-        elif suspect.crashes > own.crashes:
-            own.crashes = suspect.crashes
+        if own is None:
+            self._records[suspect.digest] = _CrashRecord(
+                suspect.crashes, expires_at, now, now
+            )
+        elif suspect.crashes > own.crashes or own.expires_at <= now:
+            own.crashes = max(own.crashes, suspect.crashes)
             own.changed_at = now
             own.expires_at = max(own.expires_at, expires_at)
 
@@ -160,6 +182,10 @@
         return record
 
     def _expire(self, now: float) -> None:
-        ended = [d for d, r in self._records.items() if r.expires_at <= now]
-        for digest in ended:
-            del self._records[digest]
+        """Drop suspects whose time is over; keep those once quarantined."""
+        for digest, record in list(self._records.items()):
+            end = record.expires_at
+            if record.crashes >= self._crash_threshold:
+                end = max(end, record.called_at + KEEP_SECONDS)
+            if end <= now:
+                del self._records[digest]
--- a/tests/call_fakes.py
+++ b/tests/call_fakes.py
@@ -14,6 +14,7 @@
 from pistachioseam.forwarding import calls
 from pistachioseam.forwarding import catalog
 from pistachioseam.forwarding import crash_evidence
+from pistachioseam.forwarding import crash_records
 from pistachioseam.forwarding import desired
 from pistachioseam.forwarding import freshness
 from pistachioseam.forwarding import known_versions
@@ -381,6 +382,9 @@
         self.router.catalog.apply(change, now)
         self.set_state(create_state())
         self.router.freshness.record_confirmation(now)
+        self.router.crash_records.apply(
+            crash_records.CrashRecordsRead({}, 0.0)
+        )
         if row_store is None:
             self.list_software_versions()
 
@@ -393,6 +397,8 @@
         targets = catalog.TargetCatalog(self.sink)
         state = known_versions.DesiredStateCache(self.sink)
         region = links.Region(name='r1', domains=('d1', 'd2', domain))
+        crashing_requests = quarantine.Quarantine(self.runtime, 3)
+        crashing_parts = crash_evidence.CrashEvidence(self.sink)
         return routers.CallRouter(
             runtime=self.runtime,
             read_boot_clock=self.runtime.now,
@@ -407,8 +413,16 @@
             loads=loads.LoadTracker(),
             budget=budgets.RetryBudgetShare(budgets.BudgetTerms(), lambda: 1),
             health=health.HealthTracker(self.runtime, self.sink),
-            quarantine=quarantine.Quarantine(self.runtime, 3),
-            crash_evidence=crash_evidence.CrashEvidence(self.sink),
+            quarantine=crashing_requests,
+            crash_evidence=crashing_parts,
+            crash_records=crash_records.CrashRecords(
+                crashing_requests,
+                crashing_parts,
+                self.runtime,
+                SeededRandom(),
+                self.sink,
+                self.row_store,
+            ),
             notices=notices.TargetNotices(self.sink),
             stream_origins=stream_origins.StreamOrigins(),
             software=software_versions.SoftwareVersions(
--- a/tests/clocks.py
+++ b/tests/clocks.py
@@ -42,15 +42,18 @@
         self._now += seconds
 
 
-def run(coroutine: abc.Coroutine[typing.Any, typing.Any, T]) -> T:
+def run(
+    coroutine: abc.Coroutine[typing.Any, typing.Any, T],
+    timeout_seconds: float = RUN_TIMEOUT_SECONDS,
+) -> T:
     """Run a coroutine in virtual time and return its result.
 
-    Raises TimeoutError after `RUN_TIMEOUT_SECONDS` of virtual time.
+    Raises TimeoutError after `timeout_seconds` of virtual time.
     """
     loop = VirtualLoop()
     try:
         return loop.run_until_complete(
-            asyncio.wait_for(coroutine, RUN_TIMEOUT_SECONDS)
+            asyncio.wait_for(coroutine, timeout_seconds)
         )
     finally:
         for task in asyncio.all_tasks(loop):
