Count a crash of a target once for a request, whatever is in flight

Each call in flight at a crash counted one crash of its request, at each host; three of them were a quarantine.

The crashes of a request are kept by incarnation of the target and told so to peers, whose sets are united; a crash of the same incarnation counts again only a second later, when it has restarted under its id and the host does not know yet. Hosts of earlier builds tell and understand the count alone.

The tests of crashes restart the targets that have crashed, as crashes are now told apart by incarnation.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/member_messages.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/member_messages.py
@@ -17,6 +17,10 @@
             digest=suspect.digest,
             crashes=suspect.crashes,
             seconds_left=suspect.seconds_left,
+            targets=[
+                messages_pb2.Incarnation(target=name, born_ms=born_ms)
+                for name, born_ms in sorted(suspect.targets)
+            ],
         )
 
 
@@ -26,7 +30,10 @@
     """Return the suspects that a message carries."""
     return tuple(
         quarantine.Suspect(
-            suspect.digest, suspect.crashes, suspect.seconds_left
+            suspect.digest,
+            suspect.crashes,
+            suspect.seconds_left,
+            frozenset((t.target, t.born_ms) for t in suspect.targets),
         )
         for suspect in gossip.suspects
     )
--- a/packages/pistachioseam/src/pistachioseam/forwarding/crashes.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/crashes.py
@@ -124,7 +124,7 @@
     # The listeners of the quarantine send the evidence to the peers too.
     _record_evidence(call, router, attempt, broke_at)
     digest = digest_call(call)
-    if router.quarantine.record_crash(digest):
+    if router.quarantine.record_crash(digest, target.get_incarnation()):
         router.sink.emit(
             events.Event.REQUEST_FOUND_CRASHING,
             request_id=call.request_id,
--- a/packages/pistachioseam/src/pistachioseam/quarantine.py
+++ b/packages/pistachioseam/src/pistachioseam/quarantine.py
@@ -18,8 +18,14 @@
 KEEP_SECONDS = 86_400.0
 """Time without a call after which a request that was quarantined is forgotten.
 Until then a single further crash quarantines it again."""
+SAME_CRASH_SECONDS = 1.0
+"""Time in which all calls that were in flight at a crash have broken off. A
+later one shows another crash of a target whose restart is not known yet."""
 DIGEST_BYTES = 16
 
+Incarnation = tuple[str, int]
+"""Name and start time of a target."""
+
 
 @attrs.define
 class _CrashRecord:
@@ -27,15 +33,20 @@
     expires_at: float
     changed_at: float
     called_at: float
+    crashed_at: dict[Incarnation, float] = attrs.field(factory=dict)
 
 
 @attrs.frozen
 class Suspect:
-    """Request during which targets crashed, as exchanged with peers."""
+    """Request during which targets crashed, as exchanged with peers.
+
+    `targets` are those whose incarnations are known.
+    """
 
     digest: str
     crashes: int
     seconds_left: float
+    targets: frozenset[Incarnation] = frozenset()
 
 
 def digest_request(
@@ -122,34 +133,48 @@
         if self._running_suspects.get(target) == digest:
             del self._running_suspects[target]
 
-    def record_crash(self, digest: str) -> bool:
+    def record_crash(
+        self, digest: str, target: Incarnation | None = None
+    ) -> bool:
         """Count a crash of a target that ran a request.
 
-        Return whether the request is quarantined.
+        Several calls with the request may have been in flight at the same
+        crash. Return whether the request is quarantined.
         """
         now = self._runtime.now()
         self._expire(now)
-        record = self._records.get(digest)
-        crashes = record.crashes + 1 if record else 1
-        is_quarantined = crashes >= self._crash_threshold
+        record = self._records.setdefault(
+            digest, _CrashRecord(0, now, now, now)
+        )
+        crashed_at = float('-inf')
+        if target is not None:
+            crashed_at = record.crashed_at.setdefault(target, crashed_at)
+        if now - crashed_at > SAME_CRASH_SECONDS:
+            record.crashes += 1
+            if target is not None:
+                record.crashed_at[target] = now
+        is_quarantined = record.crashes >= self._crash_threshold
         seconds = QUARANTINE_SECONDS if is_quarantined else SUSPICION_SECONDS
-        self._records[digest] = _CrashRecord(crashes, now + seconds, now, now)
+        record.expires_at = now + seconds
+        record.changed_at = record.called_at = now
         for listener in self._listeners:
             listener()
         return is_quarantined
 
     def merge(self, suspect: Suspect) -> None:
-        """Merge the crash count of a peer; the higher count wins."""
+        """Merge the crashes of a peer; the highest count wins."""
         now = self._runtime.now()
         self._expire(now)
-        own = self._records.get(suspect.digest)
         expires_at = now + min(suspect.seconds_left, QUARANTINE_SECONDS)
+        own = self._records.get(suspect.digest)
         if own is None:
-            self._records[suspect.digest] = _CrashRecord(
-                suspect.crashes, expires_at, now, now
-            )
-        elif suspect.crashes > own.crashes or own.expires_at <= now:
-            own.crashes = max(own.crashes, suspect.crashes)
+            own = _CrashRecord(0, expires_at, now, now)
+            self._records[suspect.digest] = own
+        for target in suspect.targets:
+            own.crashed_at.setdefault(target, now)
+        crashes = max(own.crashes, suspect.crashes, len(own.crashed_at))
+        if crashes > own.crashes or own.expires_at <= now:
+            own.crashes = crashes
             own.changed_at = now
             own.expires_at = max(own.expires_at, expires_at)
 
@@ -159,7 +184,12 @@
         """Return the suspects whose record changed within `within_seconds`."""
         now = self._runtime.now()
         return tuple(
-            Suspect(digest, record.crashes, record.expires_at - now)
+            Suspect(
+                digest,
+                record.crashes,
+                record.expires_at - now,
+                frozenset(record.crashed_at),
+            )
             for digest, record in self._records.items()
             if record.expires_at > now
             and now - record.changed_at < within_seconds
