--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,9 +5,11 @@
 import typing
 from unittest import mock
 
+import attrs
 from returns import pipeline
 from returns import result
 
+from pistachioseam.forwarding import crash_records
 from pistachioseam.forwarding import ports
 from pistachioseam.forwarding import store_versions
 from pistachioseam.forwarding import stream_origins
@@ -90,7 +92,7 @@
             for (name, key), value in self.rows.items()
             if name == table
         )
-        return result.Success(rows.TableRead(found, CURSOR, True))
+        return result.Success(rows.TableRead(found, CURSOR, True, 100.0))
 
 
 def create_store(client: Client) -> store.PlatformStore:
@@ -236,6 +238,55 @@
         case.assertFalse(pipeline.is_successful(failed))
 
 
+def test_changes_between_two_pages_are_in_the_next_read(
+    case: support.Case,
+) -> None:
+    """DRAIN: a row of the first page that was removed meanwhile was kept."""
+    pages = [
+        {'ver': 5, 'hasMore': True, 'rows': [{'key': 'a', 'ver': 1}]},
+        {'ver': 7, 'hasMore': False, 'rows': [{'key': 'b', 'ver': 7}]},
+    ]
+
+    async def call(*_: object, **__: object) -> rows.CallResult:
+        return result.Success(rows.StoreResponse(pages.pop(0), 0))
+
+    client = rows.StoreClient('127.0.0.1:1')
+    with mock.patch.object(client, 'call', call):
+        read = asyncio.run(client.read_rows('t')).unwrap()
+    case.assertEqual(['a', 'b'], [row.key for row in read.rows])
+    case.assertEqual(store_versions.StoreVersion(0, 5), read.cursor)
+
+
+def test_crash_records_are_kept_whole(case: support.Case) -> None:
+    """What is read is what was written; malformed rows hide no other."""
+    client = Client()
+    platform = create_store(client)
+    records = [
+        crash_records.CrashRecord(
+            subject=crash_records.Subject(digest='d'),
+            crashes=3,
+            trials=1,
+            blocked_at=5.5,
+            called_at=6.5,
+            is_cleared=True,
+        ),
+        crash_records.CrashRecord(
+            subject=crash_records.Subject(model='m', part='p'),
+            crash_times={('engine', 7): 4.5},
+        ),
+    ]
+    for record in records:
+        asyncio.run(platform.write_crash_record(record)).unwrap()
+    (document, *_) = map(json.loads, client.rows.values())
+    odd = list_unreadable({'crash_times': document['crash_times']})
+    for number, value in enumerate(odd):
+        client.rows[store.CRASHES_TABLE, f'odd-{number}'] = value
+    read = asyncio.run(platform.read_crash_records()).unwrap()
+    found = [attrs.evolve(r, row_version=0) for r in read.records.values()]
+    case.assertEqual(records, found)
+    case.assertEqual(len(odd), len(read.findings))
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
