Soak: entries that lapse or are spoiled; all hosts use all servers in the end

A new fault removes or spoils an entry, at times twice, while the store turns one host away. After the faults every host has to list every server, none as departed; `/dump` names the departed ones.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_admin.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_admin.py
@@ -120,6 +120,11 @@
             'targets': [
                 attrs.asdict(target) for target in router.catalog.list_all()
             ],
+            'departed': [
+                target.name
+                for target in router.catalog.list_all()
+                if not router.catalog.is_available(target)
+            ],
             'own_loads': {
                 name: attrs.asdict(load)
                 for name, load in router.loads.get_own_loads().items()
--- a/packages/pistachioseam-standins/src/pistachioseam_standins/metadata.py
+++ b/packages/pistachioseam-standins/src/pistachioseam_standins/metadata.py
@@ -23,6 +23,7 @@
 import base64
 from collections import abc
 import functools
+import json
 import time
 import typing
 
@@ -31,7 +32,8 @@
 
 from pistachioseam_standins import serving
 
-PROTECTED_TABLES = ('op', 'servers')
+SERVERS_TABLE = 'servers'
+PROTECTED_TABLES = ('op', SERVERS_TABLE)
 """Tables that hosts must not write."""
 SILENT_SECONDS = 60.0
 FEED_POLL_SECONDS = 0.02
@@ -85,6 +87,7 @@
         self._history: list[Change] = []
         self._objects: dict[str, bytes] = {}
         self._compacted_version = 0
+        self._copied_version = 0
         self.era = 1
         self._copy: tuple[int, list[Change]] = (0, [])
         self._views: dict[str, dict[str, str]] = {}
@@ -109,6 +112,7 @@
     def _restore_copy(self) -> None:
         self.era += 1
         self.version, history = self._copy
+        self._copied_version = self.version
         self._history = list(history)
         self._rows = {}
         for change in history:
@@ -147,13 +151,33 @@
 
     @app.route('/standin/rows', methods=['POST'])
     def write_rows(self, request: typing.Any) -> bytes:
-        """Write rows without conditions; a null value deletes the row."""
+        """Write rows without conditions; a null value deletes the row.
+
+        A server's entry changes only when more than its count of heartbeats
+        does; the first write after the store was restored is a change.
+        """
         self.version += 1
         for row in serving.read_json(request)['rows']:
             value = row['value']
-            self._record_change(row, None if value is None else value.encode())
+            if value is None or not self._is_heartbeat(row):
+                self._record_change(
+                    row, None if value is None else value.encode()
+                )
         return serving.encode_json(request, {'ver': self.version})
 
+    def _is_heartbeat(self, row: typing.Any) -> bool:
+        """Return whether an entry of a server differs in its `seq` only."""
+        known = self._rows.get((row['table'], '', row['key']))
+        if row['table'] != SERVERS_TABLE or known is None:
+            return False
+        if known.version <= self._copied_version or known.value is None:
+            return False
+        try:
+            former, entry = json.loads(known.value), json.loads(row['value'])
+            return bool({**former, 'seq': entry['seq']} == entry)
+        except (LookupError, RecursionError, TypeError, ValueError):
+            return False
+
     def _record_change(self, row: typing.Any, value: bytes | None) -> None:
         key = (row['table'], row.get('part', ''), row['key'])
         change = Change(*key, self.version, value)
@@ -217,7 +241,7 @@
     @app.route('/-/rows-feed')
     @hold_answers
     async def watch_rows(self, request: typing.Any) -> bytes:
-        """Return the changes of a table after a version.
+        """Return each change of a table after a version, in order.
 
         Long poll: waits up to `waitMs` for the first change.
         """
@@ -233,20 +257,16 @@
         while True:
             if after > self.version:
                 return serving.encode_json(request, {}, 410)
-            rows = self._list_latest_changes(table, after)
+            rows = [
+                change
+                for change in self._history
+                if change.table == table and change.version > after
+            ]
             if rows or waited >= int(_get_arg(request, 'waitMs')) / 1000:
                 return self._encode_rows(request, rows)
             await serving.sleep(FEED_POLL_SECONDS)
             waited += FEED_POLL_SECONDS
 
-    def _list_latest_changes(self, table: str, after: int) -> list[Change]:
-        latest_changes = {
-            (change.part, change.key): change
-            for change in self._history
-            if change.table == table and change.version > after
-        }
-        return list(latest_changes.values())
-
     @app.route('/-/blob-put/<name>', methods=['PUT'])
     @hold_answers
     async def write_object(self, request: typing.Any, name: str) -> bytes:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -28,6 +28,9 @@
 """Longest time for which a fault holds answers of the store."""
 HOLDS_SECONDS = (0.5, 0.9, 2.0, metadata.SILENT_SECONDS)
 """Times by which answers come late; the last is never."""
+MAX_LAPSE_SECONDS = 4.0
+"""Longest time between two removals of an entry; hosts tell each other of one
+for three seconds."""
 STORE_FAULTS = ('busy', 'silent', 'lose')
 """Modes of the store stand-in in which it is disturbed."""
 LINK_FAULTS = ('delay', 'silent', 'one_way')
@@ -560,6 +563,26 @@
         )
 
 
+@register
+def lapse_entry(context: FaultContext) -> None:
+    """Remove the entry of a server, or spoil it, as another writer may.
+
+    The server writes it again with its next heartbeat; some hosts do not reach
+    the store meanwhile.
+    """
+    running = context.fleet
+    server = context.random.choice((*running.engines, *running.services))
+    refused = context.random.randrange(len(running.proxies))
+    value = context.random.choice((None, '{}'))
+    running.set_proxy_mode(refused, 'reset')
+    with running.disturb(is_store=True):
+        running.write_raw_row('servers', server.name, value)
+        time.sleep(context.random.random() * MAX_LAPSE_SECONDS)
+        if context.random.random() < 0.5:
+            running.write_raw_row('servers', server.name, value)
+    running.set_proxy_mode(refused, 'pass')
+
+
 @register
 def set_store_fault(context: FaultContext) -> None:
     """Make the store refuse calls, hang, drop responses or lose its history.
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -62,6 +62,7 @@
         results = _call_under_faults(running, seed)
         faults.clear_faults(running)
         results += _wait_until_served(running)
+        _wait_until_all_targets_are_used(running)
         violations = running.find_violations(results)
         _print_summary(seed, results, running)
         case.assertEqual([], violations, f'seed {seed}')
@@ -197,6 +198,21 @@
     return results
 
 
+def _wait_until_all_targets_are_used(running: faults.SoakFleet) -> None:
+    """Wait until every host lists every server, none as departed."""
+    names = {server.name for server in (*running.engines, *running.services)}
+    for host in running.entries:
+
+        def uses_all(host: deployment.ServerProcess = host) -> bool:
+            dump = running.dump(host)
+            listed = {target['name'] for target in dump['targets']}
+            return names <= listed - set(dump['departed'])
+
+        deployment.wait_until(
+            uses_all, f'{host.name} does not use all servers'
+        )
+
+
 def test_no_violations_under_faults(case: support.Case) -> None:
     """Run SOAK_SEEDS seeds from SOAK_FIRST on, by default seed 1."""
     for seed in range(FIRST_SEED, FIRST_SEED + SEED_COUNT):
--- a/tests/standins/test_metadata.py
+++ b/tests/standins/test_metadata.py
@@ -107,6 +107,28 @@
         case.assertTrue(store.is_answered_at_once('other.example'))
 
 
+def test_feed_returns_each_change_but_heartbeats(case: support.Case) -> None:
+    """Entries that lapse and return, and heartbeats between, as in use."""
+    store = StoreClient()
+    entry = {'seq': 1, 'state': 'ready'}
+    for content in (
+        entry,
+        {**entry, 'seq': 2},
+        None,
+        {**entry, 'seq': 3},
+        {**entry, 'seq': 4},
+        {'seq': 5, 'state': 'draining'},
+    ):
+        value = None if content is None else json.dumps(content)
+        row = {'table': 'servers', 'key': 'a', 'value': value}
+        store.call('POST', '/standin/rows', json={'rows': [row]})
+    params = {'table': 'servers', 'after': '0', 'waitMs': '0'}
+    found = json.loads(store.call('GET', '/-/rows-feed', params=params)[1])
+    case.assertEqual([1, 3, 4, 6], [row['ver'] for row in found['rows']])
+    tombstones = [row.get('tombstone', False) for row in found['rows']]
+    case.assertEqual([False, True, False, False], tombstones)
+
+
 def load_tests(*_: object) -> object:
     """Load the functions of this module."""
     return support.load_functions(globals())
