Crash records: trials begin anew after a survival; leaders are asked once

Reading the diff: a sound request that was cleared twice had no trial left; and as a leader is lost, all hosts of a large domain would have asked the next one for its whole state at once.

A survival clears the number of trials too. In a large fleet a host asks leaders until one has answered, which knows what all know. Evidence about parts is asked for by the time since which crashes count, with no special value.

--- a/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
+++ b/packages/pistachioseam-entry/src/pistachioseam_entry/call_peers.py
@@ -151,6 +151,7 @@
         self._server: servers.PeerServer | None = None
         self._probed_at: dict[str, float] = {}
         self._introduced: set[str] = set()
+        self._has_whole_state = False
         self._received_at: dict[str, float] = {}
         self._announced_hosts = 0
         self._list_reads = 0
@@ -682,8 +683,11 @@
         """Return the live contacts that have not sent their whole state.
 
         A host that restarts hears its peers before it knows them, so they are
-        not silent; their regular statuses hold only what has changed.
+        not silent; their regular statuses hold only what has changed. In a
+        large fleet, the state of one leader is that of all.
         """
+        if self._contacts.leaders and self._has_whole_state:
+            return []
         alive = self.members.list_alive()
         incarnations = {peer.incarnation for peer in alive}
         self._introduced &= incarnations
@@ -709,6 +713,7 @@
 
     def _handle_handshake(self, message: messages_pb2.Message) -> None:
         self._introduced.add(message.sender.incarnation)
+        self._has_whole_state = True
         self._handle_message(message)
 
     async def _handle_request(
--- a/packages/pistachioseam/src/pistachioseam/forwarding/crash_evidence.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/crash_evidence.py
@@ -200,7 +200,7 @@
         """
         for name in prompt.list_shared_names() if self._records else ():
             key = (prompt.model, name)
-            if self._is_quarantined(key, float('-inf')):
+            if self._has_evidence(key, since=float('-inf')):
                 return name
         return ''
 
@@ -224,8 +224,9 @@
     def list_quarantined(self, now: float) -> tuple[PartKey, ...]:
         """Return the sorted models and names of quarantined parts."""
         suspects = self._list_heaviest_suspects()
+        since = now - QUARANTINE_SECONDS
         return tuple(
-            sorted(k for k in suspects if self._stands_out(k, suspects, now))
+            sorted(k for k in suspects if self._stands_out(k, suspects, since))
         )
 
     def list_reports(
@@ -290,11 +291,18 @@
             self._suspects.discard(key)
 
     def _is_quarantined(self, key: PartKey, now: float) -> bool:
-        """Return whether a part has enough evidence of its own."""
+        """Return whether a part has enough evidence, and recent one."""
+        return self._has_evidence(key, since=now - QUARANTINE_SECONDS)
+
+    def _has_evidence(self, key: PartKey, since: float) -> bool:
+        """Return whether a part has enough evidence of its own.
+
+        Its last crash must be later than `since`.
+        """
         if key not in self._suspects:
             return False
         suspects = self._list_heaviest_suspects()
-        return key in suspects and self._stands_out(key, suspects, now)
+        return key in suspects and self._stands_out(key, suspects, since)
 
     def _list_heaviest_suspects(self) -> list[PartKey]:
         """Return the suspected parts with the most crashes."""
@@ -303,15 +311,15 @@
         return heapq.nlargest(MAX_SUSPECTS, self._suspects, key=self._weigh)
 
     def _stands_out(
-        self, key: PartKey, suspects: abc.Iterable[PartKey], now: float
+        self, key: PartKey, suspects: abc.Iterable[PartKey], since: float
     ) -> bool:
         """Return whether no other suspect explains the crashes of a part."""
-        if not self._has_enough(key, now):
+        if not self._has_enough(key, since):
             return False
         return not any(
             other[0] == key[0]
             and self._is_explained(key, other)
-            and self._has_enough(other, now)
+            and self._has_enough(other, since)
             for other in suspects
         )
 
@@ -323,15 +331,15 @@
             return key in self._answered and other not in self._answered
         return other_crashes > crashes
 
-    def _has_enough(self, key: PartKey, now: float) -> bool:
-        """Return whether targets crashed on enough occasions, and recently.
+    def _has_enough(self, key: PartKey, since: float) -> bool:
+        """Return whether targets crashed on enough occasions.
 
-        At minus infinity all crashes that are known count as recent.
+        The last crash must be later than `since`.
         """
         if key not in self._suspects:
             return False
         record = self._records[key]
-        if now - record.get_last_crash() >= QUARANTINE_SECONDS:
+        if record.get_last_crash() <= since:
             return False
         threshold = self._threshold
         if len(record.crashed_at) >= MANY_CRASHES:
--- a/packages/pistachioseam/src/pistachioseam/forwarding/crash_records.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/crash_records.py
@@ -247,7 +247,7 @@
         for subject in list(self._survived):
             record = found.records.get(subject)
             if record is None or await self._write(
-                attrs.evolve(record, is_cleared=True)
+                attrs.evolve(record, is_cleared=True, trials=0)
             ):
                 self._survived.discard(subject)
         return not self._pending and not self._survived
@@ -259,7 +259,7 @@
     def _create_record(
         self, subject: Subject, found: CrashRecordsRead
     ) -> CrashRecord:
-        """Return a record of the evidence; the number of trials is kept."""
+        """Return a record of the evidence; its trials are kept."""
         now = found.store_seconds
         record = attrs.evolve(
             found.records.get(subject, CrashRecord(subject=subject)),
