--- a/packages/pistachioseam/src/pistachioseam/forwarding/crash_evidence.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/crash_evidence.py
@@ -20,6 +20,7 @@
 from pistachioseam import events
 from pistachioseam.forwarding import prompts
 from pistachioseam import interfaces
+from pistachioseam import quarantine
 
 OCCASIONS_TO_QUARANTINE = 3
 """Occasions of crashes after which a part is quarantined."""
@@ -34,7 +35,7 @@
 is no evidence, as a crashing part ends its target as the answer begins."""
 QUARANTINE_SECONDS = 120.0
 """Time from the last crash until a call with the part may be tried again."""
-RECORD_SECONDS = 86_400.0
+RECORD_SECONDS = quarantine.KEEP_SECONDS
 """Time for which a crash is remembered."""
 PEER_DELAY_SECONDS = 0.5
 """Longest delay of a peer's report. A crash that seems to follow a survival by
--- a/packages/pistachioseam/src/pistachioseam/forwarding/crash_records.py
+++ b/packages/pistachioseam/src/pistachioseam/forwarding/crash_records.py
@@ -26,8 +26,6 @@
 TRIAL_PAUSES_SECONDS = (120.0, 960.0)
 """Pauses before the trials, each counted from the last crash or trial. There
 are no further trials."""
-KEEP_SECONDS = 86_400.0
-"""Time without a call after which a record ends."""
 TOUCH_SECONDS = 3600.0
 """Age of the last known call after which it is written anew."""
 CHECK_SECONDS = 60.0
@@ -335,4 +333,4 @@
 
 
 def _is_outdated(record: CrashRecord, store_seconds: float) -> bool:
-    return store_seconds - record.called_at > KEEP_SECONDS
+    return store_seconds - record.called_at > quarantine.KEEP_SECONDS
--- a/tests/core/forwarding/test_crash_records.py
+++ b/tests/core/forwarding/test_crash_records.py
@@ -6,6 +6,7 @@
 from pistachioseam.forwarding import crash_records
 from pistachioseam.forwarding import crashes
 from pistachioseam.forwarding import prompts
+from pistachioseam import quarantine
 from pistachioseam import refusals
 from tests import call_fakes
 from tests import clocks
@@ -19,7 +20,7 @@
 """Time in which a record is in the store."""
 CALL_PAUSE_SECONDS = 10.0
 LONG_SECONDS = 3 * 3600.0
-TIMEOUT_SECONDS = 2 * crash_records.KEEP_SECONDS
+TIMEOUT_SECONDS = 2 * quarantine.KEEP_SECONDS
 MAX_RETRIES = 3
 """Retries that may reach targets after the request has crashed the third."""
 PROMPT = prompts.Prompt(
@@ -276,7 +277,7 @@
         store = row_stores.RowStore()
         await quarantine_request(await create_hosts(store))
         case.assertEqual(1, len(store.crash_records))
-        await asyncio.sleep(crash_records.KEEP_SECONDS + 1.0)
+        await asyncio.sleep(quarantine.KEEP_SECONDS + 1.0)
         await create_hosts(store)
         case.assertEqual({}, store.crash_records)
 
