--- a/tests/platform/test_target_rows.py
+++ b/tests/platform/test_target_rows.py
@@ -148,6 +148,29 @@
             )
 
 
+def test_entry_of_another_writer_hides_no_later_entry(
+    case: support.Case,
+) -> None:
+    """DRAIN: its count of heartbeats, a time, made all later ones older."""
+
+    async def run(**odd: object) -> None:
+        client = RowClient()
+        host = Host(client)
+        client.write(create_entry())
+        await host.watch.read()
+        client.write(create_entry(**odd))
+        await host.watch.read()
+        client.write(create_entry(seq=3))
+        await host.watch.read()
+        case.assertTrue(host.uses_target())
+        client.write(create_entry(seq=4, state='draining'))
+        await host.watch.read()
+        case.assertFalse(host.uses_target())
+
+    clocks.run(run(seq=1_800_000_000_000))
+    clocks.run(run(born=1_800_000_000_000))
+
+
 def test_peers_repeat_a_departure_after_the_return(
     case: support.Case,
 ) -> None:
